--- /dev/null
+++ b/src/base/attempt_id.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <utility>
+
+#include "src/base/call_id.h"
+
+namespace bronzeroute {
+
+/// Identity of one try of a call at one owner. Carried on every message about the attempt.
+struct attempt_id {
+  call_id call;
+  std::uint32_t number = 0;
+
+  friend auto operator<=>(const attempt_id&, const attempt_id&) = default;
+
+  template <typename H>
+  friend H AbslHashValue(H hash, const attempt_id& id) {
+    return H::combine(std::move(hash), id.call, id.number);
+  }
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/base/error_kind.cc
@@ -0,0 +1,76 @@
+#include "src/base/error_kind.h"
+
+#include <array>
+
+#include "src/base/error_answer.h"
+
+namespace bronzeroute {
+namespace {
+
+constexpr execution kNotRun = execution::kNotRun;
+constexpr execution kUnknown = execution::kUnknown;
+constexpr execution kRan = execution::kRan;
+
+using enum error_kind;
+
+constexpr auto kTable = std::to_array<error_answer>({
+    {kNone, "none", 200, kRan, false, "No error."},
+    {kBadHeader, "bad_header", 400, kNotRun, false, "A Bronzeroute header is malformed."},
+    {kFieldTooLarge, "field_too_large", 431, kNotRun, false, "A request field is too large."},
+    {kUnknownService, "unknown_service", 404, kNotRun, false,
+     "The configuration in force has no such service."},
+    {kTooDeep, "too_deep", 508, kNotRun, false, "The call is nested too deep."},
+    {kNotReady, "not_ready", 503, kNotRun, false, "No configuration is in force yet."},
+    {kNoUpstream, "no_upstream", 503, kNotRun, false, "No upstream can take the request."},
+    {kDeadlineTooShort, "deadline_too_short", 503, kNotRun, true,
+     "The request would be answered after its deadline."},
+    {kOverloaded, "overloaded", 503, kNotRun, true,
+     "Slots and queue of the upstream are full."},
+    {kQueueTimeout, "queue_timeout", 503, kNotRun, false, "The deadline passed in the queue."},
+    {kDraining, "draining", 503, kNotRun, true, "The upstream is leaving."},
+    {kWrongIncarnation, "wrong_incarnation", 503, kNotRun, true,
+     "The attempt names an earlier run of this process."},
+    {kCancelled, "cancelled", 499, kNotRun, false, "The caller cancelled before the start."},
+    {kUpstreamConnectFailed, "upstream_connect_failed", 502, kNotRun, true,
+     "No connection to the upstream could be made."},
+    {kUpstreamEjected, "upstream_ejected", 503, kNotRun, true, "The upstream is failing."},
+    {kRetryBudgetEmpty, "retry_budget_empty", 503, kNotRun, false,
+     "The budget for further attempts is used up."},
+    {kPeerUnreachable, "peer_unreachable", 503, kNotRun, true,
+     "There is no open channel to the process beside the upstream."},
+    {kAnswerLost, "answer_lost", 504, kUnknown, false,
+     "The request may have run; no answer came."},
+    {kDeadlineExceeded, "deadline_exceeded", 504, kUnknown, false,
+     "The deadline passed while the request may have been running."},
+    {kAnswerCut, "answer_cut", 502, kRan, false, "The answer ended before it was complete."},
+    {kDuplicateKey, "duplicate_key", 409, kRan, false, "A request with this key already ran."},
+    {kKeyInProgress, "key_in_progress", 409, kUnknown, false,
+     "A request with this key is in progress."},
+    {kKeyHomeLost, "key_home_lost", 409, kUnknown, false,
+     "The process that kept this key is gone; an earlier try may have run."},
+    {kKeyExpired, "key_expired", 409, kUnknown, false,
+     "The key is older than its record; an earlier try may have run."},
+    {kKeyUnknown, "key_unknown", 409, kUnknown, false,
+     "No record of an earlier try is kept here; it may have run."},
+    {kKeyTableFull, "key_table_full", 503, kNotRun, false, "The table of keys is full."},
+    {kDuplicateAttempt, "duplicate_attempt", 409, kUnknown, false,
+     "This attempt was received before."},
+    {kBadKey, "bad_key", 400, kNotRun, false, "The idempotency key is malformed."},
+    {kUnknownEndpoint, "unknown_endpoint", 404, kNotRun, false, "There is no such endpoint."},
+    {kWrongService, "wrong_service", 503, kNotRun, true,
+     "The upstream beside this process serves another service."},
+});
+
+}  // namespace
+
+const error_answer& AnswerFor(error_kind kind) {
+  return kTable[static_cast<std::size_t>(kind)];
+}
+
+error_kind ErrorKindFromNumber(std::uint32_t value) {
+  return value < kTable.size() ? static_cast<error_kind>(value) : kAnswerLost;
+}
+
+std::span<const error_answer> AllErrorAnswers() { return kTable; }
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/base/error_kind.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace bronzeroute {
+
+struct error_answer;
+
+/// The closed list of error kinds. The numbers travel between processes: never reuse one.
+enum class error_kind : std::uint8_t {
+  kNone = 0,
+  kBadHeader = 1,
+  kFieldTooLarge = 2,
+  kUnknownService = 3,
+  kTooDeep = 4,
+  kNotReady = 5,
+  kNoUpstream = 6,
+  kDeadlineTooShort = 7,
+  kOverloaded = 8,
+  kQueueTimeout = 9,
+  kDraining = 10,
+  kWrongIncarnation = 11,
+  kCancelled = 12,
+  kUpstreamConnectFailed = 13,
+  kUpstreamEjected = 14,
+  kRetryBudgetEmpty = 15,
+  kPeerUnreachable = 16,
+  kAnswerLost = 17,
+  kDeadlineExceeded = 18,
+  kAnswerCut = 19,
+  kDuplicateKey = 20,
+  kKeyInProgress = 21,
+  kKeyHomeLost = 22,
+  kKeyExpired = 23,
+  kKeyUnknown = 24,
+  kKeyTableFull = 25,
+  kDuplicateAttempt = 26,
+  kBadKey = 27,
+  kUnknownEndpoint = 28,
+  kWrongService = 29,
+};
+
+/// The answer a caller gets for `kind`.
+const error_answer& AnswerFor(error_kind kind);
+
+/// The kind with number `value`, or kAnswerLost for a number this build does not know: an
+/// unknown kind must never be taken as a statement that the request was not run.
+error_kind ErrorKindFromNumber(std::uint32_t value);
+
+/// All rows of the table, in the order of the enumeration.
+std::span<const error_answer> AllErrorAnswers();
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/configuration/document.cc
@@ -0,0 +1,12 @@
+#include "src/configuration/document.h"
+
+#include <algorithm>
+
+namespace bronzeroute {
+
+const service_spec* document::FindService(std::string_view service_name) const {
+  const auto found = std::ranges::find(services, service_name, &service_spec::name);
+  return found == services.end() ? nullptr : &*found;
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/configuration/route_spec.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+
+#include "src/base/time.h"
+
+namespace bronzeroute {
+
+/// How requests under one path prefix of a service are treated.
+struct route_spec {
+  /// HTTP method, or "*" for any.
+  std::string method = "*";
+  /// Path prefix, begins with "/<service>". The longest matching prefix applies.
+  std::string prefix;
+  /// True if a request must run at most once.
+  bool is_protected = false;
+  /// True for work that runs many times longer than the rest, such as uploads of photo sets.
+  bool is_long = false;
+  /// Time allowed from arrival to the complete response if the caller names no deadline.
+  duration time_limit{};
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/routing/candidate.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+
+#include "src/base/strong_id.h"
+#include "src/base/time.h"
+#include "src/routing/distance.h"
+#include "src/routing/load_hint.h"
+
+namespace bronzeroute {
+
+/// An upstream that a call may go to, as the entry knows it.
+struct candidate {
+  member_id id;
+  incarnation run;
+  distance where = distance::kSameZone;
+  load_hint hint;
+  time_point hint_received;
+  /// Attempts this process has sent there since the hint, and all it has open there.
+  std::uint32_t sent_since_hint = 0;
+  std::uint32_t open_attempts = 0;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/routing/load_hint.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+
+namespace bronzeroute {
+
+/// The state of an upstream as its owner sees it. It travels on every answer and refusal and is
+/// out of date when it arrives.
+struct load_hint {
+  /// Orders hints of one incarnation of one owner.
+  std::uint64_t sequence = 0;
+  /// Slots open to work now; below the configured number while the upstream warms up.
+  std::uint32_t effective_slots = 0;
+  std::uint32_t in_use = 0;
+  std::uint32_t running_long = 0;
+  std::uint32_t queued_short = 0;
+  std::uint32_t queued_long = 0;
+  /// Mean time of short work at the upstream, in microseconds.
+  std::uint32_t service_time_us = 0;
+  bool failing = false;
+  bool draining = false;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/placeholder.cc
@@ -0,0 +1,1 @@
+namespace bronzeroute {}
