Add stand-ins for the log and an upstream, and a load tool

Cause: the whole path needs a platform log, upstreams and callers that tests can break at will. Ruled out: a stand-in with threads and locks; one pool thread keeps its state simple. Change: brstandin_log (offsets, retention, append limit, outage, delay, lost responses), brstandin_worker (run record per key, failing fast, shedding, shifting speed, announcements), brload (open-loop, three classes, percentiles, checks that each response is its own). Before: nothing.

--- /dev/null
+++ b/standins/load/class_result.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bronzeroute::standin {
+
+/// Outcomes of the calls of one class.
+struct class_result {
+  std::int64_t sent = 0;
+  std::int64_t open = 0;
+  std::int64_t wrong_answers = 0;
+  /// Latencies of calls answered with 2xx, in microseconds.
+  std::vector<std::int64_t> latencies_us;
+  /// Calls by outcome: "ok", "<kind>/<execution>", "http <status>" or "no answer".
+  std::map<std::string, std::int64_t> outcomes;
+
+  /// The latency that `share` of the answered calls stay below, 0 without calls.
+  std::int64_t Percentile(double share) const;
+};
+
+}  // namespace bronzeroute::standin
--- /dev/null
+++ b/standins/log/log_service.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cpprest/http_listener.h>
+
+#include <cstdint>
+#include <list>
+#include <string>
+
+#include "standins/log/log_faults.h"
+#include "standins/log/log_store.h"
+
+namespace bronzeroute::standin {
+
+/// Serves a `log_store` over HTTP. Runs on a pool of one thread, so its state needs no lock.
+class log_service {
+ public:
+  /// `address` is "ip:port". Throws std::exception if the port cannot be bound.
+  log_service(const std::string& address, const log_faults& faults);
+  void Open();
+
+ private:
+  /// A read that waits for a record at `from`.
+  struct waiting_read {
+    web::http::http_request request;
+    std::string stream;
+    std::int64_t from;
+    std::int64_t limit;
+    std::int64_t until_ms;
+  };
+
+  void Handle(const web::http::http_request& request);
+  void Dispatch(const web::http::http_request& request);
+  void HandleAppend(const web::http::http_request& request, const std::string& stream);
+  void HandleRead(const web::http::http_request& request, const std::string& stream);
+  void HandleFaults(const web::http::http_request& request);
+  void ReplyRead(const waiting_read& read);
+  void AnswerWaiting();
+  void ScheduleTick();
+
+  web::http::experimental::listener::http_listener listener_;
+  log_faults faults_;
+  log_store store_;
+  std::list<waiting_read> waiting_;
+};
+
+}  // namespace bronzeroute::standin
--- /dev/null
+++ b/standins/worker/run_record.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace bronzeroute::standin {
+
+/// What a worker stand-in ran: the truth that callers' answers are checked against.
+struct run_record {
+  std::int64_t started = 0;
+  std::int64_t finished = 0;
+  std::int64_t body_bytes = 0;
+  std::int64_t in_use = 0;
+  /// The largest number of requests that ran at the same moment.
+  std::int64_t max_in_use = 0;
+  /// Runs by idempotency key.
+  std::map<std::string, std::int64_t> by_key;
+};
+
+}  // namespace bronzeroute::standin
--- /dev/null
+++ b/standins/worker/worker_service.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cpprest/http_listener.h>
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "standins/worker/run_record.h"
+#include "standins/worker/worker_faults.h"
+
+namespace bronzeroute::standin {
+
+struct worker_options;
+
+/// An upstream that takes any request, works for a while and answers with what it received.
+/// Runs on a pool of one thread, so its state needs no lock.
+class worker_service {
+ public:
+  /// Throws std::exception if the port cannot be bound.
+  explicit worker_service(const worker_options& options);
+  ~worker_service();
+  void Open();
+
+ private:
+  struct job;
+
+  void Handle(const web::http::http_request& request);
+  void HandleControl(const web::http::http_request& request, const std::string& action);
+  void ReadBody(const std::shared_ptr<job>& work);
+  void Work(const std::shared_ptr<job>& work);
+  void Answer(const std::shared_ptr<job>& work);
+  void Announce();
+  std::int64_t ServiceTimeUs();
+
+  std::unique_ptr<worker_options> options_;
+  web::http::experimental::listener::http_listener listener_;
+  worker_faults faults_;
+  run_record record_;
+  std::mt19937_64 random_;
+  double speed_ = 1.0;
+  std::int64_t next_speed_shift_ms_ = 0;
+};
+
+}  // namespace bronzeroute::standin
