--- /dev/null
+++ b/src/measuring/budget_charge.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+
+#include "src/base/time.h"
+#include "src/measuring/charge_purpose.h"
+#include "src/routing/distance.h"
+
+namespace bronzeroute {
+
+/// One cost of measuring: bytes on the network and time of an upstream.
+struct budget_charge {
+  std::uint64_t bytes = 0;
+  duration upstream_time{};
+  charge_purpose purpose = charge_purpose::kMembershipProbe;
+  distance where = distance::kSameZone;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/membership/membership_event.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "src/base/strong_id.h"
+
+namespace bronzeroute {
+
+enum class membership_event_kind : std::uint8_t {
+  kJoined,
+  kNewRun,
+  kSuspect,
+  kAlive,
+  kDead,
+  kLeft,
+  kDraining,
+  kDetailsChanged,
+  kForgotten,
+  /// This process slept, counted its refutation up and announces itself again.
+  kWoke,
+  /// This process refuted a suspicion of itself.
+  kRefuted,
+  /// A record named a later run of this member: the own run was raised above it.
+  kOwnRunRaised,
+  kUpstreamAnnounced,
+  kUpstreamGone,
+  kLogOut,
+  kLogBack,
+  /// A peer has a configuration version above all seen before; `number` is the version.
+  kNewerConfiguration,
+};
+
+/// A change of membership as this process learned of it.
+struct membership_event {
+  membership_event_kind kind = membership_event_kind::kJoined;
+  member_id id;
+  incarnation run;
+  std::string peer_address;
+  std::int64_t number = 0;
+};
+
+/// A log line for the event with the prefix "member:".
+std::string DescribeEvent(const membership_event& event);
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/membership/membership_system.cc
@@ -0,0 +1,949 @@
+#include "src/membership/membership_system.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+#include "proto/membership.pb.h"
+#include "src/measuring/budget_account.h"
+#include "src/membership/datagram_port.h"
+#include "src/membership/member_codec.h"
+#include "src/platform/log_port.h"
+#include "src/platform/log_read.h"
+
+namespace bronzeroute {
+namespace {
+
+using proto::MemberDatagram;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::string_view kStream = "members";
+constexpr std::size_t kDatagramLimit = 1200;
+// IP and UDP headers, which the budget pays for too.
+constexpr std::size_t kHeaderBytes = 28;
+// Tag and length of a record in a datagram.
+constexpr std::size_t kRecordOverhead = 3;
+constexpr std::size_t kMostRelays = 64;
+// 12 records with details fill a datagram.
+constexpr int kMostWanted = 12;
+constexpr std::uint32_t kMostAsks = 5;
+constexpr duration kReadTimeout = seconds(30);
+
+distance DistanceBetween(const member_row& a, const member_row& b) {
+  if (a.region != b.region) return distance::kOtherRegion;
+  return a.availability_zone == b.availability_zone ? distance::kSameZone
+                                                    : distance::kSameRegion;
+}
+
+std::size_t Index(std::ptrdiff_t index) { return static_cast<std::size_t>(index); }
+
+}  // namespace
+
+membership_system::membership_system(member_row self, membership_settings settings,
+                                     datagram_port& datagrams, log_port& log,
+                                     budget_account& budget, std::uint64_t seed, time_point now)
+    : settings_(std::move(settings)),
+      datagrams_(datagrams),
+      log_(log),
+      budget_(budget),
+      random_(seed),
+      table_(std::move(self), 1),
+      last_active_(now),
+      join_at_(now + Jittered(duration::zero(), settings_.join_spread)),
+      next_dead_probe_(now + Jittered(duration::zero(), settings_.dead_probe_period)),
+      next_seed_(now),
+      next_want_(now),
+      next_push_(now),
+      unconfirmed_until_(now),
+      next_read_(now),
+      read_backoff_(settings_.first_backoff),
+      retention_(settings_.assumed_retention),
+      token_(settings_.first_token),
+      append_backoff_(settings_.first_backoff) {}
+
+// --- time and the own run
+
+void membership_system::Observe(time_point now) {
+  const duration gap = now - last_active_;
+  last_active_ = std::max(last_active_, now);
+  if (gap <= settings_.tick_slack) return;
+  // Answers may have arrived while this process did not run; nobody is judged by that time.
+  if (probe_) {
+    probe_->indirect_at += gap;
+    probe_->failed_at += gap;
+  }
+  for (std::size_t i = 1; i < table_.size(); ++i) {
+    if (table_.row(i).state == member_state::kSuspect) table_.track(i).deadline += gap;
+  }
+  if (upstream_) upstream_->gone_at += gap;
+  unconfirmed_until_ += gap;
+  append_timeout_ += gap;
+  read_timeout_ += gap;
+  if (gap > settings_.freeze_gap) Wake(gap);
+}
+
+void membership_system::Wake(duration slept) {
+  probe_.reset();
+  ++table_.Mutable(0).refutation;
+  table_.Refresh(0);
+  MarkChanged(0, false, false);
+  Report(membership_event_kind::kWoke, 0,
+         std::chrono::duration_cast<milliseconds>(slept).count());
+}
+
+void membership_system::Join(time_point now) {
+  joined_ = true;
+  next_probe_ = now + Jittered(duration::zero(), settings_.probe_period);
+  forced_probe_ = now + settings_.longest_probe_period;
+  MarkChanged(0, true, false);
+  next_append_ = now;
+}
+
+void membership_system::RaiseRun(incarnation above, time_point now) {
+  member_row& self = table_.Mutable(0);
+  self.run.value = above.value + 1;
+  self.refutation = 0;
+  table_.Refresh(0);
+  Report(membership_event_kind::kOwnRunRaised, 0);
+  if (!joined_) return;
+  MarkChanged(0, true, false);
+  next_append_ = std::min(next_append_, now + Jittered(duration::zero(), seconds(1)));
+}
+
+void membership_system::SetConfigVersion(std::int64_t version) {
+  table_.Mutable(0).config_version = version;
+  highest_version_ = std::max(highest_version_, version);
+}
+
+std::vector<membership_event> membership_system::TakeEvents() {
+  return std::exchange(events_, {});
+}
+
+void membership_system::OnAnnouncement(std::string_view service, std::string_view address,
+                                       std::uint32_t slots, std::uint32_t connections,
+                                       time_point now) {
+  Observe(now);
+  const bool is_new = !upstream_ || upstream_->service != service;
+  upstream_ = upstream_announcement{.service = std::string(service),
+                                    .address = std::string(address),
+                                    .slots = slots,
+                                    .connections = connections,
+                                    .gone_at = now + settings_.upstream_silence};
+  if (!is_new) return;
+  table_.Mutable(0).service = service;
+  ChangeOwnDetails(now);
+  Report(membership_event_kind::kUpstreamAnnounced, 0);
+}
+
+void membership_system::ChangeOwnDetails(time_point now) {
+  ++table_.track(0).details_version;
+  table_.Refresh(0);
+  if (!joined_) return;
+  MarkChanged(0, true, false);
+  // Later readers of the log find the upstream's service in the newest record.
+  next_append_ =
+      std::min(next_append_, now + Jittered(duration::zero(), settings_.join_spread));
+}
+
+void membership_system::Drain(time_point now) {
+  Observe(now);
+  if (self().draining) return;
+  table_.Mutable(0).draining = true;
+  table_.Refresh(0);
+  MarkChanged(0, false, true);
+  Report(membership_event_kind::kDraining, 0);
+}
+
+void membership_system::Leave(time_point now) {
+  Observe(now);
+  if (leaving_) return;
+  leaving_ = true;
+  table_.Mutable(0).draining = true;
+  table_.Mutable(0).state = member_state::kLeft;
+  table_.Refresh(0);
+  probe_.reset();
+  MarkChanged(0, false, true);
+  Report(membership_event_kind::kLeft, 0);
+  append_backoff_ = settings_.first_backoff;
+  next_append_ = now;
+}
+
+void membership_system::Tick(time_point now) {
+  Observe(now);
+  if (!joined_ && !leaving_ && now >= join_at_ &&
+      (read_once_ || log_out_ || now >= join_at_ + seconds(2))) {
+    Join(now);
+  }
+  if (upstream_ && now >= upstream_->gone_at) {
+    upstream_.reset();
+    table_.Mutable(0).service.clear();
+    Report(membership_event_kind::kUpstreamGone, 0);
+    ChangeOwnDetails(now);
+  }
+  if (joined_ && !leaving_) {
+    TickProbe(now);
+    TickDeadProbe(now);
+  }
+  if (!leaving_) TickSeeds(now);
+  TickWants(now);
+  TickPush(now);
+  if (now >= next_expiry_) TickExpiry(now);
+  TickLog(now);
+  TickAppend(now);
+}
+
+// --- probing
+
+void membership_system::TickProbe(time_point now) {
+  if (probe_ && !probe_->indirect_sent && now >= probe_->indirect_at) SendIndirectProbes(now);
+  if (probe_ && now >= probe_->failed_at) {
+    const std::ptrdiff_t found = table_.IndexOf(probe_->target);
+    const incarnation run = probe_->run;
+    probe_.reset();
+    if (found > 0 && table_.row(Index(found)).run == run &&
+        table_.row(Index(found)).state == member_state::kAlive) {
+      const std::size_t index = Index(found);
+      table_.Mutable(index).state = member_state::kSuspect;
+      AfterStateChange(index, now);
+      MarkChanged(index, false, false);
+      // The suspected member hears of it first, so that it can refute at once.
+      MemberDatagram message;
+      message.set_kind(MemberDatagram::PING);
+      message.set_sequence(++sequence_);
+      message.set_target(table_.row(index).id.value);
+      FillSender(message, false);
+      std::size_t size = message.ByteSizeLong();
+      AddRecord(index, false, message, size);
+      Send(table_.row(index).membership_address, message, size,
+           charge_purpose::kMembershipProbe, urgency::kBudgeted, now);
+    }
+  }
+  if (now >= next_probe_) StartProbe(now);
+}
+
+void membership_system::StartProbe(time_point now) {
+  next_probe_ =
+      now + Jittered(settings_.probe_period * 9 / 10, settings_.probe_period * 11 / 10);
+  const std::ptrdiff_t found = RandomPeer(member_id{});
+  if (found < 0) return;
+  const std::size_t index = Index(found);
+  const member_row& target = table_.row(index);
+  MemberDatagram message;
+  message.set_kind(MemberDatagram::PING);
+  message.set_sequence(++sequence_);
+  message.set_target(target.id.value);
+  FillSender(message, true);
+  std::size_t size = message.ByteSizeLong();
+  if (target.state != member_state::kAlive && !table_.track(index).unconfirmed) {
+    AddRecord(index, false, message, size);
+  }
+  // An empty account stretches the period, but only up to the floor.
+  const urgency force = now >= forced_probe_ ? urgency::kForced : urgency::kBudgeted;
+  if (!Send(target.membership_address, message, size, charge_purpose::kMembershipProbe, force,
+            now)) {
+    return;
+  }
+  forced_probe_ = now + settings_.longest_probe_period;
+  probe_ = probe{.target = target.id,
+                 .run = target.run,
+                 .sequence = sequence_,
+                 .indirect_at = now + settings_.indirect_after,
+                 .failed_at = now + settings_.probe_timeout};
+}
+
+void membership_system::SendIndirectProbes(time_point now) {
+  probe_->indirect_sent = true;
+  const std::ptrdiff_t found = table_.IndexOf(probe_->target);
+  if (found < 0) return;
+  const std::string target_address = table_.row(Index(found)).membership_address;
+  std::vector<std::ptrdiff_t> chosen;
+  // A few more draws than needed replace the ones that repeat.
+  for (std::uint32_t i = 0;
+       i < 3 * settings_.indirect_peers && chosen.size() < settings_.indirect_peers; ++i) {
+    const std::ptrdiff_t peer = RandomPeer(probe_->target);
+    if (peer >= 0 && std::ranges::find(chosen, peer) == chosen.end()) chosen.push_back(peer);
+  }
+  for (const std::ptrdiff_t peer : chosen) {
+    MemberDatagram message;
+    message.set_kind(MemberDatagram::PING_REQUEST);
+    message.set_sequence(probe_->sequence);
+    message.set_target(probe_->target.value);
+    message.set_target_address(target_address);
+    FillSender(message, false);
+    // Sent on credit too: without it one lost datagram would cause a false suspicion.
+    Send(table_.row(Index(peer)).membership_address, message, message.ByteSizeLong(),
+         charge_purpose::kMembershipProbe, urgency::kForced, now);
+  }
+}
+
+void membership_system::TickDeadProbe(time_point now) {
+  if (now < next_dead_probe_) return;
+  next_dead_probe_ =
+      now + Jittered(settings_.dead_probe_period * 9 / 10, settings_.dead_probe_period);
+  std::vector<std::size_t> dead;
+  std::vector<std::size_t> contradicted;
+  for (std::size_t i = 1; i < table_.size(); ++i) {
+    if (table_.row(i).state != member_state::kDead) continue;
+    (table_.track(i).contradicted ? contradicted : dead).push_back(i);
+  }
+  if (dead.empty() && contradicted.empty()) return;
+  if (contradicted.size() > 1) {
+    next_dead_probe_ = now + Jittered(milliseconds(500), seconds(1));
+  }
+  const std::vector<std::size_t>& from = contradicted.empty() ? dead : contradicted;
+  const std::size_t index = from[Random(from.size())];
+  table_.track(index).contradicted = false;
+  MemberDatagram message;
+  message.set_kind(MemberDatagram::PING);
+  message.set_sequence(++sequence_);
+  message.set_target(table_.row(index).id.value);
+  FillSender(message, true);
+  std::size_t size = message.ByteSizeLong();
+  AddRecord(index, false, message, size);
+  Send(table_.row(index).membership_address, message, size, charge_purpose::kMembershipProbe,
+       urgency::kBudgeted, now);
+}
+
+void membership_system::TickSeeds(time_point now) {
+  if (now < next_seed_ || settings_.seeds.empty()) return;
+  const bool alone = table_.live() <= 1;
+  next_seed_ = now + (alone ? Jittered(milliseconds(800), milliseconds(1200))
+                            : Jittered(seconds(8), seconds(10)));
+  if (!alone && !log_out_) return;
+  MemberDatagram message;
+  message.set_kind(MemberDatagram::PING);
+  message.set_sequence(++sequence_);
+  FillSender(message, true);
+  Send(settings_.seeds[Random(settings_.seeds.size())], message, message.ByteSizeLong(),
+       charge_purpose::kMembershipProbe, urgency::kBudgeted, now);
+}
+
+void membership_system::TickWants(time_point now) {
+  if (wants_.empty() || now < next_want_) return;
+  next_want_ = now + milliseconds(200);
+  MemberDatagram message;
+  std::string address;
+  for (auto it = wants_.begin(); it != wants_.end();) {
+    want& entry = it->second;
+    const bool mine = entry.ask_at <= now && message.wanted_size() < kMostWanted &&
+                      (address.empty() || entry.address == address);
+    if (!mine) {
+      ++it;
+      continue;
+    }
+    if (entry.asked == kMostAsks) {
+      wants_.erase(it++);
+      continue;
+    }
+    address = entry.address;
+    ++entry.asked;
+    entry.ask_at = now + seconds(1);
+    message.add_wanted(it->first.value);
+    ++it;
+  }
+  if (message.wanted_size() == 0) return;
+  message.set_kind(MemberDatagram::GOSSIP);
+  FillSender(message, false);
+  Send(address, message, message.ByteSizeLong(), charge_purpose::kMembershipChange,
+       urgency::kBudgeted, now);
+}
+
+void membership_system::TickPush(time_point now) {
+  if (!push_due_ || now < next_push_) return;
+  push_due_ = false;
+  next_push_ = now + settings_.push_pause;
+  for (std::uint32_t i = 0; i < settings_.push_peers; ++i) {
+    const std::ptrdiff_t peer = RandomPeer(member_id{});
+    if (peer < 0) break;
+    MemberDatagram message;
+    message.set_kind(MemberDatagram::GOSSIP);
+    FillSender(message, false);
+    std::size_t size = message.ByteSizeLong();
+    for (const member_id id : changed_) {
+      const std::ptrdiff_t index = table_.IndexOf(id);
+      if (index >= 0 && table_.track(Index(index)).urgent) {
+        AddRecord(Index(index), false, message, size);
+      }
+    }
+    Send(table_.row(Index(peer)).membership_address, message, size,
+         charge_purpose::kMembershipChange, urgency::kBudgeted, now);
+  }
+  for (const member_id id : changed_) {
+    const std::ptrdiff_t index = table_.IndexOf(id);
+    if (index >= 0) table_.track(Index(index)).urgent = false;
+  }
+}
+
+void membership_system::TickExpiry(time_point now) {
+  next_expiry_ = time_point::max();
+  for (std::size_t i = table_.size() - 1; i > 0; --i) {
+    member_track& track = table_.track(i);
+    if (track.deadline <= now) {
+      if (table_.row(i).state == member_state::kSuspect) {
+        const bool unconfirmed = track.unconfirmed;
+        track.unconfirmed = false;
+        table_.Mutable(i).state = member_state::kDead;
+        AfterStateChange(i, now);
+        if (!unconfirmed) MarkChanged(i, false, false);
+      } else {
+        Report(membership_event_kind::kForgotten, i);
+        table_.Erase(i);
+        continue;
+      }
+    }
+    next_expiry_ = std::min(next_expiry_, track.deadline);
+  }
+}
+
+// --- datagrams
+
+void membership_system::OnDatagram(std::string_view from, std::string_view payload,
+                                   time_point now) {
+  Observe(now);
+  MemberDatagram message;
+  if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size())) ||
+      message.sender() == 0 || message.kind() == MemberDatagram::NONE) {
+    ++malformed_datagrams_;
+    return;
+  }
+  const member_id sender{message.sender()};
+  if (sender == self().id) {
+    if (message.sender_incarnation() > self().run.value) {
+      RaiseRun(incarnation{message.sender_incarnation()}, now);
+    }
+    return;
+  }
+  const member_row* row = table_.Find(sender);
+  if (row != nullptr && message.sender_incarnation() < row->run.value) {
+    ++stale_datagrams_;
+    return;
+  }
+  HearSender(from, message, now);
+  for (const proto::MemberRecord& record : message.records()) {
+    if (const std::optional<member_update> update = ReadMemberRecord(record)) {
+      ApplyRecord(*update, from, now);
+    }
+  }
+  switch (message.kind()) {
+    case MemberDatagram::PING:
+      OnPing(from, message, now);
+      break;
+    case MemberDatagram::PING_REQUEST:
+      OnPingRequest(from, message, now);
+      break;
+    case MemberDatagram::ACK:
+      OnAck(message, now);
+      CompareDigests(message, now);
+      break;
+    case MemberDatagram::INDIRECT_ACK:
+      if (probe_ && probe_->sequence == message.sequence() &&
+          probe_->target.value == message.target()) {
+        probe_.reset();
+      }
+      break;
+    default:
+      break;
+  }
+  if (message.kind() != MemberDatagram::PING && message.wanted_size() > 0) {
+    MemberDatagram answer;
+    answer.set_kind(MemberDatagram::GOSSIP);
+    FillSender(answer, false);
+    std::size_t size = answer.ByteSizeLong();
+    AnswerWanted(message, answer, size);
+    if (answer.records_size() > 0) {
+      Send(from, answer, size, charge_purpose::kMembershipChange, urgency::kBudgeted, now);
+    }
+  }
+}
+
+void membership_system::HearSender(std::string_view from, const MemberDatagram& message,
+                                   time_point now) {
+  const member_id sender{message.sender()};
+  const std::ptrdiff_t found = table_.IndexOf(sender);
+  if (found < 0 || message.sender_incarnation() > table_.row(Index(found)).run.value) {
+    Want(sender, from, now);
+    return;
+  }
+  const std::size_t index = Index(found);
+  member_row& row = table_.Mutable(index);
+  if (row.state == member_state::kLeft) return;
+  // The counter in the header counts as the sender's own word that it is alive.
+  member_update update = table_.Update(index, false);
+  update.row.state = member_state::kAlive;
+  update.row.refutation = message.sender_refutation();
+  update.row.draining = update.row.draining || message.hint().draining();
+  const merge_result result = table_.Merge(update);
+  AfterMerge(index, result, false, now);
+  if (table_.track(index).unconfirmed) Confirm(index);
+  row.config_version = std::max(row.config_version, message.config_version());
+  if (row.config_version > highest_version_) {
+    highest_version_ = row.config_version;
+    Report(membership_event_kind::kNewerConfiguration, index, row.config_version);
+  }
+  if (message.has_hint() && message.hint().sequence() >= row.hint.sequence) {
+    row.hint = ReadLoadHint(message.hint());
+    row.hint_received = now;
+  }
+}
+
+void membership_system::OnPing(std::string_view from, const MemberDatagram& message,
+                               time_point now) {
+  if (message.target() != 0 && message.target() != self().id.value) return;
+  MemberDatagram answer;
+  answer.set_kind(MemberDatagram::ACK);
+  answer.set_sequence(message.sequence());
+  const bool with_digests = message.bucket_digests_size() > 0;
+  FillSender(answer, with_digests);
+  std::size_t size = answer.ByteSizeLong();
+  const std::ptrdiff_t sender = table_.IndexOf(member_id{message.sender()});
+  if (sender > 0 && table_.row(Index(sender)).state != member_state::kAlive &&
+      table_.row(Index(sender)).run.value == message.sender_incarnation()) {
+    AddRecord(Index(sender), false, answer, size);
+  }
+  AnswerWanted(message, answer, size);
+  if (with_digests) {
+    // Differences come after the sender's own record and before piggybacked changes; half of
+    // the datagram is left to the changes.
+    AddBucketRecords(CompareDigests(message, now), answer, size);
+  }
+  Send(from, answer, size, charge_purpose::kMembershipProbe, urgency::kForced, now);
+}
+
+void membership_system::OnPingRequest(std::string_view from, const MemberDatagram& message,
+                                      time_point now) {
+  if (message.target_address().empty()) return;
+  std::erase_if(relays_, [now](const relay& entry) { return entry.until <= now; });
+  if (relays_.size() >= kMostRelays) return;
+  MemberDatagram ping;
+  ping.set_kind(MemberDatagram::PING);
+  ping.set_sequence(++sequence_);
+  ping.set_target(message.target());
+  FillSender(ping, false);
+  if (!Send(message.target_address(), ping, ping.ByteSizeLong(),
+            charge_purpose::kMembershipProbe, urgency::kBudgeted, now)) {
+    return;
+  }
+  relays_.push_back(relay{.sequence = sequence_,
+                          .origin = std::string(from),
+                          .origin_sequence = message.sequence(),
+                          .until = now + seconds(1)});
+}
+
+void membership_system::OnAck(const MemberDatagram& message, time_point now) {
+  if (probe_ && probe_->sequence == message.sequence() &&
+      probe_->target.value == message.sender()) {
+    probe_.reset();
+    return;
+  }
+  const auto found = std::ranges::find(relays_, message.sequence(), &relay::sequence);
+  if (found == relays_.end()) return;
+  MemberDatagram answer;
+  answer.set_kind(MemberDatagram::INDIRECT_ACK);
+  answer.set_sequence(found->origin_sequence);
+  answer.set_target(message.sender());
+  FillSender(answer, false);
+  Send(found->origin, answer, answer.ByteSizeLong(), charge_purpose::kMembershipProbe,
+       urgency::kForced, now);
+  relays_.erase(found);
+}
+
+void membership_system::AnswerWanted(const MemberDatagram& message, MemberDatagram& answer,
+                                     std::size_t& size) const {
+  for (const std::uint64_t id : message.wanted()) {
+    const std::ptrdiff_t index = table_.IndexOf(member_id{id});
+    if (index < 0 || table_.track(Index(index)).unconfirmed ||
+        table_.row(Index(index)).state == member_state::kDead) {
+      continue;
+    }
+    AddRecord(Index(index), true, answer, size);
+  }
+}
+
+std::uint32_t membership_system::CompareDigests(const MemberDatagram& message, time_point now) {
+  if (message.bucket_digests_size() != member_table::kBuckets) return 0;
+  std::uint32_t differ = 0;
+  for (std::size_t bucket = 0; bucket < member_table::kBuckets; ++bucket) {
+    if (message.bucket_digests(static_cast<int>(bucket)) != table_.digests()[bucket]) {
+      differ |= 1U << bucket;
+    }
+  }
+  if (now >= unconfirmed_until_) return differ;
+  const std::uint32_t doubtful = differ | message.unconfirmed_buckets();
+  for (std::size_t i = 1; i < table_.size(); ++i) {
+    if (table_.track(i).unconfirmed &&
+        (doubtful >> member_table::BucketOf(table_.row(i).id) & 1U) == 0) {
+      Confirm(i);
+    }
+  }
+  return differ;
+}
+
+void membership_system::AddBucketRecords(std::uint32_t mask, MemberDatagram& message,
+                                         std::size_t& size) {
+  if (mask == 0) return;
+  const std::size_t start = Random(table_.size());
+  for (std::size_t n = 0; n < table_.size(); ++n) {
+    const std::size_t i = (start + n) % table_.size();
+    // Dead rows are no news to a peer that probes too, and would spread the verdicts of one
+    // side of a healed partition to the other.
+    if (table_.track(i).unconfirmed || table_.row(i).state == member_state::kDead ||
+        (mask >> member_table::BucketOf(table_.row(i).id) & 1U) == 0) {
+      continue;
+    }
+    if (size > kDatagramLimit / 2 || !AddRecord(i, false, message, size)) return;
+  }
+}
+
+// --- records
+
+void membership_system::ApplyRecord(const member_update& update, std::string_view from,
+                                    time_point now) {
+  if (update.row.id == self().id) {
+    ApplyOwnRecord(update, now);
+    return;
+  }
+  const merge_result result = table_.Merge(update);
+  if (result.earlier_run) return;
+  if (update.has_details) wants_.erase(update.row.id);
+  if (result.needs_details) Want(update.row.id, from, now);
+  const std::ptrdiff_t found = table_.IndexOf(update.row.id);
+  if (found < 0) return;
+  const std::size_t index = Index(found);
+  member_track& track = table_.track(index);
+  if (track.unconfirmed && table_.row(index).run == update.row.run) {
+    if (update.row.state == member_state::kAlive) {
+      Confirm(index);
+    } else {
+      track.unconfirmed = false;
+      ExpireAt(index, now + SuspicionTime());
+    }
+  }
+  if (result.contradicts_dead && !track.contradicted) {
+    track.contradicted = true;
+    next_dead_probe_ =
+        std::min(next_dead_probe_, now + Jittered(duration::zero(), milliseconds(500)));
+  }
+  AfterMerge(index, result, false, now);
+}
+
+void membership_system::ApplyOwnRecord(const member_update& update, time_point now) {
+  member_row& self = table_.Mutable(0);
+  if (update.row.run.value > self.run.value) {
+    RaiseRun(update.row.run, now);
+    return;
+  }
+  if (update.row.run.value < self.run.value || leaving_ ||
+      update.row.refutation < self.refutation || update.row.state == member_state::kAlive) {
+    return;
+  }
+  self.refutation = update.row.refutation + 1;
+  table_.Refresh(0);
+  MarkChanged(0, false, false);
+  Report(membership_event_kind::kRefuted, 0, static_cast<std::int64_t>(self.refutation));
+}
+
+void membership_system::AfterMerge(std::size_t index, const merge_result& result, bool from_log,
+                                   time_point now) {
+  if (!result.changed()) return;
+  const member_state state = table_.row(index).state;
+  if (result.added) {
+    Report(membership_event_kind::kJoined, index);
+  } else if (result.new_run) {
+    Report(membership_event_kind::kNewRun, index);
+  }
+  if (result.state_changed ||
+      ((result.added || result.new_run) && state != member_state::kAlive)) {
+    AfterStateChange(index, now);
+  } else if (result.new_run) {
+    table_.track(index).deadline = time_point::max();
+  } else if (result.refutation_changed && state == member_state::kSuspect) {
+    ExpireAt(index, now + SuspicionTime());
+  }
+  if (result.draining_changed) Report(membership_event_kind::kDraining, index);
+  if (result.details_changed) Report(membership_event_kind::kDetailsChanged, index);
+  // Every daemon reads the log, so what came from there need not be passed on.
+  if (from_log) return;
+  const bool urgent = result.draining_changed || state == member_state::kLeft;
+  MarkChanged(index, result.added || result.new_run || result.details_changed, urgent);
+}
+
+void membership_system::AfterStateChange(std::size_t index, time_point now) {
+  table_.Refresh(index);
+  switch (table_.row(index).state) {
+    case member_state::kAlive:
+      table_.track(index).deadline = time_point::max();
+      table_.track(index).unconfirmed = false;
+      table_.track(index).contradicted = false;
+      Report(membership_event_kind::kAlive, index);
+      break;
+    case member_state::kSuspect:
+      ExpireAt(index, now + SuspicionTime());
+      Report(membership_event_kind::kSuspect, index);
+      break;
+    case member_state::kDead:
+      ExpireAt(index, now + settings_.remember_dead);
+      Report(membership_event_kind::kDead, index);
+      break;
+    case member_state::kLeft:
+      ExpireAt(index, now + settings_.remember_dead);
+      Report(membership_event_kind::kLeft, index);
+      break;
+  }
+}
+
+void membership_system::ExpireAt(std::size_t index, time_point deadline) {
+  table_.track(index).deadline = deadline;
+  next_expiry_ = std::min(next_expiry_, deadline);
+}
+
+void membership_system::Confirm(std::size_t index) {
+  table_.track(index).unconfirmed = false;
+  table_.track(index).deadline = time_point::max();
+  if (table_.row(index).state != member_state::kSuspect) return;
+  table_.Mutable(index).state = member_state::kAlive;
+  Report(membership_event_kind::kAlive, index);
+}
+
+void membership_system::MarkChanged(std::size_t index, bool with_details, bool urgent) {
+  member_track& track = table_.track(index);
+  if (track.transmits_left == 0) {
+    changed_.push_back(table_.row(index).id);
+    track.transmit_details = false;
+  }
+  track.transmits_left = static_cast<std::uint32_t>(std::bit_width(table_.live())) + 1;
+  track.transmit_details = track.transmit_details || with_details;
+  track.urgent = track.urgent || urgent;
+  push_due_ = push_due_ || urgent;
+}
+
+void membership_system::Want(member_id id, std::string_view address, time_point now) {
+  const auto [it, added] = wants_.try_emplace(id);
+  if (!added) return;
+  it->second.address = address;
+  // The log usually brings the record within its reading pause.
+  it->second.ask_at = log_available() ? now + settings_.read_pause : now;
+}
+
+// --- sending
+
+void membership_system::FillSender(MemberDatagram& message, bool with_digests) {
+  const member_row& self = table_.row(0);
+  message.set_sender(self.id.value);
+  message.set_sender_incarnation(self.run.value);
+  message.set_sender_refutation(self.refutation);
+  message.set_config_version(self.config_version);
+  WriteLoadHint(hint_, message.mutable_hint());
+  message.mutable_hint()->set_draining(hint_.draining || self.draining);
+  if (!with_digests) return;
+  for (const std::uint32_t digest : table_.digests()) message.add_bucket_digests(digest);
+  if (last_active_ >= unconfirmed_until_) return;
+  std::uint32_t mask = 0;
+  for (std::size_t i = 1; i < table_.size(); ++i) {
+    if (table_.track(i).unconfirmed) mask |= 1U << member_table::BucketOf(table_.row(i).id);
+  }
+  message.set_unconfirmed_buckets(mask);
+}
+
+bool membership_system::AddRecord(std::size_t index, bool with_details, MemberDatagram& message,
+                                  std::size_t& size) const {
+  proto::MemberRecord* record = message.add_records();
+  WriteMemberRecord(table_.Update(index, with_details), record);
+  const std::size_t more = record->ByteSizeLong() + kRecordOverhead;
+  if (size + more > kDatagramLimit) {
+    message.mutable_records()->RemoveLast();
+    return false;
+  }
+  size += more;
+  return true;
+}
+
+bool membership_system::Send(std::string_view address, MemberDatagram& message,
+                             std::size_t size, charge_purpose purpose, urgency force,
+                             time_point now) {
+  const int own_records = message.records_size();
+  // The changes sent least often so far go first.
+  std::ranges::stable_sort(changed_, std::ranges::greater{}, [this](member_id id) {
+    const std::ptrdiff_t index = table_.IndexOf(id);
+    return index < 0 ? 0 : table_.track(Index(index)).transmits_left;
+  });
+  std::vector<std::size_t> carried;
+  for (const member_id id : changed_) {
+    const std::ptrdiff_t index = table_.IndexOf(id);
+    if (index < 0) continue;
+    if (!AddRecord(Index(index), table_.track(Index(index)).transmit_details, message, size)) {
+      break;
+    }
+    carried.push_back(Index(index));
+  }
+  distance where = distance::kSameZone;
+  if (message.kind() != MemberDatagram::GOSSIP || message.target() != 0) {
+    const std::ptrdiff_t target = table_.IndexOf(member_id{message.target()});
+    if (target > 0) where = DistanceBetween(self(), table_.row(Index(target)));
+  }
+  budget_charge charge{
+      .bytes = message.ByteSizeLong() + kHeaderBytes, .purpose = purpose, .where = where};
+  if (!budget_.TryCharge(charge, now)) {
+    if (force == urgency::kBudgeted) return false;
+    while (message.records_size() > std::min(own_records, 1)) {
+      message.mutable_records()->RemoveLast();
+    }
+    carried.clear();
+    charge.bytes = message.ByteSizeLong() + kHeaderBytes;
+    budget_.ChargeAlways(charge, now);
+  }
+  datagrams_.SendDatagram(address, message.SerializeAsString());
+  for (const std::size_t index : carried) --table_.track(index).transmits_left;
+  if (!carried.empty()) {
+    std::erase_if(changed_, [this](member_id id) {
+      const std::ptrdiff_t index = table_.IndexOf(id);
+      return index < 0 || table_.track(Index(index)).transmits_left == 0;
+    });
+  }
+  return true;
+}
+
+// --- log
+
+void membership_system::TickLog(time_point now) {
+  if (reading_ && now >= read_timeout_) OnLogFailed(kStream, now);
+  if (reading_ || now < next_read_) return;
+  reading_ = true;
+  read_timeout_ = now + kReadTimeout;
+  log_.Read(kStream, next_offset_);
+}
+
+void membership_system::OnLogRead(const log_read& read, time_point now) {
+  if (read.stream != kStream) return;
+  Observe(now);
+  reading_ = false;
+  read_once_ = true;
+  read_backoff_ = settings_.first_backoff;
+  if (log_out_) {
+    log_out_ = false;
+    Report(membership_event_kind::kLogBack, 0);
+  }
+  if (read.retention_ms > 0 && milliseconds(read.retention_ms) != retention_) {
+    retention_ = milliseconds(read.retention_ms);
+    // A shorter retention than assumed brings the refresh forward.
+    if (append_started_ && next_append_ != time_point::max()) {
+      next_append_ = std::min(next_append_, now + Jittered(retention_ * 2 / 5, retention_ / 2));
+    }
+  }
+  next_offset_ = std::max(next_offset_, read.first);
+  for (const log_record& record : read.records) {
+    next_offset_ = std::max(next_offset_, record.offset + 1);
+    const std::optional<member_update> update = DecodeMemberLogRecord(record.data);
+    if (!update) continue;
+    if (update->row.id == self().id) {
+      if (update->row.run.value > self().run.value ||
+          (update->row.run == self().run && !append_started_)) {
+        RaiseRun(update->row.run, now);
+      }
+      continue;
+    }
+    const merge_result result = table_.Merge(*update);
+    const std::ptrdiff_t found = table_.IndexOf(update->row.id);
+    if (result.earlier_run || found < 0) continue;
+    const std::size_t index = Index(found);
+    wants_.erase(update->row.id);
+    AfterMerge(index, result, true, now);
+    if ((result.added || result.new_run) && IsLive(update->row.state) &&
+        milliseconds(record.age_ms) > settings_.fresh_record) {
+      // An old join alone does not show that its run still lives.
+      table_.Mutable(index).state = member_state::kSuspect;
+      table_.track(index).unconfirmed = true;
+      ExpireAt(index, now + settings_.confirm_within);
+      unconfirmed_until_ = std::max(unconfirmed_until_, now + settings_.confirm_within);
+    }
+  }
+  next_read_ = read.records.empty() ? now + settings_.read_pause : now;
+}
+
+void membership_system::OnLogFailed(std::string_view stream, time_point now) {
+  if (stream != kStream) return;
+  Observe(now);
+  reading_ = false;
+  next_read_ = now + Jittered(read_backoff_ / 2, read_backoff_);
+  read_backoff_ = std::min(read_backoff_ * 2, settings_.longest_backoff);
+  if (log_out_) return;
+  log_out_ = true;
+  Report(membership_event_kind::kLogOut, 0);
+}
+
+void membership_system::TickAppend(time_point now) {
+  if (pending_token_ != 0 && now >= append_timeout_) {
+    OnAppendResult(pending_token_, false, now);
+  }
+  if (pending_token_ != 0 || now < next_append_ || leave_recorded_) return;
+  // Without a join record there is nothing to take back.
+  if (leaving_ && !append_started_) {
+    leave_recorded_ = true;
+    return;
+  }
+  append_started_ = true;
+  pending_token_ = ++token_;
+  pending_is_leave_ = leaving_;
+  next_append_ = time_point::max();
+  append_timeout_ = now + settings_.append_timeout;
+  log_.Append(kStream, EncodeMemberLogRecord(table_.Update(0, true)), pending_token_);
+}
+
+void membership_system::OnAppendResult(std::uint64_t token, bool appended, time_point now) {
+  if (token != pending_token_ || token == 0) return;
+  pending_token_ = 0;
+  if (appended) {
+    append_backoff_ = settings_.first_backoff;
+    leave_recorded_ = pending_is_leave_;
+    next_append_ = std::min(next_append_, now + Jittered(retention_ * 2 / 5, retention_ / 2));
+    return;
+  }
+  next_append_ = std::min(next_append_, now + Jittered(append_backoff_ / 2, append_backoff_));
+  append_backoff_ = std::min(append_backoff_ * 2, settings_.longest_backoff);
+}
+
+// --- helpers
+
+std::ptrdiff_t membership_system::RandomPeer(member_id skip) {
+  const auto fits = [this, skip](std::size_t i) {
+    const member_row& row = table_.row(i);
+    return i > 0 && IsLive(row.state) && row.id != skip;
+  };
+  const std::size_t size = table_.size();
+  if (size < 2) return -1;
+  for (int draw = 0; draw < 8; ++draw) {
+    const std::size_t i = 1 + Random(size - 1);
+    if (fits(i)) return static_cast<std::ptrdiff_t>(i);
+  }
+  // Most rows are dead: choose among the live ones.
+  std::vector<std::size_t> live;
+  for (std::size_t i = 1; i < size; ++i) {
+    if (fits(i)) live.push_back(i);
+  }
+  return live.empty() ? -1 : static_cast<std::ptrdiff_t>(live[Random(live.size())]);
+}
+
+std::uint64_t membership_system::Random(std::uint64_t below) {
+  return std::uniform_int_distribution<std::uint64_t>(0, below - 1)(random_);
+}
+
+duration membership_system::Jittered(duration least, duration most) {
+  return duration(
+      std::uniform_int_distribution<duration::rep>(least.count(), most.count())(random_));
+}
+
+duration membership_system::SuspicionTime() const {
+  return settings_.suspicion_base + seconds(std::bit_width(table_.live()));
+}
+
+void membership_system::Report(membership_event_kind kind, std::size_t index,
+                               std::int64_t number) {
+  const member_row& row = table_.row(index);
+  events_.push_back(membership_event{.kind = kind,
+                                     .id = row.id,
+                                     .run = row.run,
+                                     .peer_address = row.peer_address,
+                                     .number = number});
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/membership/membership_system.h
@@ -0,0 +1,222 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "src/base/strong_id.h"
+#include "src/base/time.h"
+#include "src/measuring/charge_purpose.h"
+#include "src/membership/member_row.h"
+#include "src/membership/member_table.h"
+#include "src/membership/member_update.h"
+#include "src/membership/membership_event.h"
+#include "src/membership/membership_settings.h"
+#include "src/membership/merge_result.h"
+#include "src/membership/upstream_announcement.h"
+#include "src/routing/load_hint.h"
+
+namespace bronzeroute::proto {
+class MemberDatagram;
+class MemberRecord;
+}  // namespace bronzeroute::proto
+
+namespace bronzeroute {
+
+class budget_account;
+class datagram_port;
+class log_port;
+struct log_read;
+
+/// Knows which daemons run: failure detection over datagrams, join and leave records in the
+/// log stream `members`, and the announcements of the upstream beside this daemon.
+///
+/// All functions are called on one thread with times that do not decrease.
+class membership_system {
+ public:
+  /// `self` gives id, run (start in Unix milliseconds), region, zone and addresses. The ports
+  /// and the budget outlive the system.
+  membership_system(member_row self, membership_settings settings, datagram_port& datagrams,
+                    log_port& log, budget_account& budget, std::uint64_t seed, time_point now);
+
+  /// A datagram from `from` ("ip:port"). Malformed ones are counted and dropped.
+  void OnDatagram(std::string_view from, std::string_view payload, time_point now);
+  /// Result of a read; reads of other streams are ignored.
+  void OnLogRead(const log_read& read, time_point now);
+  /// A read of `stream` failed.
+  void OnLogFailed(std::string_view stream, time_point now);
+  /// Result of the append with `token`; tokens of other systems are ignored. A failed append
+  /// may still have taken effect.
+  void OnAppendResult(std::uint64_t token, bool appended, time_point now);
+  /// The upstream beside this daemon announced itself; expected every 2 s.
+  void OnAnnouncement(std::string_view service, std::string_view address, std::uint32_t slots,
+                      std::uint32_t connections, time_point now);
+
+  /// Tells peers that the owner takes no new work. It stays so until the end of the run.
+  void Drain(time_point now);
+  /// Tells peers and the log that this run ends. Keep ticking until `leave_recorded()`.
+  void Leave(time_point now);
+
+  /// Call about every 10 ms. A gap above 3 s counts as a freeze.
+  void Tick(time_point now);
+
+  /// The load hint sent on the next messages.
+  void SetHint(const load_hint& hint) { hint_ = hint; }
+  /// The configuration version in effect here, sent on the next messages.
+  void SetConfigVersion(std::int64_t version);
+
+  /// Every known member, the own daemon first; also suspect, dead and left ones. Valid until
+  /// the next call of a function that is not const.
+  std::span<const member_row> members() const { return table_.rows(); }
+  /// The row of `id`, or null. Valid as members().
+  const member_row* Find(member_id id) const { return table_.Find(id); }
+  const member_row& self() const { return table_.row(0); }
+  /// The upstream beside this daemon, or null if it is not there.
+  const upstream_announcement* upstream() const { return upstream_ ? &*upstream_ : nullptr; }
+
+  /// Changes since the last call, oldest first.
+  std::vector<membership_event> TakeEvents();
+
+  /// True once the announcement of this run began; it is jittered over 5 s.
+  bool joined() const { return joined_; }
+  /// True once the log has the leave record.
+  bool leave_recorded() const { return leave_recorded_; }
+  bool log_available() const { return read_once_ && !log_out_; }
+  std::uint64_t malformed_datagrams() const { return malformed_datagrams_; }
+  std::uint64_t stale_datagrams() const { return stale_datagrams_; }
+
+ private:
+  struct probe {
+    member_id target;
+    incarnation run;
+    std::uint64_t sequence = 0;
+    time_point indirect_at;
+    time_point failed_at;
+    bool indirect_sent = false;
+  };
+  struct relay {
+    std::uint64_t sequence = 0;
+    std::string origin;
+    std::uint64_t origin_sequence = 0;
+    time_point until;
+  };
+  struct want {
+    std::string address;
+    time_point ask_at;
+    std::uint32_t asked = 0;
+  };
+  enum class urgency : std::uint8_t { kForced, kBudgeted };
+
+  void Observe(time_point now);
+  void Wake(duration slept);
+  void Join(time_point now);
+  void RaiseRun(incarnation above, time_point now);
+
+  void TickProbe(time_point now);
+  void StartProbe(time_point now);
+  void SendIndirectProbes(time_point now);
+  void TickDeadProbe(time_point now);
+  void TickSeeds(time_point now);
+  void TickWants(time_point now);
+  void TickPush(time_point now);
+  void TickExpiry(time_point now);
+  void TickLog(time_point now);
+  void TickAppend(time_point now);
+
+  void HearSender(std::string_view from, const proto::MemberDatagram& message, time_point now);
+  void OnPing(std::string_view from, const proto::MemberDatagram& message, time_point now);
+  void OnPingRequest(std::string_view from, const proto::MemberDatagram& message,
+                     time_point now);
+  void OnAck(const proto::MemberDatagram& message, time_point now);
+  void AnswerWanted(const proto::MemberDatagram& message, proto::MemberDatagram& answer,
+                    std::size_t& size) const;
+  /// Confirms rows of buckets that agree; returns the buckets that differ as a bit mask.
+  std::uint32_t CompareDigests(const proto::MemberDatagram& message, time_point now);
+  void AddBucketRecords(std::uint32_t mask, proto::MemberDatagram& message, std::size_t& size);
+
+  void ApplyRecord(const member_update& update, std::string_view from, time_point now);
+  void ApplyOwnRecord(const member_update& update, time_point now);
+  void AfterMerge(std::size_t index, const merge_result& result, bool from_log, time_point now);
+  void AfterStateChange(std::size_t index, time_point now);
+  void ExpireAt(std::size_t index, time_point deadline);
+  void Confirm(std::size_t index);
+  void MarkChanged(std::size_t index, bool with_details, bool urgent);
+  void ChangeOwnDetails(time_point now);
+  void Want(member_id id, std::string_view address, time_point now);
+
+  /// Fills in the sender, hint and piggybacked changes, charges the budget and sends. False if
+  /// the budget refused; a forced message is then sent without piggybacked changes.
+  bool Send(std::string_view address, proto::MemberDatagram& message, std::size_t size,
+            charge_purpose purpose, urgency force, time_point now);
+  void FillSender(proto::MemberDatagram& message, bool with_digests);
+  bool AddRecord(std::size_t index, bool with_details, proto::MemberDatagram& message,
+                 std::size_t& size) const;
+
+  /// Index of a random live peer that `skip` does not name, or -1.
+  std::ptrdiff_t RandomPeer(member_id skip);
+  std::uint64_t Random(std::uint64_t below);
+  duration Jittered(duration least, duration most);
+  duration SuspicionTime() const;
+  void Report(membership_event_kind kind, std::size_t index, std::int64_t number = 0);
+
+  membership_settings settings_;
+  datagram_port& datagrams_;
+  log_port& log_;
+  budget_account& budget_;
+  std::mt19937_64 random_;
+  member_table table_;
+  load_hint hint_;
+  std::optional<upstream_announcement> upstream_;
+  std::vector<membership_event> events_;
+
+  time_point last_active_;
+  time_point join_at_;
+  bool joined_ = false;
+
+  std::uint64_t sequence_ = 0;
+  std::optional<probe> probe_;
+  time_point next_probe_;
+  time_point forced_probe_;
+  time_point next_dead_probe_;
+  time_point next_seed_;
+  time_point next_want_;
+  time_point next_push_;
+  time_point next_expiry_ = time_point::max();
+  time_point unconfirmed_until_;
+  std::vector<relay> relays_;
+  /// Members whose last change still has transmissions left.
+  std::vector<member_id> changed_;
+  bool push_due_ = false;
+  absl::flat_hash_map<member_id, want> wants_;
+
+  bool reading_ = false;
+  bool read_once_ = false;
+  bool log_out_ = false;
+  std::int64_t next_offset_ = 0;
+  time_point next_read_;
+  time_point read_timeout_;
+  duration read_backoff_{};
+  duration retention_{};
+  std::uint64_t token_ = 0;
+  std::uint64_t pending_token_ = 0;
+  bool pending_is_leave_ = false;
+  bool append_started_ = false;
+  bool leaving_ = false;
+  bool leave_recorded_ = false;
+  time_point next_append_ = time_point::max();
+  time_point append_timeout_;
+  duration append_backoff_{};
+
+  std::int64_t highest_version_ = -1;
+  std::uint64_t malformed_datagrams_ = 0;
+  std::uint64_t stale_datagrams_ = 0;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/tests/membership/membership_system_test.cc
@@ -0,0 +1,506 @@
+#include "src/membership/membership_system.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/membership/member_codec.h"
+#include "tests/membership/member_net.h"
+
+namespace bronzeroute {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+std::string JoinRecord(std::size_t slot, std::uint64_t run) {
+  member_update update;
+  update.row.id = member_net::Id(slot);
+  update.row.run.value = run;
+  update.row.region = "recife";
+  update.row.peer_address = member_net::Address(slot, 7000);
+  update.row.membership_address = member_net::Address(slot, 7001);
+  update.has_details = true;
+  update.details_version = 1;
+  return EncodeMemberLogRecord(update);
+}
+
+bool HasState(member_net& net, std::size_t at, std::size_t of, member_state state) {
+  const member_row* row = net.at(at).Find(member_net::Id(of));
+  return row != nullptr && row->state == state;
+}
+
+bool KnownEverywhere(member_net& net, std::size_t of, member_state state) {
+  for (std::size_t i = 0; i < net.slots(); ++i) {
+    if (i != of && net.running(i) && !HasState(net, i, of, state)) return false;
+  }
+  return true;
+}
+
+bool DrainKnown(member_net& net, std::size_t of) {
+  for (std::size_t i = 0; i < net.slots(); ++i) {
+    const member_row* row = net.at(i).Find(member_net::Id(of));
+    if (row == nullptr || !row->draining) return false;
+  }
+  return true;
+}
+
+int CountEvents(membership_system& system, membership_event_kind kind) {
+  return static_cast<int>(
+      std::ranges::count(system.TakeEvents(), kind, &membership_event::kind));
+}
+
+// Guards against members that start together and do not find each other through the log.
+TEST(Membership, StartsTogetherThroughTheLog) {
+  member_net net({});
+  net.StartAll(20);
+  EXPECT_TRUE(net.RunUntil(seconds(12), [&] { return net.Converged(); }));
+  EXPECT_EQ(net.records.size(), 20U);  // one join each
+}
+
+// Guards against a fault that stays undetected, and against one that removes healthy members.
+TEST(Membership, KilledMemberIsDeadEverywhereAndNobodyElse) {
+  member_net net({});
+  net.StartAll(20);
+  net.RunFor(seconds(15));
+  net.Kill(7);
+  EXPECT_TRUE(
+      net.RunUntil(seconds(25), [&] { return KnownEverywhere(net, 7, member_state::kDead); }));
+  net.RunFor(seconds(20));
+  EXPECT_TRUE(net.Converged());
+}
+
+// Guards against false verdicts from ordinary datagram loss and duplicates.
+TEST(Membership, LossDoesNotKill) {
+  member_net net({.seed = 3, .loss = 0.1, .duplicate = 0.1});
+  net.StartAll(15);
+  net.RunFor(seconds(20));
+  for (std::size_t i = 0; i < 15; ++i) net.at(i).TakeEvents();
+  net.RunFor(seconds(120));
+  for (std::size_t i = 0; i < 15; ++i) {
+    EXPECT_EQ(CountEvents(net.at(i), membership_event_kind::kDead), 0) << i;
+  }
+}
+
+// Guards against new work for a draining upstream: all peers know within 3 s.
+TEST(Membership, DrainIsKnownEverywhereWithinThreeSeconds) {
+  for (const std::size_t count : {3U, 20U, 100U}) {
+    member_net net({.seed = count, .loss = 0.05});
+    net.StartAll(count);
+    net.RunFor(seconds(20));
+    net.at(1).Drain(net.now());
+    EXPECT_TRUE(net.RunUntil(seconds(3), [&] { return DrainKnown(net, 1); })) << count;
+  }
+}
+
+// Guards against a leave that peers take for a failure, or that a later reader does not see.
+TEST(Membership, LeaveReachesPeersAndLog) {
+  member_net net({});
+  net.StartAll(12);
+  net.RunFor(seconds(15));
+  net.at(4).Leave(net.now());
+  EXPECT_TRUE(net.RunUntil(seconds(3), [&] {
+    return KnownEverywhere(net, 4, member_state::kLeft) && net.at(4).leave_recorded();
+  }));
+  net.Kill(4);
+  net.Start(12);
+  net.RunFor(seconds(15));
+  EXPECT_TRUE(HasState(net, 12, 4, member_state::kLeft));
+  EXPECT_TRUE(KnownEverywhere(net, 4, member_state::kLeft));
+}
+
+// Guards against a process that slept and then declares its peers dead, and against peers that
+// keep the verdict on it after it woke.
+TEST(Membership, FrozenMemberRefutesAndAccusesNobody) {
+  member_net net({});
+  net.StartAll(10);
+  net.RunFor(seconds(15));
+  net.Freeze(2, true);
+  EXPECT_TRUE(
+      net.RunUntil(seconds(30), [&] { return KnownEverywhere(net, 2, member_state::kDead); }));
+  const incarnation run = net.at(2).self().run;
+  net.at(2).TakeEvents();
+  net.Freeze(2, false);
+  EXPECT_TRUE(net.RunUntil(seconds(20), [&] { return net.Converged(); }));
+  EXPECT_EQ(net.at(2).self().run, run);
+  const std::vector<membership_event> events = net.at(2).TakeEvents();
+  EXPECT_EQ(std::ranges::count(events, membership_event_kind::kWoke, &membership_event::kind),
+            1);
+  EXPECT_EQ(std::ranges::count(events, membership_event_kind::kDead, &membership_event::kind),
+            0);
+}
+
+// Guards against a suspicion that runs out during the sleep of the process that holds it.
+TEST(Membership, SleepDoesNotEndSuspicions) {
+  member_net net({});
+  net.StartAll(6);
+  net.RunFor(seconds(15));
+  net.Freeze(3, true);
+  ASSERT_TRUE(
+      net.RunUntil(seconds(15), [&] { return HasState(net, 0, 3, member_state::kSuspect); }));
+  net.Freeze(0, true);
+  net.Freeze(3, false);
+  net.RunFor(seconds(60));
+  net.Freeze(0, false);
+  net.at(0).TakeEvents();
+  net.RunFor(milliseconds(20));
+  EXPECT_EQ(CountEvents(net.at(0), membership_event_kind::kDead), 0);
+  EXPECT_TRUE(net.RunUntil(seconds(20), [&] { return net.Converged(); }));
+}
+
+// Guards against a partition whose healing needs the log, and whose meeting sides remove
+// healthy members of each other.
+TEST(Membership, CutRegionHealsWithoutTheLog) {
+  member_net net({});
+  for (std::size_t i = 0; i < 16; ++i) net.Start(i, i < 8 ? "recife" : "salvador");
+  net.RunFor(seconds(15));
+  net.log_down = true;
+  net.Cut({0, 1, 2, 3, 4, 5, 6, 7});
+  net.RunFor(minutes(30));
+  for (std::size_t b = 8; b < 16; ++b) EXPECT_TRUE(HasState(net, 0, b, member_state::kDead));
+  for (std::size_t b = 1; b < 8; ++b) EXPECT_TRUE(HasState(net, 0, b, member_state::kAlive));
+  for (std::size_t i = 0; i < 16; ++i) net.at(i).TakeEvents();
+  net.Heal();
+  EXPECT_TRUE(net.RunUntil(seconds(40), [&] { return net.Converged(); }));
+  for (std::size_t i = 0; i < 16; ++i) {
+    EXPECT_EQ(CountEvents(net.at(i), membership_event_kind::kDead), 0) << i;
+  }
+}
+
+// Guards against memory of dead members without end.
+TEST(Membership, DeadMembersAreForgottenAfterTwoHours) {
+  member_net net({});
+  net.StartAll(3);
+  net.RunFor(seconds(15));
+  net.Kill(2);
+  net.RunFor(minutes(115));
+  EXPECT_TRUE(HasState(net, 0, 2, member_state::kDead));
+  net.RunFor(minutes(10));
+  EXPECT_EQ(net.at(0).Find(member_net::Id(2)), nullptr);
+}
+
+// Guards against a join storm and against a mass restart that leaves rows of earlier runs.
+TEST(Membership, MassRestartSpreadsJoinsOverFiveSeconds) {
+  member_net net({});
+  net.StartAll(40);
+  net.RunFor(seconds(20));
+  const std::size_t before = net.records.size();
+  net.StartAll(40);
+  const std::int64_t start_ms = net.NowMs();
+  EXPECT_TRUE(net.RunUntil(seconds(15), [&] { return net.Converged(); }));
+  std::vector<int> per_second(6, 0);
+  for (std::size_t i = before; i < net.records.size(); ++i) {
+    const auto second = static_cast<std::size_t>((net.records[i].first - start_ms) / 1000);
+    ASSERT_LT(second, per_second.size());
+    ++per_second[second];
+  }
+  EXPECT_LE(*std::ranges::max_element(per_second), 20);
+}
+
+// Guards against a mass restart during a log outage that leaves processes alone.
+TEST(Membership, SeedsReplaceTheLog) {
+  member_net net({.seeds = {member_net::Address(0, 7001), member_net::Address(1, 7001)}});
+  net.log_down = true;
+  net.StartAll(30);
+  EXPECT_TRUE(net.RunUntil(seconds(40), [&] { return net.Converged(); }));
+  net.log_down = false;
+  net.RunFor(seconds(70));
+  EXPECT_EQ(net.records.size(), 30U);  // the joins reach the log once it is back
+}
+
+// Guards against a lost append response that loses the join or repeats it without end.
+TEST(Membership, LostAppendResponsesAreRetried) {
+  member_net net({});
+  net.lose_append_responses = 5;
+  net.StartAll(5);
+  net.RunFor(seconds(60));
+  EXPECT_TRUE(net.Converged());
+  EXPECT_EQ(net.records.size(), 10U);
+}
+
+// Guards against joins that expire from the log while their members run.
+TEST(Membership, JoinIsRefreshedWithinHalfOfTheRetention) {
+  member_net net({});
+  net.retention_ms = 60'000;
+  net.StartAll(4);
+  net.RunFor(minutes(10));
+  EXPECT_GE(net.records.size(), 4U * 19U);
+  EXPECT_LE(net.records.size(), 4U * 28U);
+  net.Start(4);
+  EXPECT_TRUE(net.RunUntil(seconds(10), [&] { return net.Converged(); }));
+}
+
+// Guards against members that a late starter takes for running because of an old join record,
+// while the members that do run are confirmed in seconds.
+TEST(Membership, OldJoinRecordsAreConfirmedOrExpire) {
+  member_net net({});
+  net.StartAll(10);
+  net.RunFor(seconds(30));
+  net.records.emplace_back(0, JoinRecord(50, 5));
+  net.Start(10);
+  net.RunFor(milliseconds(300));
+  EXPECT_TRUE(HasState(net, 10, 50, member_state::kSuspect));
+  EXPECT_TRUE(net.RunUntil(seconds(12), [&] {
+    return KnownEverywhere(net, 10, member_state::kAlive) &&
+           HasState(net, 10, 3, member_state::kAlive);
+  }));
+  net.RunFor(seconds(30));
+  EXPECT_TRUE(KnownEverywhere(net, 50, member_state::kDead));
+}
+
+// Guards against an owner that restarts with an earlier clock and looks older than its past.
+TEST(Membership, RunIsRaisedAboveAnySeen) {
+  member_net net({});
+  net.StartAll(5);
+  net.RunFor(seconds(15));
+  const incarnation before = net.at(2).self().run;
+  net.Start(2, "recife", 17);
+  EXPECT_TRUE(net.RunUntil(seconds(20), [&] { return net.Converged(); }));
+  EXPECT_GT(net.at(2).self().run.value, before.value);
+}
+
+// Guards against an earlier run that late datagrams or old records bring back.
+TEST(Membership, EarlierRunNeverRevives) {
+  member_net net({});
+  net.StartAll(6);
+  std::vector<std::pair<std::string, std::string>> old;
+  net.on_datagram = [&](std::size_t from, std::string_view to, std::string_view payload) {
+    if (from == 3) old.emplace_back(std::string(to), std::string(payload));
+  };
+  net.RunFor(seconds(20));
+  net.on_datagram = nullptr;
+  const incarnation first = net.at(3).self().run;
+  net.Start(3);
+  net.RunFor(seconds(20));
+  net.Kill(3);
+  ASSERT_TRUE(
+      net.RunUntil(seconds(30), [&] { return KnownEverywhere(net, 3, member_state::kDead); }));
+  for (const auto& [to, payload] : old) {
+    net.Inject(member_net::Address(3, 7001), to, payload, milliseconds(5));
+  }
+  net.records.emplace_back(net.NowMs(), JoinRecord(3, first.value));
+  net.RunFor(seconds(5));
+  EXPECT_TRUE(KnownEverywhere(net, 3, member_state::kDead));
+}
+
+// Guards against a delayed datagram of the dead run itself, which carries the old counter.
+TEST(Membership, LateDatagramsOfTheDeadRunDoNotRevive) {
+  member_net net({});
+  net.StartAll(6);
+  std::vector<std::pair<std::string, std::string>> old;
+  net.on_datagram = [&](std::size_t from, std::string_view to, std::string_view payload) {
+    if (from == 3) old.emplace_back(std::string(to), std::string(payload));
+  };
+  net.RunFor(seconds(20));
+  net.on_datagram = nullptr;
+  net.Kill(3);
+  ASSERT_TRUE(
+      net.RunUntil(seconds(30), [&] { return KnownEverywhere(net, 3, member_state::kDead); }));
+  for (const auto& [to, payload] : old) {
+    net.Inject(member_net::Address(3, 7001), to, payload, milliseconds(5));
+  }
+  net.RunFor(seconds(5));
+  EXPECT_TRUE(KnownEverywhere(net, 3, member_state::kDead));
+}
+
+// Guards against an upstream that is gone and still gets work, and against a replacement
+// daemon's upstream that peers never learn of.
+TEST(Membership, UpstreamAnnouncementsAreKnownAndExpire) {
+  member_net net({});
+  net.StartAll(5);
+  net.RunFor(seconds(12));
+  net.at(1).OnAnnouncement("estoque", "10.0.0.2:80", 6, 260, net.now());
+  const auto service_is = [&net](std::string_view service) {
+    for (std::size_t i = 0; i < 5; ++i) {
+      if (net.at(i).Find(member_net::Id(1))->service != service) return false;
+    }
+    return true;
+  };
+  ASSERT_NE(net.at(1).upstream(), nullptr);
+  EXPECT_EQ(net.at(1).upstream()->slots, 6U);
+  EXPECT_TRUE(net.RunUntil(seconds(5), [&] { return service_is("estoque"); }));
+  EXPECT_TRUE(net.RunUntil(seconds(15), [&] { return service_is(""); }));
+  EXPECT_EQ(net.at(1).upstream(), nullptr);
+}
+
+// Guards against hints and configuration versions that stay behind their messages.
+TEST(Membership, HintsAndVersionsTravelOnProbes) {
+  member_net net({});
+  net.StartAll(4);
+  net.RunFor(seconds(12));
+  net.at(0).SetHint({.sequence = 9, .effective_slots = 6, .in_use = 2});
+  net.at(0).SetConfigVersion(41);
+  EXPECT_TRUE(net.RunUntil(seconds(15), [&] {
+    for (std::size_t i = 1; i < 4; ++i) {
+      const member_row* row = net.at(i).Find(member_net::Id(0));
+      if (row->hint.sequence != 9 || row->config_version != 41) return false;
+    }
+    return true;
+  }));
+  EXPECT_EQ(CountEvents(net.at(2), membership_event_kind::kNewerConfiguration), 1);
+}
+
+// Guards against a crash or a change of state from bytes that are no membership datagram.
+TEST(Membership, MalformedDatagramsAreCounted) {
+  member_net net({});
+  net.StartAll(2);
+  net.RunFor(seconds(10));
+  net.at(0).OnDatagram("10.9.9.9:1", "\xff\xff\xff", net.now());
+  net.at(0).OnDatagram("10.9.9.9:1", "", net.now());
+  EXPECT_EQ(net.at(0).malformed_datagrams(), 2U);
+  EXPECT_TRUE(net.Converged());
+}
+
+// Guards against datagrams above the limit, which the network would fragment.
+TEST(Membership, DatagramsStayWithinTheLimit) {
+  member_net net({.seeds = {member_net::Address(0, 7001)}});
+  net.log_down = true;
+  net.StartAll(60);
+  net.RunFor(seconds(40));
+  EXPECT_LE(net.LargestDatagram(), 1200U);
+}
+
+// Guards against an empty account that ends failure detection, or that is overdrawn for long.
+TEST(Membership, SmallBudgetStretchesProbesAndStillDetects) {
+  member_net net({.bytes_per_second = 300});
+  net.StartAll(10);
+  net.RunFor(seconds(30));
+  std::vector<std::uint64_t> before;
+  for (std::size_t i = 0; i < 10; ++i) before.push_back(net.SentBytes(i));
+  net.RunFor(seconds(100));
+  for (std::size_t i = 0; i < 10; ++i) {
+    EXPECT_LE((net.SentBytes(i) - before[i]) / 100, 330U) << i;
+  }
+  net.Kill(4);
+  EXPECT_TRUE(
+      net.RunUntil(seconds(60), [&] { return KnownEverywhere(net, 4, member_state::kDead); }));
+}
+
+class mock_datagrams : public datagram_port {
+ public:
+  MOCK_METHOD(void, SendDatagram, (std::string_view, std::string_view), (override));
+};
+class mock_log : public log_port {
+ public:
+  MOCK_METHOD(void, Append, (std::string_view, std::string_view, std::uint64_t), (override));
+  MOCK_METHOD(void, Read, (std::string_view, std::int64_t), (override));
+};
+
+// Guards against an append storm on an unavailable log: retries back off with jitter.
+TEST(Membership, AppendRetriesBackOff) {
+  testing::NiceMock<mock_datagrams> datagrams;
+  testing::NiceMock<mock_log> log;
+  budget_account budget(5000, duration(0));
+  time_point now{seconds(1)};
+  member_row row;
+  row.id.value = 5;
+  membership_system system(row, {}, datagrams, log, budget, 1, now);
+  std::uint64_t pending = 0;
+  int appends = 0;
+  ON_CALL(log, Append).WillByDefault([&](auto, auto, std::uint64_t token) {
+    pending = token;
+    ++appends;
+  });
+  for (int i = 0; i < 12'000; ++i) {
+    now += milliseconds(10);
+    system.Tick(now);
+    if (pending != 0) system.OnAppendResult(std::exchange(pending, 0), false, now);
+  }
+  EXPECT_GE(appends, 6);
+  EXPECT_LE(appends, 16);
+}
+
+// Guards against any mix of faults after which the members disagree for good.
+RC_GTEST_PROP(MembershipProperty, ConvergesAfterFaultsEnd, ()) {
+  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  member_net net({.seed = seed, .seeds = {member_net::Address(0, 7001)}});
+  const std::size_t count = *rc::gen::inRange<std::size_t>(2, 9);
+  net.StartAll(count);
+  net.RunFor(seconds(8));
+  std::vector<bool> frozen(count, false);
+  std::map<std::pair<std::uint64_t, std::uint64_t>, std::uint64_t> highest_run;
+  const auto faults = *rc::gen::container<std::vector<std::pair<int, std::size_t>>>(
+      rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange<std::size_t>(0, count)));
+  for (const auto& [fault, slot] : faults) {
+    switch (fault) {
+      case 0:
+        net.Kill(slot);
+        frozen[slot] = false;
+        break;
+      case 1:
+        net.Start(slot);
+        frozen[slot] = false;
+        break;
+      case 2:
+        if (net.running(slot)) net.Freeze(slot, frozen[slot] = !frozen[slot]);
+        break;
+      case 3:
+        net.Cut({slot, (slot + 1) % count});
+        break;
+      case 4:
+        net.Heal();
+        break;
+      case 5:
+        net.log_down = !net.log_down;
+        break;
+      case 6:
+        net.chosen().loss = net.chosen().loss > 0 ? 0 : 0.3;
+        net.chosen().duplicate = 0.2;
+        break;
+      case 7:
+        net.lose_append_responses = 3;
+        break;
+      default:
+        net.chosen().most_delay = milliseconds(300);
+        break;
+    }
+    net.RunFor(seconds(static_cast<int>(slot) * 3 + 1));
+    // Within one run of a reader no row goes back to an earlier run.
+    for (std::size_t i = 0; i < count; ++i) {
+      if (!net.running(i)) continue;
+      for (const member_row& row : net.at(i).members()) {
+        std::uint64_t& highest = highest_run[{net.generation(i), row.id.value}];
+        RC_ASSERT(row.run.value >= highest);
+        highest = row.run.value;
+      }
+    }
+  }
+  net.Heal();
+  net.log_down = false;
+  net.chosen().loss = 0;
+  net.chosen().most_delay = milliseconds(4);
+  for (std::size_t i = 0; i < count; ++i) {
+    if (net.running(i) && frozen[i]) net.Freeze(i, false);
+  }
+  RC_ASSERT(net.RunUntil(seconds(120), [&] { return net.Converged(); }));
+}
+
+// Guards against a budget that churn overdraws: bytes sent stay within the limit.
+RC_GTEST_PROP(MembershipProperty, BytesStayWithinBudget, ()) {
+  const auto limit = *rc::gen::inRange<std::uint64_t>(500, 5000);
+  member_net net(
+      {.seed = *rc::gen::arbitrary<std::uint64_t>(), .loss = 0.05, .bytes_per_second = limit});
+  net.StartAll(12);
+  for (int round = 0; round < 6; ++round) {
+    std::vector<std::uint64_t> before;
+    for (std::size_t i = 0; i < 12; ++i) before.push_back(net.SentBytes(i));
+    net.RunFor(seconds(10));
+    for (std::size_t i = 0; i < 12; ++i) {
+      // One burst of a second, or of one full datagram, may be taken at once.
+      RC_ASSERT(net.SentBytes(i) - before[i] <=
+                10 * limit + std::max<std::uint64_t>(limit, 1228));
+    }
+    net.Start(*rc::gen::inRange<std::size_t>(0, 12));
+    net.at(*rc::gen::inRange<std::size_t>(0, 12)).Drain(net.now());
+  }
+}
+
+}  // namespace
+}  // namespace bronzeroute
