Add entry and owner systems, key table and retry budget

Cause: the core had ports for callers, peers and the upstream, but no state machines for calls. Ruled out: one table for both sides of a call, since an entry that is its own owner would then need a second set of rules; a product flag for test builds, replaced by the template parameter Rules, of which the product has one instantiation. Change: entry_system, owner_system, key_table, attempt_record, retry_budget, call_log, and node, which routes events. Choice of upstream, admission, members and routes are abstract interfaces. NOLINT on three defaulted comparisons in src/base, where clang-tidy reports a null pointer that is none. Conclusion: routing, admission and transport can be connected; the state machines are not yet tested.

--- a/src/base/attempt_id.h
+++ b/src/base/attempt_id.h
@@ -13,6 +13,8 @@
   call_id call;
   std::uint32_t number = 0;
 
+  // The linter takes the generated comparison with 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const attempt_id&, const attempt_id&) = default;
 
   template <typename H>
--- a/src/base/call_id.h
+++ b/src/base/call_id.h
@@ -14,6 +14,8 @@
   incarnation entry_incarnation;
   std::uint64_t sequence = 0;
 
+  // The linter takes the generated comparison with 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const call_id&, const call_id&) = default;
 
   template <typename H>
--- a/src/base/strong_id.h
+++ b/src/base/strong_id.h
@@ -11,6 +11,8 @@
 struct strong_id {
   std::uint64_t value = 0;
 
+  // The linter takes the generated comparison with 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const strong_id&, const strong_id&) = default;
 
   template <typename H>
--- /dev/null
+++ b/src/calls/attempt_record.cc
@@ -0,0 +1,42 @@
+#include "src/calls/attempt_record.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace bronzeroute {
+namespace {
+
+/// Longer than most calls take, so that a later attempt of an old call is rarely taken for a
+/// forgotten one.
+constexpr duration kKept = std::chrono::minutes(2);
+
+}  // namespace
+
+bool attempt_record::Insert(const attempt_id& id, time_point now) {
+  entry_row& entry = entries_[id.call.entry];
+  if (id.call.entry_incarnation < entry.run) return false;
+  if (id.call.entry_incarnation > entry.run) {
+    entry = entry_row{.run = id.call.entry_incarnation};
+  }
+  if (id.call.sequence <= entry.forgotten_up_to) return false;
+  if (!seen_.emplace(id, true).second) return false;
+  order_.emplace_back(now + kKept, id);
+  while (order_.size() > capacity_) ForgetOldest();
+  return true;
+}
+
+void attempt_record::ForgetOldest() {
+  const attempt_id id = order_.front().second;
+  order_.pop_front();
+  seen_.erase(id);
+  entry_row& entry = entries_[id.call.entry];
+  if (entry.run == id.call.entry_incarnation) {
+    entry.forgotten_up_to = std::max(entry.forgotten_up_to, id.call.sequence);
+  }
+}
+
+void attempt_record::Tick(time_point now) {
+  while (!order_.empty() && order_.front().first <= now) ForgetOldest();
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/calls/call_log.cc
@@ -0,0 +1,71 @@
+#include "src/calls/call_log.h"
+
+#include <chrono>
+#include <string_view>
+#include <utility>
+
+#include "absl/strings/str_format.h"
+#include "src/base/error_answer.h"
+#include "src/calls/call_id_text.h"
+
+namespace bronzeroute {
+namespace {
+
+double Milliseconds(duration value) {
+  return std::chrono::duration<double, std::milli>(value).count();
+}
+
+}  // namespace
+
+void call_log::Add(call_log_row row) {
+  if (capacity_ == 0) return;
+  if (rows_.size() < capacity_) {
+    index_[row.id] = rows_.size();
+    rows_.push_back(std::move(row));
+    return;
+  }
+  index_.erase(rows_[next_].id);
+  index_[row.id] = next_;
+  rows_[next_] = std::move(row);
+  next_ = (next_ + 1) % capacity_;
+}
+
+const call_log_row* call_log::Find(const call_id& id) const {
+  const auto found = index_.find(id);
+  return found == index_.end() ? nullptr : &rows_[found->second];
+}
+
+std::string ExplainCall(const call_log_row& row) {
+  std::string text = absl::StrFormat(
+      "call: %s for service %s, path %s, %s, %s, try %d, %s, configuration %d, %.1f ms "
+      "allowed\n",
+      FormatCallId(row.id), row.service, row.path,
+      row.is_protected ? "protected" : "repeatable", row.is_long ? "long" : "short",
+      row.caller_try, row.has_key ? "with a key" : "without a key", row.config_version,
+      Milliseconds(row.deadline - row.received));
+  int number = 0;
+  for (const call_log_row::attempt& attempt : row.attempts) {
+    const error_answer& answer = AnswerFor(attempt.result);
+    absl::StrAppendFormat(
+        &text, "call: attempt %d after %.1f ms to member %016x run %x (%s), %.1f ms: %s\n",
+        ++number, Milliseconds(attempt.sent - row.received), attempt.target.id.value,
+        attempt.target.run.value, TargetReasonText(attempt.reason),
+        Milliseconds(attempt.ended - attempt.sent),
+        attempt.result == error_kind::kNone ? std::string_view("answered") : answer.name);
+  }
+  const error_answer& result = AnswerFor(row.result);
+  if (row.caller_left) {
+    absl::StrAppendFormat(&text, "call: the caller left after %.1f ms\n",
+                          Milliseconds(row.ended - row.received));
+  } else if (row.result == error_kind::kNone) {
+    absl::StrAppendFormat(&text, "call: answered with status %d after %.1f ms\n", row.status,
+                          Milliseconds(row.ended - row.received));
+  } else {
+    absl::StrAppendFormat(&text, "call: ended with %s (%s) after %.1f ms: %s\n", result.name,
+                          ExecutionName(result.state), Milliseconds(row.ended - row.received),
+                          result.text);
+  }
+  return text;
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/calls/entry_system_impl.h
@@ -0,0 +1,475 @@
+#pragma once
+
+// Definitions of basic_entry_system, for the one instantiation of the product and those of
+// tests.
+
+#include <algorithm>
+#include <utility>
+
+#include "src/base/error_answer.h"
+#include "src/calls/answer_identity.h"
+#include "src/calls/call_times.h"
+#include "src/calls/caller_port.h"
+#include "src/calls/entry_system.h"
+#include "src/calls/issued_key.h"
+#include "src/calls/key_home.h"
+#include "src/calls/local_owner.h"
+#include "src/calls/member_directory.h"
+#include "src/calls/peer_port.h"
+#include "src/calls/route_directory.h"
+#include "src/calls/upstream_chooser.h"
+
+namespace bronzeroute {
+namespace internal {
+
+inline constexpr std::uint32_t kMaxDepth = 9;
+inline constexpr std::uint64_t kLongBody = 1 << 20;
+inline constexpr std::size_t kMaxKeyLength = 255;
+/// Candidates without an open channel that one call passes over before it is refused.
+inline constexpr std::size_t kMaxExcluded = 16;
+
+inline std::string_view ServiceOfPath(std::string_view path) {
+  if (path.starts_with('/')) path.remove_prefix(1);
+  return path.substr(0, path.find_first_of("/?"));
+}
+
+inline bool IsServerError(int status) { return status >= 500; }
+
+}  // namespace internal
+
+template <typename Rules>
+basic_entry_system<Rules>::basic_entry_system(const self_identity& self, caller_port& callers,
+                                              peer_port& peers, local_owner& local,
+                                              upstream_chooser& chooser,
+                                              member_directory& members,
+                                              route_directory& routes, std::uint64_t seed)
+    : self_(self),
+      callers_(callers),
+      peers_(peers),
+      local_(local),
+      chooser_(chooser),
+      members_(members),
+      routes_(routes),
+      random_(seed) {}
+
+template <typename Rules>
+call_id basic_entry_system<Rules>::OnCallerRequest(const caller_request& request,
+                                                   time_point now) {
+  const call_id id{self_.id, self_.run, next_sequence_++};
+  ++counters_.calls;
+  call_row row;
+  row.exchange = request.exchange;
+  row.method = request.method;
+  row.key = request.key;
+  row.depth = request.depth;
+  row.content_length = request.content_length;
+  row.log.id = id;
+  row.log.service = internal::ServiceOfPath(request.path);
+  row.log.path = request.path;
+  row.log.caller_try = request.caller_try;
+  row.log.has_key = !request.key.empty();
+  row.log.received = now;
+  row.log.deadline = now;
+  const error_kind error = Classify(request, now, row);
+  calls_.emplace(id.sequence, std::move(row));
+  by_exchange_[request.exchange] = id.sequence;
+  if (error != error_kind::kNone) {
+    EndWithError(id.sequence, error, 0, false, now);
+  } else {
+    budget_.CountFirstAttempt(now);
+    StartAttempt(id.sequence, now);
+  }
+  return id;
+}
+
+template <typename Rules>
+error_kind basic_entry_system<Rules>::Classify(const caller_request& request, time_point now,
+                                               call_row& row) {
+  if (request.depth > internal::kMaxDepth) return error_kind::kTooDeep;
+  if (request.caller_try == 0) return error_kind::kBadHeader;
+  if (request.key.size() > internal::kMaxKeyLength) return error_kind::kFieldTooLarge;
+  if (IsIssuedKey(request.key) && !ParseIssuedKey(request.key)) return error_kind::kBadKey;
+  const route_decision route = routes_.Find(row.log.service, request.method, request.path);
+  if (route.error != error_kind::kNone) return route.error;
+  // A key asks for at most one run, whatever the route says.
+  row.log.is_protected = route.is_protected || !request.key.empty();
+  row.log.is_long =
+      route.is_long || (request.content_length ? *request.content_length > internal::kLongBody
+                                               : !route.is_marked_short);
+  row.log.config_version = route.config_version;
+  row.log.deadline =
+      std::min(request.deadline.value_or(now + route.time_limit), now + kMaxTimeLimit);
+  return row.log.deadline <= now ? error_kind::kDeadlineTooShort : error_kind::kNone;
+}
+
+template <typename Rules>
+auto basic_entry_system<Rules>::PickTarget(const call_row& row, time_point now)
+    -> std::variant<chosen_target, error_kind> {
+  const std::string& service = row.log.service;
+  if (!row.key.empty()) {
+    const std::vector<member_target> members = members_.LiveMembers(service);
+    if (const auto issued = ParseIssuedKey(row.key)) {
+      const bool is_live = std::ranges::any_of(members, [&](const member_target& member) {
+        return member.id == issued->home.id && member.run == issued->home.run;
+      });
+      if (!is_live) return error_kind::kKeyHomeLost;
+      return chosen_target{issued->home, target_reason::kKeyHome};
+    }
+    const auto home = HomeOfOwnKey(row.key, members);
+    if (!home) return error_kind::kNoUpstream;
+    return chosen_target{*home, target_reason::kKeyHome};
+  }
+  if (std::ranges::find(row.excluded, self_.id) == row.excluded.end() &&
+      local_.HasFreeSlot(service, row.log.is_long, now)) {
+    return chosen_target{{self_.id, self_.run}, target_reason::kOwnUpstreamFree};
+  }
+  const auto chosen = chooser_.Choose(service, row.excluded, row.log.is_protected, now);
+  if (!chosen) return error_kind::kNoUpstream;
+  return chosen_target{*chosen, target_reason::kChosen};
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::StartAttempt(std::uint64_t sequence, time_point now) {
+  for (;;) {
+    call_row& row = calls_.find(sequence)->second;
+    const bool is_full =
+        row.attempts_sent >= kMaxAttempts || row.excluded.size() >= internal::kMaxExcluded;
+    if (is_full || row.log.deadline <= now) {
+      const error_kind kind = row.last_refusal == error_kind::kNone
+                                  ? error_kind::kDeadlineTooShort
+                                  : row.last_refusal;
+      EndWithError(sequence, kind, 0, false, now);
+      return;
+    }
+    const auto pick = PickTarget(row, now);
+    if (const error_kind* reason = std::get_if<error_kind>(&pick)) {
+      const error_kind kind =
+          row.last_refusal == error_kind::kNone ? *reason : row.last_refusal;
+      EndWithError(sequence, kind, 0, false, now);
+      return;
+    }
+    const chosen_target chosen = std::get<chosen_target>(pick);
+    const attempt_head head{.id = {row.log.id, ++row.last_attempt},
+                            .target = chosen.target.id,
+                            .target_incarnation = chosen.target.run,
+                            .service = row.log.service,
+                            .method = row.method,
+                            .path = row.log.path,
+                            .key = row.key,
+                            .caller_try = row.log.caller_try,
+                            .depth = row.depth,
+                            .is_protected = row.log.is_protected,
+                            .is_long = row.log.is_long,
+                            .content_length = row.content_length,
+                            .deadline = row.log.deadline,
+                            .config_version = row.log.config_version};
+    const bool is_local = chosen.target.id == self_.id && chosen.target.run == self_.run;
+    row.open_attempt = head.id.number;
+    row.log.attempts.push_back(
+        {.target = chosen.target, .reason = chosen.reason, .sent = now, .ended = now});
+    attempts_[head.id] = attempt_row{.target = chosen.target, .is_local = is_local};
+    const exchange_id exchange = row.exchange;
+    if (is_local || peers_.SendAttempt(exchange, head)) {
+      ++row.attempts_sent;
+      ++counters_.attempts;
+      chooser_.OnAttemptSent(chosen.target, now);
+      // The owner may report at once, which may end the call: nothing is used after this.
+      if (is_local) local_.OnLocalAttempt(exchange, head, now);
+      return;
+    }
+    // Nothing was sent, which costs no upstream work: the next candidate needs no budget.
+    attempts_.erase(head.id);
+    row.open_attempt = 0;
+    row.log.attempts.back().result = error_kind::kPeerUnreachable;
+    row.excluded.push_back(chosen.target.id);
+    row.last_refusal = error_kind::kPeerUnreachable;
+    if (!row.key.empty()) {
+      EndWithError(sequence, error_kind::kPeerUnreachable, 0, false, now);
+      return;
+    }
+  }
+}
+
+template <typename Rules>
+auto basic_entry_system<Rules>::FindOpen(const answer_identity& from, bool any_run)
+    -> attempt_row* {
+  const auto found = attempts_.find(from.attempt);
+  const bool matches = found != attempts_.end() && found->second.target.id == from.owner &&
+                       (any_run || found->second.target.run == from.owner_run);
+  if (matches) return &found->second;
+  ++counters_.dropped_answers;
+  return nullptr;
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::CloseAttempt(const attempt_id& id, attempt_outcome outcome,
+                                             error_kind result, time_point now) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  const member_target target = found->second.target;
+  attempts_.erase(found);
+  call_row& row = calls_.find(id.call.sequence)->second;
+  row.open_attempt = 0;
+  row.log.attempts.back().ended = now;
+  row.log.attempts.back().result = result;
+  chooser_.OnAttemptEnded(target, outcome, now);
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::OnAttemptAdmitted(const answer_identity& from,
+                                                  const load_hint& hint, time_point now) {
+  if (FindOpen(from, false) == nullptr) return;
+  chooser_.OnHint({from.owner, from.owner_run}, hint, now);
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::OnAttemptRefused(const answer_identity& from, error_kind kind,
+                                                 int recorded_status, const load_hint& hint,
+                                                 time_point now) {
+  // The refusing process is a later run than the one addressed: it reports its own incarnation.
+  const bool any_run = kind == error_kind::kWrongIncarnation;
+  if (FindOpen(from, any_run) == nullptr) return;
+  chooser_.OnHint({from.owner, from.owner_run}, hint, now);
+  const std::uint64_t sequence = from.attempt.call.sequence;
+  call_row& row = calls_.find(sequence)->second;
+  if (row.is_answering) {
+    // A response began, so a refusal cannot state the truth about this attempt.
+    ++counters_.dropped_answers;
+    return;
+  }
+  const bool is_lost = kind == error_kind::kNone || kind == error_kind::kAnswerLost ||
+                       kind == error_kind::kAnswerCut ||
+                       kind == error_kind::kDuplicateAttempt ||
+                       kind == error_kind::kDeadlineExceeded;
+  if (is_lost) {
+    CloseAttempt(from.attempt, attempt_outcome::kLost, error_kind::kAnswerLost, now);
+    row.excluded.push_back(from.owner);
+    EndAfterLoss(sequence, now);
+    return;
+  }
+  CloseAttempt(from.attempt, attempt_outcome::kRefused, kind, now);
+  row.excluded.push_back(from.owner);
+  if (!row.key.empty()) {
+    EndWithError(sequence, kind, recorded_status, !any_run, now);
+  } else if (AnswerFor(kind).try_elsewhere) {
+    RetryAfterRefusal(sequence, kind, now);
+  } else {
+    EndWithError(sequence, kind, recorded_status, false, now);
+  }
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::RetryAfterRefusal(std::uint64_t sequence, error_kind kind,
+                                                  time_point now) {
+  call_row& row = calls_.find(sequence)->second;
+  row.last_refusal = kind;
+  if (row.attempts_sent < kMaxAttempts && row.log.deadline > now) {
+    if (!budget_.TryAfterRefusal(now)) {
+      ++counters_.budget_refusals;
+      EndWithError(sequence, error_kind::kRetryBudgetEmpty, 0, false, now);
+      return;
+    }
+    ++counters_.attempts_after_refusal;
+  }
+  StartAttempt(sequence, now);
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::EndAfterLoss(std::uint64_t sequence, time_point now) {
+  call_row& row = calls_.find(sequence)->second;
+  row.may_have_run = true;
+  row.last_refusal = error_kind::kAnswerLost;
+  const bool may_repeat = Rules::MayRepeatAfterLoss(row.log.is_protected) &&
+                          row.attempts_sent < kMaxAttempts && row.log.deadline > now;
+  if (may_repeat && budget_.TryReexecution(now)) {
+    ++counters_.reexecutions;
+    StartAttempt(sequence, now);
+    return;
+  }
+  if (may_repeat) ++counters_.budget_refusals;
+  EndWithError(sequence, error_kind::kAnswerLost, 0, false, now);
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::OnAnswerHead(const answer_identity& from, int status,
+                                             time_point now) {
+  if (FindOpen(from, false) == nullptr) return;
+  static_cast<void>(now);
+  call_row& row = calls_.find(from.attempt.call.sequence)->second;
+  if (row.is_answering) {
+    ++counters_.dropped_answers;
+    return;
+  }
+  row.is_answering = true;
+  row.log.status = status;
+  callers_.RelayAnswer(row.exchange, from.attempt);
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::OnAttemptFinished(const answer_identity& from, bool complete,
+                                                  const load_hint& hint, time_point now) {
+  if (FindOpen(from, false) == nullptr) return;
+  chooser_.OnHint({from.owner, from.owner_run}, hint, now);
+  const std::uint64_t sequence = from.attempt.call.sequence;
+  call_row& row = calls_.find(sequence)->second;
+  if (!row.is_answering) {
+    CloseAttempt(from.attempt, attempt_outcome::kLost, error_kind::kAnswerLost, now);
+    row.excluded.push_back(from.owner);
+    EndAfterLoss(sequence, now);
+    return;
+  }
+  if (!complete && Rules::CutsPartialAnswer()) {
+    CloseAttempt(from.attempt, attempt_outcome::kCut, error_kind::kAnswerCut, now);
+    EndWithCut(sequence, error_kind::kAnswerCut, now);
+    return;
+  }
+  const int status = row.log.status;
+  CloseAttempt(
+      from.attempt,
+      internal::IsServerError(status) ? attempt_outcome::kFailed : attempt_outcome::kAnswered,
+      error_kind::kNone, now);
+  Remove(sequence, error_kind::kNone, status, now);
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::OnAttemptLost(const attempt_id& attempt, bool was_sent,
+                                              time_point now) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    ++counters_.dropped_answers;
+    return;
+  }
+  const member_id owner = found->second.target.id;
+  const std::uint64_t sequence = attempt.call.sequence;
+  call_row& row = calls_.find(sequence)->second;
+  if (row.is_answering) {
+    CloseAttempt(attempt, attempt_outcome::kCut, error_kind::kAnswerCut, now);
+    EndWithCut(sequence, error_kind::kAnswerCut, now);
+    return;
+  }
+  row.excluded.push_back(owner);
+  if (was_sent) {
+    CloseAttempt(attempt, attempt_outcome::kLost, error_kind::kAnswerLost, now);
+    EndAfterLoss(sequence, now);
+    return;
+  }
+  CloseAttempt(attempt, attempt_outcome::kNotSent, error_kind::kPeerUnreachable, now);
+  if (row.key.empty()) {
+    RetryAfterRefusal(sequence, error_kind::kPeerUnreachable, now);
+  } else {
+    EndWithError(sequence, error_kind::kPeerUnreachable, 0, false, now);
+  }
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::OnCallerGone(exchange_id exchange, time_point now) {
+  const auto found = by_exchange_.find(exchange);
+  if (found == by_exchange_.end()) return;
+  const std::uint64_t sequence = found->second;
+  AbandonAttempt(sequence, attempt_outcome::kCancelled, error_kind::kCancelled, now);
+  calls_.find(sequence)->second.log.caller_left = true;
+  Remove(sequence, error_kind::kCancelled, 0, now);
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::Tick(time_point now) {
+  std::vector<std::uint64_t> late;
+  for (const auto& [sequence, row] : calls_) {
+    if (row.log.deadline + kAnswerGrace <= now) late.push_back(sequence);
+  }
+  std::ranges::sort(late);
+  for (const std::uint64_t sequence : late) {
+    const auto found = calls_.find(sequence);
+    if (found == calls_.end()) continue;
+    const bool is_answering = found->second.is_answering;
+    AbandonAttempt(sequence, attempt_outcome::kTimedOut, error_kind::kDeadlineExceeded, now);
+    if (is_answering) {
+      EndWithCut(sequence, error_kind::kDeadlineExceeded, now);
+    } else {
+      EndWithError(sequence, error_kind::kDeadlineExceeded, 0, false, now);
+    }
+  }
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::AbandonAttempt(std::uint64_t sequence, attempt_outcome outcome,
+                                               error_kind result, time_point now) {
+  const call_row& row = calls_.find(sequence)->second;
+  if (row.open_attempt == 0) return;
+  const attempt_id id{row.log.id, row.open_attempt};
+  const exchange_id exchange = row.exchange;
+  const bool is_local = attempts_.find(id)->second.is_local;
+  CloseAttempt(id, outcome, result, now);
+  if (is_local) {
+    local_.OnLocalCancel(exchange, now);
+  } else {
+    peers_.CancelAttempt(exchange, id);
+  }
+}
+
+template <typename Rules>
+error_kind basic_entry_system<Rules>::HonestKind(const call_row& row, error_kind kind,
+                                                 bool from_home) {
+  const bool says_not_run = AnswerFor(kind).state == execution::kNotRun;
+  if (!says_not_run) return kind;
+  if (!Rules::MayReportNotRun(row.may_have_run)) return error_kind::kAnswerLost;
+  if (row.key.empty() || from_home) return kind;
+  // Only the home knows the fate of the key. A caller that reads "not run" after a later try
+  // would take it as a statement on all its tries.
+  if (kind == error_kind::kWrongIncarnation && IsIssuedKey(row.key)) {
+    return error_kind::kKeyHomeLost;
+  }
+  return row.log.caller_try > 1 ? error_kind::kKeyUnknown : kind;
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::EndWithError(std::uint64_t sequence, error_kind kind,
+                                             int recorded_status, bool from_home,
+                                             time_point now) {
+  const call_row& row = calls_.find(sequence)->second;
+  const error_kind told = HonestKind(row, kind, from_home);
+  const exchange_id exchange = row.exchange;
+  const call_id id = row.log.id;
+  Remove(sequence, told, recorded_status, now);
+  callers_.AnswerError(exchange, id, told, recorded_status);
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::EndWithCut(std::uint64_t sequence, error_kind kind,
+                                           time_point now) {
+  const call_row& row = calls_.find(sequence)->second;
+  const exchange_id exchange = row.exchange;
+  ++counters_.cut_answers;
+  Remove(sequence, kind, row.log.status, now);
+  callers_.CutAnswer(exchange);
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::Remove(std::uint64_t sequence, error_kind result, int status,
+                                       time_point now) {
+  const auto found = calls_.find(sequence);
+  call_row& row = found->second;
+  by_exchange_.erase(row.exchange);
+  row.log.result = result;
+  row.log.status = status;
+  row.log.ended = now;
+  log_.Add(std::move(row.log));
+  calls_.erase(found);
+}
+
+template <typename Rules>
+std::variant<std::string, error_kind> basic_entry_system<Rules>::IssueKey(
+    std::string_view service, time_point now) {
+  const route_decision route = routes_.Find(service, "POST", "/" + std::string(service));
+  if (route.error != error_kind::kNone) return route.error;
+  std::optional<member_target> home;
+  if (local_.HasFreeSlot(service, false, now)) {
+    home = member_target{self_.id, self_.run};
+  } else {
+    home = chooser_.Choose(service, {}, true, now);
+  }
+  if (!home) return error_kind::kNoUpstream;
+  return FormatIssuedKey({.home = *home, .issued_ms = self_.UnixMs(now), .nonce = random_()});
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/calls/key_home.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <optional>
+#include <span>
+#include <string_view>
+
+#include "src/calls/member_target.h"
+
+namespace bronzeroute {
+
+/// The home of a caller's own key: the member with the highest hash of member and key, so that
+/// all entries with the same members agree, and a membership change moves few keys.
+std::optional<member_target> HomeOfOwnKey(std::string_view key,
+                                          std::span<const member_target> members);
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/calls/key_verdict.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "src/base/error_kind.h"
+
+namespace bronzeroute {
+
+/// Whether a try with a key may run.
+struct key_verdict {
+  /// kNone if it may.
+  error_kind kind = error_kind::kNone;
+  /// HTTP status of the earlier run, 0 if there is none.
+  int recorded_status = 0;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/calls/member_directory.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+#include "src/calls/member_target.h"
+
+namespace bronzeroute {
+
+/// Members as the entry needs them to find the home of a key.
+class member_directory {
+ public:
+  virtual ~member_directory() = default;
+
+  /// Live members that serve `service`, draining ones included, in any order.
+  virtual std::vector<member_target> LiveMembers(std::string_view service) = 0;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/calls/target_reason.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace bronzeroute {
+
+/// Why an attempt went where it went.
+enum class target_reason : std::uint8_t {
+  kOwnUpstreamFree,
+  kChosen,
+  kKeyHome,
+};
+
+/// "own upstream is free", "chosen by load" or "home of the key".
+constexpr std::string_view TargetReasonText(target_reason reason) {
+  switch (reason) {
+    case target_reason::kOwnUpstreamFree:
+      return "own upstream is free";
+    case target_reason::kChosen:
+      return "chosen by load";
+    case target_reason::kKeyHome:
+      break;
+  }
+  return "home of the key";
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/calls/upstream_chooser.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <optional>
+#include <span>
+#include <string_view>
+
+#include "src/base/strong_id.h"
+#include "src/base/time.h"
+#include "src/calls/attempt_outcome.h"
+#include "src/calls/member_target.h"
+
+namespace bronzeroute {
+
+struct load_hint;
+
+/// Choice of upstream as the entry uses it.
+class upstream_chooser {
+ public:
+  virtual ~upstream_chooser() = default;
+
+  /// A member that serves `service` and is not in `excluded`, or nothing. A protected call
+  /// never serves as the trial call of an ejected upstream.
+  virtual std::optional<member_target> Choose(std::string_view service,
+                                              std::span<const member_id> excluded,
+                                              bool is_protected, time_point now) = 0;
+
+  virtual void OnHint(member_target owner, const load_hint& hint, time_point now) = 0;
+  virtual void OnAttemptSent(member_target owner, time_point now) = 0;
+  /// Called once for every attempt that was sent.
+  virtual void OnAttemptEnded(member_target owner, attempt_outcome outcome, time_point now) = 0;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "src/base/attempt_id.h"
+#include "src/base/error_kind.h"
+#include "src/base/time.h"
+#include "src/calls/admission_gate.h"
+#include "src/calls/call_rules.h"
+#include "src/calls/entry_system.h"
+#include "src/calls/key_table.h"
+#include "src/calls/owner_system.h"
+#include "src/calls/self_identity.h"
+#include "src/node/node_ports.h"
+
+namespace bronzeroute {
+
+/// The decision logic of one daemon: every event goes to the system that handles it. All
+/// functions are called on one thread.
+template <typename Rules>
+class basic_node {
+ public:
+  basic_node(const self_identity& self, const node_ports& ports, std::uint64_t seed,
+             std::size_t key_capacity = key_table::kDefaultCapacity)
+      : gate_(ports.gate),
+        owner_(self, ports.peers, ports.upstreams, ports.gate, entry_, key_capacity),
+        entry_(self, ports.callers, ports.peers, owner_, ports.chooser, ports.members,
+               ports.routes, seed) {
+    gate_.SetListener(&owner_);
+  }
+  ~basic_node() { gate_.SetListener(nullptr); }
+  basic_node(const basic_node&) = delete;
+  basic_node& operator=(const basic_node&) = delete;
+
+  call_id OnCallerRequest(const caller_request& request, time_point now) {
+    owner_.CheckFreeze(now);
+    return entry_.OnCallerRequest(request, now);
+  }
+  void OnCallerGone(exchange_id exchange, time_point now) {
+    owner_.CheckFreeze(now);
+    entry_.OnCallerGone(exchange, now);
+  }
+  std::variant<std::string, error_kind> IssueKey(std::string_view service, time_point now) {
+    return entry_.IssueKey(service, now);
+  }
+
+  // Messages of other owners.
+  void OnAttemptAdmitted(const answer_identity& from, const load_hint& hint, time_point now) {
+    entry_.OnAttemptAdmitted(from, hint, now);
+  }
+  void OnAttemptRefused(const answer_identity& from, error_kind kind, int recorded_status,
+                        const load_hint& hint, time_point now) {
+    owner_.CheckFreeze(now);
+    entry_.OnAttemptRefused(from, kind, recorded_status, hint, now);
+  }
+  void OnAnswerHead(const answer_identity& from, int status, time_point now) {
+    entry_.OnAnswerHead(from, status, now);
+  }
+  void OnAttemptFinished(const answer_identity& from, bool complete, const load_hint& hint,
+                         time_point now) {
+    owner_.CheckFreeze(now);
+    entry_.OnAttemptFinished(from, complete, hint, now);
+  }
+  void OnAttemptLost(const attempt_id& attempt, bool was_sent, time_point now) {
+    owner_.CheckFreeze(now);
+    entry_.OnAttemptLost(attempt, was_sent, now);
+  }
+
+  // Messages of other entries.
+  void OnPeerAttempt(exchange_id exchange, const attempt_head& head, time_point now) {
+    owner_.OnPeerAttempt(exchange, head, now);
+  }
+  void OnPeerGone(exchange_id exchange, time_point now) { owner_.OnPeerGone(exchange, now); }
+
+  // Reports of the upstream client.
+  void OnUpstreamConnectFailed(const attempt_id& attempt, time_point now) {
+    owner_.OnUpstreamConnectFailed(attempt, now);
+  }
+  void OnUpstreamAnswerHead(const attempt_id& attempt, int status, time_point now) {
+    owner_.OnUpstreamAnswerHead(attempt, status, now);
+  }
+  void OnUpstreamEnded(const attempt_id& attempt, bool complete, time_point now) {
+    owner_.OnUpstreamEnded(attempt, complete, now);
+  }
+  void OnUpstreamLost(const attempt_id& attempt, time_point now) {
+    owner_.OnUpstreamLost(attempt, now);
+  }
+
+  /// Refuses new work for the upstream beside this process. Calls of callers go on.
+  void Drain(time_point now) { owner_.Drain(now); }
+  /// True if no call and no work is open, so that the process may exit.
+  bool IsIdle() const { return entry_.IsIdle() && owner_.IsIdle(); }
+  /// The owner goes first: its statements on queued work reach calls of this process before
+  /// their deadline is enforced.
+  void Tick(time_point now) {
+    owner_.Tick(now);
+    entry_.Tick(now);
+  }
+
+  const basic_entry_system<Rules>& entry() const { return entry_; }
+  const basic_owner_system<Rules>& owner() const { return owner_; }
+
+ private:
+  admission_gate& gate_;
+  basic_owner_system<Rules> owner_;
+  basic_entry_system<Rules> entry_;
+};
+
+using node = basic_node<call_rules>;
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/tests/calls/retry_budget_test.cc
@@ -0,0 +1,45 @@
+#include "src/calls/retry_budget.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+namespace bronzeroute {
+namespace {
+
+using std::chrono::seconds;
+
+time_point At(int second) { return time_point{} + seconds(second); }
+
+int Take(retry_budget& budget, bool (retry_budget::*take)(time_point), time_point now) {
+  int taken = 0;
+  while ((budget.*take)(now)) ++taken;
+  return taken;
+}
+
+// Guards against retries that multiply the work of an overloaded service.
+TEST(RetryBudget, LimitsBothSharesSeparately) {
+  retry_budget budget;
+  for (int i = 0; i < 1000; ++i) budget.CountFirstAttempt(At(100));
+  EXPECT_EQ(Take(budget, &retry_budget::TryAfterRefusal, At(101)), 200);
+  EXPECT_EQ(Take(budget, &retry_budget::TryReexecution, At(101)), 20);
+}
+
+// Guards against a daemon that cannot retry at all because it is quiet.
+TEST(RetryBudget, QuietDaemonHasAFloor) {
+  retry_budget budget;
+  EXPECT_EQ(Take(budget, &retry_budget::TryAfterRefusal, At(1)), 5);
+  EXPECT_EQ(Take(budget, &retry_budget::TryReexecution, At(1)), 1);
+}
+
+// Guards against a share of old traffic that is spent on new traffic.
+TEST(RetryBudget, WindowSlides) {
+  retry_budget budget;
+  for (int i = 0; i < 1000; ++i) budget.CountFirstAttempt(At(100));
+  EXPECT_EQ(Take(budget, &retry_budget::TryReexecution, At(109)), 20);
+  EXPECT_EQ(Take(budget, &retry_budget::TryReexecution, At(110)), 0);
+  EXPECT_EQ(Take(budget, &retry_budget::TryReexecution, At(119)), 1);
+}
+
+}  // namespace
+}  // namespace bronzeroute
