Add admission system, the gate at the owner

Cause: no part of the system held the limits of an upstream; entries act on stale hints only. Ruled out: refusing by expected end while a slot is free, since a mean that grew too large would then refuse all work and never be corrected; counting failed requests in the mean, since an upstream that fails fast would look fast; comparing a route with a mean that includes the route. Change: slots, connections, short and long queue, refusal by deadline, warm-up, observed cost per class and route, ejection of the own upstream with trial calls, hints with rising sequence.

--- /dev/null
+++ b/src/admission/admission_system.cc
@@ -0,0 +1,317 @@
+#include "src/admission/admission_system.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "src/admission/admission_listener.h"
+#include "src/calls/attempt_head.h"
+
+namespace bronzeroute {
+namespace {
+
+offer_result Refused(error_kind kind, bool is_long = false) {
+  return {.state = offer_state::kRefused, .kind = kind, .is_long = is_long};
+}
+
+}  // namespace
+
+admission_system::admission_system(admission_listener* listener) : listener_(listener) {}
+
+void admission_system::Configure(const service_spec& spec, std::uint32_t announced_slots,
+                                 std::uint32_t announced_connections, time_point now) {
+  const bool restart = !configured_ || service_ != spec.name;
+  const duration elapsed = now - warmup_start_;
+  configured_ = true;
+  service_ = spec.name;
+  slots_ = std::min(spec.max_slots, announced_slots);
+  connections_ = std::min(spec.max_connections, announced_connections);
+  queue_limit_ = spec.queue_limit;
+  long_share_ = spec.long_share;
+  if (restart) {
+    classifier_ = work_classifier();
+    RefuseQueued(error_kind::kWrongService);
+    health_.Clear();
+  }
+  if (classifier_.Configure(spec)) ForgetRoutes();
+  warmup_start_ = restart ? now : now - elapsed;
+  warmup_end_ = warmup_start_ + spec.warmup;
+  StartQueued(now);
+  Notify();
+}
+
+void admission_system::ForgetRoutes() {
+  for (auto& [exchange, row] : running_) row.route = work_classifier::kNoRoute;
+  for (queue& entries : queues_) {
+    for (queue_row& row : entries) row.route = work_classifier::kNoRoute;
+  }
+}
+
+void admission_system::OnUpstreamReplaced(time_point now) {
+  const duration warmup = warmup_end_ - warmup_start_;
+  warmup_start_ = now;
+  warmup_end_ = now + warmup;
+  draining_ = false;
+  health_.Clear();
+}
+
+std::uint32_t admission_system::EffectiveSlots(time_point now) const {
+  if (slots_ <= 1 || now >= warmup_end_) return slots_;
+  if (now <= warmup_start_) return 1;
+  const double share = static_cast<double>((now - warmup_start_).count()) /
+                       static_cast<double>((warmup_end_ - warmup_start_).count());
+  return 1 + static_cast<std::uint32_t>(share * (slots_ - 1));
+}
+
+std::uint32_t admission_system::LongLimit(time_point now) const {
+  // With a single slot in all, keeping it for short work would shut out long work for good.
+  const std::uint32_t all = std::min(slots_, connections_);
+  if (all <= 1) return all;
+  const std::uint32_t effective = Parallel(false, now);
+  if (effective <= 1) return 0;
+  const auto share = static_cast<std::uint32_t>(std::floor(effective * long_share_));
+  return std::clamp(share, 1U, effective - 1);
+}
+
+std::uint32_t admission_system::ReservedConnections() const {
+  if (connections_ <= 1) return 0;
+  const auto share = static_cast<std::uint32_t>(std::ceil(connections_ * (1 - long_share_)));
+  return std::clamp(share, 1U, connections_ - 1);
+}
+
+std::uint32_t admission_system::Parallel(bool is_long, time_point now) const {
+  if (is_long) return std::min(LongLimit(now), connections_ - ReservedConnections());
+  return std::min(EffectiveSlots(now), connections_);
+}
+
+bool admission_system::MayStart(bool is_long, time_point now) const {
+  if (running_.size() >= Parallel(false, now)) return false;
+  return !is_long || running_long_ < Parallel(true, now);
+}
+
+bool admission_system::AtCrest(time_point now) const {
+  return QueueOf(false).size() > EffectiveSlots(now);
+}
+
+duration admission_system::ExpectedWait(bool is_long, std::size_t position,
+                                        time_point now) const {
+  std::uint32_t parallel = Parallel(is_long, now);
+  // Slots that long work holds do not come free for short work soon.
+  if (!is_long) parallel -= std::min(parallel, running_long_);
+  const auto mean = classifier_.MeanOf(is_long).count();
+  const auto turns = static_cast<duration::rep>(position + 1);
+  return duration(mean * turns / std::max<duration::rep>(parallel, 1));
+}
+
+bool admission_system::IsQueued(exchange_id exchange) const {
+  return std::ranges::any_of(queues_, [&](const queue& entries) {
+    return std::ranges::find(entries, exchange, &queue_row::exchange) != entries.end();
+  });
+}
+
+offer_result admission_system::Offer(exchange_id exchange, const attempt_head& head,
+                                     time_point now) {
+  if (running_.contains(exchange) || IsQueued(exchange)) {
+    return Refused(error_kind::kDuplicateAttempt);
+  }
+  if (!configured_) return Refused(error_kind::kNotReady);
+  if (head.service != service_) return Refused(error_kind::kWrongService);
+  if (draining_) return Refused(error_kind::kDraining);
+  const std::size_t route = classifier_.RouteOf(head.method, head.path);
+  const bool is_long = classifier_.IsLong(head, route);
+  if (head.deadline <= now) return Refused(error_kind::kDeadlineTooShort, is_long);
+  if (Parallel(false, now) == 0) return Refused(error_kind::kOverloaded, is_long);
+  if (health_.At(now) != ejection_state::kClear) {
+    return OfferTrial(exchange, head, route, is_long, now);
+  }
+  DropExpired(now);
+  StartQueued(now);
+  offer_result result = {.state = offer_state::kStarted, .is_long = is_long};
+  if (QueueOf(is_long).empty() && MayStart(is_long, now)) {
+    // A free slot is used even if the mean says that the deadline is too short: otherwise a
+    // mean that has grown too large could refuse all work and would never be corrected.
+    Start(exchange, route, is_long, false);
+  } else {
+    const error_kind kind = Enqueue(exchange, head, route, is_long, now);
+    result.kind = kind;
+    result.state = kind == error_kind::kNone ? offer_state::kQueued : offer_state::kRefused;
+  }
+  Notify();
+  return result;
+}
+
+error_kind admission_system::Enqueue(exchange_id exchange, const attempt_head& head,
+                                     std::size_t route, bool is_long, time_point now) {
+  queue& entries = QueueOf(is_long);
+  const bool full = entries.size() >= queue_limit_;
+  if (is_long && (full || AtCrest(now))) return error_kind::kOverloaded;
+  const time_point start = now + ExpectedWait(is_long, entries.size(), now);
+  if (start + classifier_.Expected(is_long, route) >= head.deadline) {
+    return error_kind::kDeadlineTooShort;
+  }
+  if (full && !MakeRoom(head.deadline)) return error_kind::kOverloaded;
+  entries.push_back({.exchange = exchange, .route = route, .deadline = head.deadline});
+  return error_kind::kNone;
+}
+
+offer_result admission_system::OfferTrial(exchange_id exchange, const attempt_head& head,
+                                          std::size_t route, bool is_long, time_point now) {
+  if (health_.At(now) != ejection_state::kTrialDue || head.is_protected ||
+      !MayStart(is_long, now)) {
+    return Refused(error_kind::kUpstreamEjected, is_long);
+  }
+  health_.BeginTrial();
+  Start(exchange, route, is_long, true);
+  return {.state = offer_state::kStarted, .is_long = is_long};
+}
+
+bool admission_system::MakeRoom(time_point deadline) {
+  queue& long_work = QueueOf(true);
+  for (const queue_row& row : long_work) {
+    notices_.push_back({row.exchange, error_kind::kOverloaded});
+  }
+  long_work.clear();
+  queue& short_work = QueueOf(false);
+  const auto least = std::ranges::min_element(short_work, {}, &queue_row::deadline);
+  if (least == short_work.end() || deadline <= least->deadline) return false;
+  notices_.push_back({least->exchange, error_kind::kOverloaded});
+  short_work.erase(least);
+  return true;
+}
+
+void admission_system::Start(exchange_id exchange, std::size_t route, bool is_long,
+                             bool is_trial) {
+  running_.emplace(exchange,
+                   running_row{.route = route, .is_long = is_long, .is_trial = is_trial});
+  if (is_long) ++running_long_;
+}
+
+void admission_system::OnUpstreamEnded(exchange_id exchange, const upstream_outcome& outcome,
+                                       time_point now) {
+  const auto found = running_.find(exchange);
+  if (found == running_.end()) return;
+  const running_row row = found->second;
+  running_.erase(found);
+  if (row.is_long) --running_long_;
+  switch (outcome.result) {
+    case upstream_result::kAnswered:
+      // Only answered requests count: fast failures would make the upstream look fast.
+      classifier_.Observe(row.is_long, row.route, outcome.service_time);
+      if (row.is_trial) {
+        health_.OnTrialSucceeded();
+      } else {
+        health_.OnSuccess();
+      }
+      break;
+    case upstream_result::kFailed:
+      if (row.is_trial) {
+        health_.OnTrialFailed(now);
+      } else if (health_.OnFailure(true, now)) {
+        RefuseQueued(error_kind::kUpstreamEjected);
+      }
+      break;
+    case upstream_result::kCancelled:
+      if (row.is_trial) health_.OnTrialAbandoned();
+      break;
+  }
+  DropExpired(now);
+  StartQueued(now);
+  Notify();
+}
+
+cancel_result admission_system::Cancel(exchange_id exchange, time_point now) {
+  if (running_.contains(exchange)) return cancel_result::kRunning;
+  for (queue& entries : queues_) {
+    const auto found = std::ranges::find(entries, exchange, &queue_row::exchange);
+    if (found == entries.end()) continue;
+    entries.erase(found);
+    DropExpired(now);
+    StartQueued(now);
+    Notify();
+    return cancel_result::kRemovedFromQueue;
+  }
+  return cancel_result::kUnknown;
+}
+
+void admission_system::Drain(time_point now) {
+  draining_ = true;
+  DropExpired(now);
+  RefuseQueued(error_kind::kDraining);
+  Notify();
+}
+
+void admission_system::OnFreeze(time_point now) {
+  DropExpired(now);
+  RefuseQueued(error_kind::kOverloaded);
+  Notify();
+}
+
+void admission_system::Tick(time_point now) {
+  DropExpired(now);
+  StartQueued(now);
+  Notify();
+}
+
+void admission_system::RefuseQueued(error_kind kind) {
+  for (queue& entries : queues_) {
+    for (const queue_row& row : entries) notices_.push_back({row.exchange, kind});
+    entries.clear();
+  }
+}
+
+void admission_system::DropExpired(time_point now) {
+  for (queue& entries : queues_) {
+    std::erase_if(entries, [&](const queue_row& row) {
+      if (row.deadline > now) return false;
+      notices_.push_back({row.exchange, error_kind::kQueueTimeout});
+      return true;
+    });
+  }
+}
+
+void admission_system::StartQueued(time_point now) {
+  if (health_.At(now) != ejection_state::kClear) return;
+  // One long request may run beside waiting short work; more only when no short work waits.
+  while ((running_long_ == 0 && StartFirst(true, now)) || StartFirst(false, now) ||
+         (QueueOf(false).empty() && StartFirst(true, now))) {
+  }
+}
+
+bool admission_system::StartFirst(bool is_long, time_point now) {
+  queue& entries = QueueOf(is_long);
+  if (entries.empty() || !MayStart(is_long, now)) return false;
+  const queue_row row = entries.front();
+  entries.pop_front();
+  Start(row.exchange, row.route, is_long, false);
+  notices_.push_back({row.exchange, error_kind::kNone});
+  return true;
+}
+
+void admission_system::Notify() {
+  const std::vector<notice> notices = std::exchange(notices_, {});
+  for (const notice& row : notices) {
+    if (row.kind == error_kind::kNone) {
+      listener_->OnQueuedStarted(row.exchange);
+    } else {
+      listener_->OnQueuedRefused(row.exchange, row.kind);
+    }
+  }
+}
+
+load_hint admission_system::Hint(time_point now) {
+  load_hint hint;
+  hint.sequence = ++hint_sequence_;
+  hint.effective_slots = std::min(EffectiveSlots(now), connections_);
+  hint.in_use = static_cast<std::uint32_t>(running_.size());
+  hint.running_long = running_long_;
+  hint.queued_short = static_cast<std::uint32_t>(QueueOf(false).size());
+  hint.queued_long = static_cast<std::uint32_t>(QueueOf(true).size());
+  hint.service_time_us = static_cast<std::uint32_t>(
+      std::clamp<duration::rep>(classifier_.MeanOf(false).count(), 1,
+                                std::chrono::microseconds(std::chrono::hours(1)).count()));
+  hint.failing = health_.At(now) != ejection_state::kClear;
+  hint.draining = draining_;
+  return hint;
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/admission/offer_result.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+
+#include "src/base/error_kind.h"
+
+namespace bronzeroute {
+
+enum class offer_state : std::uint8_t { kStarted, kQueued, kRefused };
+
+/// Answer of the admission system to an offered attempt.
+struct offer_result {
+  offer_state state = offer_state::kRefused;
+  /// Why it was refused; kNone otherwise. A refused attempt has not run.
+  error_kind kind = error_kind::kNone;
+  /// True if the work holds slots and connections of the long share.
+  bool is_long = false;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/admission/work_classifier.cc
@@ -0,0 +1,91 @@
+#include "src/admission/work_classifier.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/calls/attempt_head.h"
+
+namespace bronzeroute {
+
+bool work_classifier::Configure(const service_spec& spec) {
+  std::vector<route_row> rows;
+  rows.reserve(spec.routes.size() + 1);
+  for (const route_spec& route : spec.routes) {
+    route_row row{.method = route.method, .prefix = route.prefix, .marked_long = route.is_long};
+    const auto old = std::ranges::find_if(routes_, [&](const route_row& other) {
+      return !other.prefix.empty() && other.method == route.method &&
+             other.prefix == route.prefix;
+    });
+    if (old != routes_.end()) {
+      row.costly = old->costly;
+      row.mean = old->mean;
+    }
+    rows.push_back(std::move(row));
+  }
+  rows.push_back(routes_.back());
+  const auto same_route = [](const route_row& a, const route_row& b) {
+    return a.method == b.method && a.prefix == b.prefix && a.marked_long == b.marked_long;
+  };
+  const bool changed = !std::ranges::equal(rows, routes_, same_route);
+  routes_ = std::move(rows);
+  return changed;
+}
+
+std::size_t work_classifier::RouteOf(std::string_view method, std::string_view path) const {
+  path = path.substr(0, path.find('?'));
+  const std::size_t none = routes_.size() - 1;
+  std::size_t best = none;
+  for (std::size_t i = 0; i < none; ++i) {
+    const route_row& row = routes_[i];
+    if (row.method != "*" && row.method != method) continue;
+    if (!path.starts_with(row.prefix)) continue;
+    if (best == none || row.prefix.size() > routes_[best].prefix.size()) best = i;
+  }
+  return best;
+}
+
+bool work_classifier::IsLong(const attempt_head& head, std::size_t route) const {
+  const bool unmarked = route + 1 == routes_.size();
+  if (head.is_long || routes_[route].marked_long || routes_[route].costly) return true;
+  return head.content_length ? *head.content_length > kLongBodyBytes : unmarked;
+}
+
+duration work_classifier::Expected(bool is_long, std::size_t route) const {
+  const service_time_mean& mean = routes_[route].mean;
+  return mean.count() >= kMinObservations ? mean.Mean() : MeanOf(is_long);
+}
+
+duration work_classifier::MeanOf(bool is_long) const {
+  const duration short_mean = short_mean_.count() > 0 ? short_mean_.Mean() : kAssumedShort;
+  if (!is_long) return short_mean;
+  if (long_mean_.count() > 0) return long_mean_.Mean();
+  return duration(static_cast<duration::rep>(kLongCostFactor) * short_mean.count());
+}
+
+void work_classifier::Observe(bool is_long, std::size_t route, duration service_time) {
+  (is_long ? long_mean_ : short_mean_).Add(service_time);
+  if (route >= routes_.size()) return;
+  // A large body on a cheap route says nothing about the cost of the route.
+  route_row& row = routes_[route];
+  if (is_long && !row.marked_long && !row.costly) return;
+  row.mean.Add(service_time);
+  UpdateCost(route);
+}
+
+void work_classifier::UpdateCost(std::size_t route) {
+  route_row& row = routes_[route];
+  if (row.marked_long || row.mean.count() < kMinObservations) return;
+  // The route itself is left out: it would raise the mean that it is compared with.
+  double weight = 0;
+  double sum = 0;
+  for (const route_row& other : routes_) {
+    if (&other == &row || other.marked_long || other.costly) continue;
+    if (other.mean.count() < kMinObservations) continue;
+    const auto count = static_cast<double>(other.mean.count());
+    weight += count;
+    sum += count * other.mean.mean_us();
+  }
+  row.costly = weight > 0 && row.mean.mean_us() > kLongCostFactor * sum / weight;
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/routing/ejection.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+#include "src/base/time.h"
+#include "src/routing/ejection_state.h"
+
+namespace bronzeroute {
+
+/// Ejects an upstream after failures in a row and lets it return through trial calls. Owners
+/// use it for their own upstream, entries for the members they send attempts to.
+class ejection {
+ public:
+  static constexpr std::uint32_t kFailuresToEject = 5;
+  static constexpr duration kFirstEjection = std::chrono::seconds(1);
+  static constexpr duration kLongestEjection = std::chrono::seconds(30);
+
+  ejection_state At(time_point now) const;
+  std::uint32_t failures_in_row() const { return failures_in_row_; }
+  /// End of the current ejection; meaningless while clear.
+  time_point until() const { return until_; }
+
+  /// Counts a failure of an ordinary call. Ejects after kFailuresToEject in a row if
+  /// `may_eject`; otherwise the count stays, and a later failure may eject. Returns true on a
+  /// new ejection.
+  bool OnFailure(bool may_eject, time_point now);
+  /// Counts a success of an ordinary call. Does not end an ejection: the call may have started
+  /// before it.
+  void OnSuccess();
+  /// Ejects now, whatever the count.
+  void Eject(time_point now);
+  /// Ends an ejection and forgets all failures. A trial call that is open stays known, so that
+  /// no second one is sent beside it after the next ejection.
+  void Clear();
+
+  void BeginTrial() { trial_open_ = true; }
+  void OnTrialSucceeded();
+  /// Ejects again, for twice as long, unless the ejection has ended for another reason.
+  void OnTrialFailed(time_point now);
+  /// The trial call ended without a verdict, for example because it was cancelled.
+  void OnTrialAbandoned() { trial_open_ = false; }
+
+ private:
+  std::uint32_t failures_in_row_ = 0;
+  bool ejected_ = false;
+  bool trial_open_ = false;
+  time_point until_;
+  duration next_length_ = kFirstEjection;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/routing/ejection_state.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+
+namespace bronzeroute {
+
+/// Whether an upstream may receive work, judged by its recent failures.
+enum class ejection_state : std::uint8_t {
+  kClear,
+  /// No work until the ejection ends.
+  kEjected,
+  /// One unprotected call may be sent as a trial.
+  kTrialDue,
+  /// A trial call is open; no other work.
+  kTrialOpen,
+};
+
+}  // namespace bronzeroute
