Add routing system with hint table, score and baselines

Cause: entries had no choice of upstream. Ruled out: forgetting an open trial call when the owner's hint ends the ejection; the property test found a second trial beside it after the next ejection. Counting draining members in the limit of one half, which left a service with only ejected members unserved. Change: hint table indexed by service, policy concept with two choices, random, round robin and least reported, score, ejection with trial calls, explanation of each choice; candidate gets a failure share. Before: nothing.

--- /dev/null
+++ b/src/routing/attempt_end.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+
+namespace bronzeroute {
+
+/// How an attempt ended, as far as it speaks about the member it was sent to.
+enum class attempt_outcome : std::uint8_t {
+  kAnswered,
+  /// Connect failed, link cut, response missing, late or cut, or an error of the upstream.
+  kFailed,
+  /// Refused by the owner for load, deadline or drain; says nothing about health.
+  kRefused,
+  /// Refused because the owner has ejected its upstream.
+  kRefusedEjected,
+  kCancelled,
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/routing/choice_context.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+
+#include "src/base/time.h"
+#include "src/routing/choice_request.h"
+
+namespace bronzeroute {
+
+/// Input of a choice policy besides the candidates.
+struct choice_context {
+  choice_request request;
+  time_point now;
+  /// Means over the hints of the service's members.
+  double mean_occupancy = 0;
+  double mean_service_time_us = 0;
+  /// Number of earlier choices for this service.
+  std::uint64_t turn = 0;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/routing/choice_explanation.cc
@@ -0,0 +1,80 @@
+#include "src/routing/choice_explanation.h"
+
+#include "absl/strings/str_format.h"
+
+namespace bronzeroute {
+namespace {
+
+std::string_view ReasonText(choice_reason reason) {
+  switch (reason) {
+    case choice_reason::kPolicy:
+      return "chosen by the policy";
+    case choice_reason::kOwnUpstreamFree:
+      return "the upstream of this instance has a free slot";
+    case choice_reason::kOnlyCandidate:
+      return "only one member is eligible";
+    case choice_reason::kTrialCall:
+      return "trial call of an ejected member";
+    case choice_reason::kNoMembers:
+      return "none: no member serves the service";
+    case choice_reason::kNoEligibleMember:
+      break;
+  }
+  return "none: no member is eligible";
+}
+
+std::string_view FateText(candidate_fate fate) {
+  switch (fate) {
+    case candidate_fate::kChosen:
+      return "chosen";
+    case candidate_fate::kNotTaken:
+      return "not taken";
+    case candidate_fate::kExcludedByCaller:
+      return "already tried";
+    case candidate_fate::kDraining:
+      return "draining";
+    case candidate_fate::kSuspect:
+      return "suspected of failure";
+    case candidate_fate::kEjected:
+      return "ejected";
+    case candidate_fate::kOutsideRegions:
+      break;
+  }
+  return "outside the regions of the service";
+}
+
+std::string_view DistanceText(distance where) {
+  switch (where) {
+    case distance::kSameInstance:
+      return "same instance";
+    case distance::kSameZone:
+      return "same zone";
+    case distance::kSameRegion:
+      return "same region";
+    case distance::kOtherRegion:
+      break;
+  }
+  return "other region";
+}
+
+}  // namespace
+
+std::string choice_explanation::ToText() const {
+  std::string text =
+      absl::StrFormat("service %s, policy %s: %s\n", service, policy, ReasonText(reason));
+  for (const explained_candidate& row : candidates) {
+    absl::StrAppendFormat(&text, "  member %016x, %s: %s", row.id.value,
+                          DistanceText(row.where), FateText(row.fate));
+    if (row.fate == candidate_fate::kChosen || row.fate == candidate_fate::kNotTaken) {
+      absl::StrAppendFormat(
+          &text,
+          "; score %.0f us = round trip %.0f + billed bytes %.0f + wait %.0f + failures %.0f",
+          row.cost.Total(), row.cost.round_trip, row.cost.billed_bytes, row.cost.wait,
+          row.cost.failures);
+    }
+    text += '\n';
+  }
+  return text;
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/routing/choice_explanation.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/routing/choice_reason.h"
+#include "src/routing/explained_candidate.h"
+
+namespace bronzeroute {
+
+/// A choice as an operator can follow it.
+struct choice_explanation {
+  std::string service;
+  std::string_view policy;
+  choice_reason reason = choice_reason::kNoMembers;
+  std::vector<explained_candidate> candidates;
+
+  /// One line for the choice and one for each candidate.
+  std::string ToText() const;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/routing/choice_request.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "src/base/time.h"
+
+namespace bronzeroute {
+
+/// What the choice of an upstream depends on besides the service.
+struct choice_request {
+  bool is_protected = false;
+  bool is_long = false;
+  /// Body bytes, or nothing for a body of unknown length.
+  std::optional<std::uint64_t> content_length;
+  time_point deadline;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/routing/hint_table.cc
@@ -0,0 +1,256 @@
+#include "src/routing/hint_table.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+#include "src/configuration/service_spec.h"
+#include "src/membership/member_row.h"
+#include "src/routing/score_function.h"
+
+namespace bronzeroute {
+namespace {
+
+constexpr double kFailureWeight = 1.0 / 8;
+constexpr double kFailureHalfLifeUs = 1e6;
+
+// A long call would keep the single trial open for its whole length, so a short one is awaited
+// first; a service without short calls still gets its trial after this time.
+constexpr duration kLongTrialAfter = std::chrono::seconds(5);
+
+distance DistanceOf(const member_row& row, member_id own, std::string_view region,
+                    std::string_view availability_zone) {
+  if (row.id == own) return distance::kSameInstance;
+  if (row.region != region) return distance::kOtherRegion;
+  return row.availability_zone == availability_zone ? distance::kSameZone
+                                                    : distance::kSameRegion;
+}
+
+double DecayedShare(double share, duration age) {
+  return share * std::exp2(-static_cast<double>(age.count()) / kFailureHalfLifeUs);
+}
+
+}  // namespace
+
+hint_table::entry* hint_table::Find(member_id member) {
+  const auto found = index_.find(member);
+  return found == index_.end() ? nullptr : &entries_[found->second];
+}
+
+void hint_table::OnMembers(std::span<const member_row> members, member_id own,
+                           std::string_view region, std::string_view availability_zone,
+                           time_point now) {
+  std::vector<entry> old = std::exchange(entries_, {});
+  const auto old_index = std::exchange(index_, {});
+  for (service_entry& service : services_) service.members.clear();
+  entries_.reserve(members.size());
+  for (const member_row& row : members) {
+    if (row.service.empty() || row.state == member_state::kDead ||
+        row.state == member_state::kLeft) {
+      continue;
+    }
+    const auto [service, is_new] = service_index_.try_emplace(row.service, services_.size());
+    if (is_new) services_.emplace_back();
+    entry item;
+    const auto before = old_index.find(row.id);
+    if (before != old_index.end() && old[before->second].row.run == row.run) {
+      item = std::move(old[before->second]);
+    }
+    item.row.id = row.id;
+    item.row.run = row.run;
+    item.row.where = DistanceOf(row, own, region, availability_zone);
+    item.region = row.region;
+    item.state = row.state;
+    item.draining = row.draining;
+    item.service = service->second;
+    services_[item.service].members.push_back(entries_.size());
+    index_.emplace(row.id, entries_.size());
+    entries_.push_back(std::move(item));
+  }
+  // After the index is complete: a hint may eject, which depends on the other members.
+  for (const member_row& row : members) {
+    entry* item = Find(row.id);
+    if (item != nullptr && row.hint.sequence > 0) {
+      ApplyHint(*item, row.hint, row.hint_received, now);
+    }
+  }
+}
+
+void hint_table::OnHint(member_id member, incarnation run, const load_hint& hint,
+                        time_point now) {
+  entry* item = Find(member);
+  if (item != nullptr && item->row.run == run) ApplyHint(*item, hint, now, now);
+}
+
+void hint_table::ApplyHint(entry& item, const load_hint& hint, time_point received,
+                           time_point now) {
+  if (item.has_hint && hint.sequence <= item.row.hint.sequence) return;
+  item.has_hint = true;
+  item.row.hint = hint;
+  item.row.hint_received = received;
+  item.row.sent_since_hint = 0;
+  const bool clear = item.health.At(now) == ejection_state::kClear;
+  if (hint.failing && clear && MayEject(item, now)) {
+    item.health.Eject(now);
+    item.ejected_by_owner = true;
+  } else if (!hint.failing && !clear && item.ejected_by_owner) {
+    item.health.Clear();
+    item.ejected_by_owner = false;
+  }
+}
+
+void hint_table::OnAttemptSent(member_id member, bool is_trial, time_point /*now*/) {
+  entry* item = Find(member);
+  if (item == nullptr) return;
+  ++item->row.sent_since_hint;
+  ++item->row.open_attempts;
+  if (is_trial) item->health.BeginTrial();
+}
+
+void hint_table::OnAttemptEnded(member_id member, attempt_outcome outcome, bool is_trial,
+                                time_point now) {
+  entry* item = Find(member);
+  if (item == nullptr) return;
+  if (item->row.open_attempts > 0) --item->row.open_attempts;
+  ejection& health = item->health;
+  if (outcome == attempt_outcome::kAnswered || outcome == attempt_outcome::kFailed) {
+    const double share = DecayedShare(item->failure_share, now - item->failed_at);
+    const double sample = outcome == attempt_outcome::kFailed ? 1 : 0;
+    item->failure_share = share + kFailureWeight * (sample - share);
+    item->failed_at = now;
+  }
+  switch (outcome) {
+    case attempt_outcome::kAnswered:
+      if (is_trial) {
+        health.OnTrialSucceeded();
+        item->ejected_by_owner = false;
+      } else {
+        health.OnSuccess();
+      }
+      break;
+    case attempt_outcome::kFailed:
+      if (is_trial) {
+        health.OnTrialFailed(now);
+      } else {
+        health.OnFailure(MayEject(*item, now), now);
+      }
+      break;
+    case attempt_outcome::kRefusedEjected:
+      if (is_trial) {
+        health.OnTrialFailed(now);
+      } else if (health.At(now) == ejection_state::kClear && MayEject(*item, now)) {
+        health.Eject(now);
+        item->ejected_by_owner = true;
+      }
+      break;
+    case attempt_outcome::kRefused:
+    case attempt_outcome::kCancelled:
+      if (is_trial) health.OnTrialAbandoned();
+      break;
+  }
+}
+
+bool hint_table::MayEject(const entry& item, time_point now) const {
+  const std::vector<std::size_t>& members = services_[item.service].members;
+  std::size_t ejected = 1;
+  for (const std::size_t index : members) {
+    const entry& other = entries_[index];
+    if (&other != &item && other.health.At(now) != ejection_state::kClear) ++ejected;
+  }
+  return ejected * 2 <= members.size();
+}
+
+ejection_state hint_table::StateOf(member_id member, time_point now) const {
+  const auto found = index_.find(member);
+  return found == index_.end() ? ejection_state::kClear
+                               : entries_[found->second].health.At(now);
+}
+
+candidate_fate hint_table::FateOf(const entry& item, const service_spec& spec,
+                                  std::span<const member_id> excluded) const {
+  if (std::ranges::find(excluded, item.row.id) != excluded.end()) {
+    return candidate_fate::kExcludedByCaller;
+  }
+  if (!spec.regions.empty() &&
+      std::ranges::find(spec.regions, item.region) == spec.regions.end()) {
+    return candidate_fate::kOutsideRegions;
+  }
+  if (item.draining || item.row.hint.draining) return candidate_fate::kDraining;
+  if (item.state != member_state::kAlive) return candidate_fate::kSuspect;
+  return candidate_fate::kNotTaken;
+}
+
+bool hint_table::IsTrialDue(const entry& item, const choice_request& request,
+                            time_point now) const {
+  if (request.is_protected || item.health.At(now) != ejection_state::kTrialDue) return false;
+  return !request.is_long || now >= item.health.until() + kLongTrialAfter;
+}
+
+void hint_table::Gather(const service_spec& spec, const choice_request& request,
+                        std::span<const member_id> excluded, time_point now,
+                        eligible_members& result, choice_explanation& explanation) {
+  const auto service = service_index_.find(spec.name);
+  if (service == service_index_.end() || services_[service->second].members.empty()) return;
+  service_entry& group = services_[service->second];
+  result.any_member = true;
+  result.context.request = request;
+  result.context.now = now;
+  result.context.turn = group.turns++;
+
+  double hints = 0;
+  std::vector<std::size_t> suspects;
+  // Members may have left or begun to drain since the ejections, so the limit of one half is
+  // checked again among those that could serve.
+  std::size_t serving = 0;
+  std::size_t tried_and_ejected = 0;
+  for (const std::size_t index : group.members) {
+    const entry& item = entries_[index];
+    if (FateOf(item, spec, {}) != candidate_fate::kNotTaken) continue;
+    ++serving;
+    const bool tried = std::ranges::find(excluded, item.row.id) != excluded.end();
+    if (tried && item.health.At(now) != ejection_state::kClear) ++tried_and_ejected;
+  }
+  std::size_t may_stay_ejected = serving / 2 - std::min(serving / 2, tried_and_ejected);
+  const auto add = [&](const entry& item) {
+    result.candidates.push_back(item.row);
+    result.candidates.back().failure_share =
+        DecayedShare(item.failure_share, now - item.failed_at);
+  };
+  explanation.candidates.reserve(group.members.size());
+  for (const std::size_t index : group.members) {
+    const entry& item = entries_[index];
+    if (item.has_hint) {
+      ++hints;
+      result.context.mean_occupancy += Occupancy(item.row);
+      result.context.mean_service_time_us += item.row.hint.service_time_us;
+    }
+    candidate_fate fate = FateOf(item, spec, excluded);
+    if (fate == candidate_fate::kNotTaken && !result.trial) {
+      if (IsTrialDue(item, request, now)) {
+        result.candidates.clear();
+        result.trial = true;
+        add(item);
+      } else if (item.health.At(now) == ejection_state::kClear || may_stay_ejected == 0) {
+        add(item);
+      } else {
+        --may_stay_ejected;
+        fate = candidate_fate::kEjected;
+      }
+    } else if (fate == candidate_fate::kSuspect) {
+      suspects.push_back(index);
+    }
+    explanation.candidates.push_back(
+        {.id = item.row.id, .where = item.row.where, .fate = fate});
+  }
+  if (hints > 0) {
+    result.context.mean_occupancy /= hints;
+    result.context.mean_service_time_us /= hints;
+  }
+  // A suspicion may be wrong; a member under suspicion is better than none.
+  if (result.candidates.empty()) {
+    for (const std::size_t index : suspects) add(entries_[index]);
+  }
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/routing/hint_table.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "src/base/strong_id.h"
+#include "src/base/time.h"
+#include "src/membership/member_state.h"
+#include "src/routing/attempt_end.h"
+#include "src/routing/candidate.h"
+#include "src/routing/choice_context.h"
+#include "src/routing/choice_result.h"
+#include "src/routing/ejection.h"
+
+namespace bronzeroute {
+
+struct member_row;
+struct service_spec;
+
+/// What this process knows about the members of each service: last hints, own open attempts and
+/// ejections. Candidates are indexed by service.
+class hint_table {
+ public:
+  /// Takes the members. Rows of members that stay in the same run keep what is known of them.
+  void OnMembers(std::span<const member_row> members, member_id own, std::string_view region,
+                 std::string_view availability_zone, time_point now);
+
+  /// Ignores hints of unknown members and earlier runs, and hints that are not newer than the
+  /// last one.
+  void OnHint(member_id member, incarnation run, const load_hint& hint, time_point now);
+
+  void OnAttemptSent(member_id member, bool is_trial, time_point now);
+  void OnAttemptEnded(member_id member, attempt_outcome outcome, bool is_trial, time_point now);
+
+  /// The members to choose from, and the state of the others in `explanation`. If `trial` is
+  /// set in the result, it is to be chosen without a pick.
+  struct eligible_members {
+    std::vector<candidate> candidates;
+    choice_context context;
+    bool trial = false;
+    bool any_member = false;
+  };
+  void Gather(const service_spec& spec, const choice_request& request,
+              std::span<const member_id> excluded, time_point now, eligible_members& result,
+              choice_explanation& explanation);
+
+  /// The state of `member` for tests and the status page; kClear if it is unknown.
+  ejection_state StateOf(member_id member, time_point now) const;
+
+ private:
+  struct entry {
+    candidate row;
+    std::string region;
+    member_state state = member_state::kAlive;
+    bool draining = false;
+    bool ejected_by_owner = false;
+    bool has_hint = false;
+    std::size_t service = 0;
+    ejection health;
+    /// candidate::failure_share as of `failed_at`; it halves every second after that.
+    double failure_share = 0;
+    time_point failed_at;
+  };
+  struct service_entry {
+    std::vector<std::size_t> members;
+    std::uint64_t turns = 0;
+  };
+
+  entry* Find(member_id member);
+  void ApplyHint(entry& item, const load_hint& hint, time_point received, time_point now);
+  /// True if another member of the service may be ejected: at most half of them are.
+  bool MayEject(const entry& item, time_point now) const;
+  candidate_fate FateOf(const entry& item, const service_spec& spec,
+                        std::span<const member_id> excluded) const;
+  bool IsTrialDue(const entry& item, const choice_request& request, time_point now) const;
+
+  std::vector<entry> entries_;
+  absl::flat_hash_map<member_id, std::size_t> index_;
+  std::vector<service_entry> services_;
+  absl::flat_hash_map<std::string, std::size_t> service_index_;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/routing/score_function.cc
@@ -0,0 +1,78 @@
+#include "src/routing/score_function.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+namespace bronzeroute {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Round trips of section 1: 1.4 ms one way between zones, 12 ms between regions. Inside a zone
+// there is a hop but no measurable distance.
+constexpr double kZoneRoundTripUs = 2800;
+constexpr double kRegionRoundTripUs = 24000;
+constexpr double kSameZoneRoundTripUs = 200;
+
+// A body of 1 MiB to another region must save about 20 ms: the link of 4,000 Mbit/s would carry
+// it in 2 ms, but it is shared by all traffic and billed.
+constexpr double kBilledUsPerByte = 0.02;
+constexpr std::uint64_t kAssumedShortBody = 4 << 10;
+constexpr std::uint64_t kAssumedLongBody = 4 << 20;
+
+constexpr duration kFreshFor = milliseconds(100);
+// Time after which an old hint counts for nothing: a worker's load has changed many times over.
+constexpr duration kForgottenAfter = milliseconds(1000);
+
+// A failed call costs its caller another attempt or the whole call.
+constexpr double kFailureUs = 100'000;
+
+double RoundTrip(distance where) {
+  switch (where) {
+    case distance::kSameInstance:
+      return 0;
+    case distance::kSameZone:
+      return kSameZoneRoundTripUs;
+    case distance::kSameRegion:
+      return kZoneRoundTripUs;
+    case distance::kOtherRegion:
+      break;
+  }
+  return kRegionRoundTripUs;
+}
+
+/// 0 for a fresh hint, 1 for one that says nothing any more.
+double Staleness(duration age) {
+  const auto over = static_cast<double>((age - kFreshFor).count());
+  const auto range = static_cast<double>((kForgottenAfter - kFreshFor).count());
+  return std::clamp(over / range, 0.0, 1.0);
+}
+
+}  // namespace
+
+double Occupancy(const candidate& row) {
+  return static_cast<double>(row.hint.in_use) + row.hint.queued_short + row.hint.queued_long;
+}
+
+score ScoreOf(const candidate& row, const choice_context& context) {
+  const double stale = Staleness(context.now - row.hint_received);
+  const double occupancy =
+      Occupancy(row) * (1 - stale) + context.mean_occupancy * stale + row.sent_since_hint;
+  const double service_time =
+      row.hint.service_time_us * (1 - stale) + context.mean_service_time_us * stale;
+  const double slots = std::max<double>(row.hint.effective_slots, 1);
+  score result;
+  result.round_trip = RoundTrip(row.where);
+  if (row.where == distance::kOtherRegion) {
+    const std::uint64_t assumed =
+        context.request.is_long ? kAssumedLongBody : kAssumedShortBody;
+    result.billed_bytes = kBilledUsPerByte *
+                          static_cast<double>(context.request.content_length.value_or(assumed));
+  }
+  result.wait = std::max(occupancy + 1 - slots, 0.0) * service_time / slots;
+  result.failures = (row.hint.failing ? 1 : row.failure_share) * kFailureUs;
+  return result;
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/routing/score_function.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "src/routing/candidate.h"
+#include "src/routing/choice_context.h"
+#include "src/routing/score.h"
+
+namespace bronzeroute {
+
+/// Slots in use, queued work, and own attempts that the hint does not show yet.
+double Occupancy(const candidate& row);
+
+/// The expected cost of sending a call to `row`. Old hints count less than the service's mean.
+score ScoreOf(const candidate& row, const choice_context& context);
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/tests/routing/routing_system_test.cc
@@ -0,0 +1,357 @@
+#include "src/routing/routing_system.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/membership/member_row.h"
+#include "src/routing/policy_least_reported.h"
+#include "src/routing/policy_random.h"
+#include "src/routing/policy_round_robin.h"
+#include "src/routing/policy_two_choices.h"
+
+namespace bronzeroute {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr incarnation kRun{7};
+
+time_point At(duration since_start) { return time_point() + seconds(100) + since_start; }
+
+member_row Member(std::uint64_t id, const std::string& zone = "a",
+                  const std::string& region = "north") {
+  member_row row;
+  row.id = member_id{id};
+  row.run = kRun;
+  row.service = "orders";
+  row.region = region;
+  row.availability_zone = zone;
+  return row;
+}
+
+load_hint Hint(std::uint64_t sequence, std::uint32_t in_use) {
+  load_hint hint;
+  hint.sequence = sequence;
+  hint.effective_slots = 6;
+  hint.in_use = in_use;
+  hint.service_time_us = 5000;
+  return hint;
+}
+
+template <typename Policy>
+class routing_harness {
+ public:
+  explicit routing_harness(std::vector<member_row> members, std::uint64_t own = 1000)
+      : members_(std::move(members)), own_(own) {
+    spec_.name = "orders";
+    Announce(At({}));
+  }
+
+  void Announce(time_point now) {
+    system_.OnMembers(members_, member_id{own_}, "north", "a", now);
+  }
+  void Report(std::uint64_t id, const load_hint& hint, time_point now = At({})) {
+    system_.OnHint(member_id{id}, kRun, hint, now);
+  }
+  choice_result Choose(time_point now = At({}), const choice_request& request = {},
+                       const std::vector<member_id>& excluded = {}) {
+    return system_.Choose(spec_, request, excluded, now);
+  }
+  std::uint64_t Pick(time_point now = At({}), const choice_request& request = {}) {
+    const choice_result result = Choose(now, request);
+    return result.member ? result.member->value : 0;
+  }
+  /// Members chosen in `rounds` choices.
+  std::set<std::uint64_t> Picks(int rounds, time_point now = At({}),
+                                const choice_request& request = {}) {
+    std::set<std::uint64_t> picks;
+    for (int i = 0; i < rounds; ++i) picks.insert(Pick(now, request));
+    return picks;
+  }
+  void End(std::uint64_t id, attempt_outcome outcome, time_point now, bool is_trial = false) {
+    system_.OnAttemptSent(member_id{id}, is_trial, now);
+    system_.OnAttemptEnded(member_id{id}, outcome, is_trial, now);
+  }
+  void Fail(std::uint64_t id, int count, time_point now) {
+    for (int i = 0; i < count; ++i) End(id, attempt_outcome::kFailed, now);
+  }
+
+  service_spec spec_;
+  std::vector<member_row> members_;
+  std::uint64_t own_;
+  routing_system<Policy> system_{1};
+};
+
+using product_harness = routing_harness<policy_two_choices>;
+using testing::Contains;
+using testing::ElementsAre;
+using testing::HasSubstr;
+using testing::Not;
+
+// Guards against a request without a response when no member can take it.
+TEST(RoutingSystem, SaysWhyThereIsNoMember) {
+  product_harness none({});
+  EXPECT_EQ(none.Choose().explanation.reason, choice_reason::kNoMembers);
+  product_harness one({Member(1)});
+  const choice_result result = one.Choose(At({}), {}, {member_id{1}});
+  EXPECT_FALSE(result.member.has_value());
+  EXPECT_EQ(result.explanation.reason, choice_reason::kNoEligibleMember);
+  EXPECT_THAT(result.explanation.ToText(), HasSubstr("already tried"));
+}
+
+// Guards against a choice that nobody can reconstruct afterwards.
+TEST(RoutingSystem, ExplanationNamesEveryMemberWithItsScore) {
+  product_harness pair({Member(1), Member(2, "b")});
+  pair.Report(1, Hint(1, 12));
+  pair.Report(2, Hint(1, 0));
+  const choice_result result = pair.Choose();
+  EXPECT_EQ(result.member, member_id{2});
+  const std::string text = result.explanation.ToText();
+  EXPECT_THAT(text, HasSubstr("service orders, policy two_choices"));
+  EXPECT_THAT(text, HasSubstr("0000000000000001, same zone: not taken; score 6033 us"));
+  EXPECT_THAT(text, HasSubstr("0000000000000002, same region: chosen; score 2800 us"));
+}
+
+// Guards against a reordered or old report that replaces a newer one.
+TEST(RoutingSystem, IgnoresOlderHintsAndEarlierRuns) {
+  product_harness pair({Member(1), Member(2)});
+  pair.Report(2, Hint(1, 3));
+  pair.Report(1, Hint(5, 12));
+  pair.Report(1, Hint(4, 0));
+  pair.system_.OnHint(member_id{1}, incarnation{6}, Hint(9, 0), At({}));
+  EXPECT_THAT(pair.Picks(50), ElementsAre(2));
+}
+
+// Guards against a restarted owner whose hints start again at 1 and would be ignored for ever.
+TEST(RoutingSystem, NewRunStartsWithNewHints) {
+  product_harness pair({Member(1), Member(2)});
+  pair.Report(1, Hint(500, 12));
+  pair.Report(2, Hint(1, 7));
+  pair.members_[0].run = incarnation{8};
+  pair.Announce(At({}));
+  pair.system_.OnHint(member_id{1}, incarnation{8}, Hint(1, 0), At({}));
+  EXPECT_THAT(pair.Picks(50), ElementsAre(1));
+}
+
+// Guards against all calls going to the upstream that looked idle in the last report.
+TEST(RoutingSystem, OwnOpenAttemptsCountUntilTheNextHint) {
+  product_harness pair({Member(1), Member(2)});
+  pair.Report(1, Hint(1, 0));
+  pair.Report(2, Hint(1, 6));
+  ASSERT_EQ(pair.Pick(), 1);
+  for (int i = 0; i < 12; ++i) pair.system_.OnAttemptSent(member_id{1}, false, At({}));
+  EXPECT_EQ(pair.Pick(), 2);
+}
+
+// Guards against trust in an old report: an idle one must not draw all work for seconds.
+TEST(RoutingSystem, OldHintsArePulledTowardsTheMean) {
+  product_harness pair({Member(1), Member(2)});
+  pair.Report(1, Hint(1, 0));
+  pair.Report(2, Hint(1, 12), At(milliseconds(900)));
+  EXPECT_EQ(pair.Pick(At(milliseconds(100))), 1);
+  const choice_result later = pair.Choose(At(seconds(2)));
+  ASSERT_EQ(later.explanation.candidates.size(), 2);
+  EXPECT_DOUBLE_EQ(later.explanation.candidates[0].cost.wait,
+                   later.explanation.candidates[1].cost.wait);
+}
+
+// Guards against needless hops and billed bytes.
+TEST(RoutingSystem, FartherMembersAreTakenOnlyWhenTheScorePaysForIt) {
+  product_harness set({Member(1, "a", "north"), Member(2, "c", "south")});
+  set.Report(2, Hint(1, 0));
+  set.Report(1, Hint(1, 10));  // 5 * 5 ms / 6 slots = 4.2 ms, below the way of 24 ms.
+  EXPECT_EQ(set.Pick(), 1);
+  set.Report(1, Hint(2, 60));  // 46 ms
+  EXPECT_EQ(set.Pick(), 2);
+  choice_request upload;
+  upload.content_length = 2 << 20;  // 42 ms for its bytes
+  EXPECT_EQ(set.Pick(At({}), upload), 1);
+}
+
+// Guards against a hop to a neighbour while the upstream of this instance is idle.
+TEST(RoutingSystem, OwnUpstreamIsTakenWhileItHasAFreeSlot) {
+  product_harness set({Member(1), Member(2), Member(3)}, 2);
+  for (std::uint64_t id = 1; id <= 3; ++id) set.Report(id, Hint(1, id == 2 ? 5 : 0));
+  EXPECT_EQ(set.Choose().explanation.reason, choice_reason::kOwnUpstreamFree);
+  EXPECT_THAT(set.Picks(20), ElementsAre(2));
+  set.system_.OnAttemptSent(member_id{2}, false, At({}));
+  EXPECT_NE(set.Choose().explanation.reason, choice_reason::kOwnUpstreamFree);
+}
+
+// Guards against work for members that leave or may be dead, and outside the allowed regions.
+TEST(RoutingSystem, AvoidsDrainingSuspectAndForeignMembers) {
+  product_harness set({Member(1), Member(2), Member(3), Member(4, "c", "south"), Member(5)});
+  set.members_[0].draining = true;
+  set.members_[1].state = member_state::kSuspect;
+  set.spec_.regions = {"north"};
+  set.Announce(At({}));
+  load_hint leaving = Hint(1, 0);
+  leaving.draining = true;
+  set.Report(5, leaving);
+  EXPECT_THAT(set.Picks(30), ElementsAre(3));
+  set.members_[2].state = member_state::kDead;
+  set.Announce(At({}));
+  EXPECT_THAT(set.Picks(30), ElementsAre(2)) << "a suspect is better than none";
+}
+
+// Guards against an upstream that fails fast, looks idle and draws all work.
+TEST(RoutingSystem, FailuresEjectAndDoNotAttract) {
+  product_harness set({Member(1), Member(2), Member(3), Member(4)});
+  for (std::uint64_t id = 1; id <= 4; ++id) set.Report(id, Hint(1, id == 1 ? 0 : 7));
+  set.Fail(1, 3, At({}));
+  EXPECT_THAT(set.Picks(50), Not(Contains(1))) << "before the ejection already";
+  set.Fail(1, 2, At({}));
+  EXPECT_EQ(set.system_.StateOf(member_id{1}, At({})), ejection_state::kEjected);
+  EXPECT_THAT(set.Picks(50, At(milliseconds(999))), Not(Contains(1)));
+}
+
+// Guards against protected work as a trial and against many trials at once.
+TEST(RoutingSystem, EjectedMemberReturnsThroughOneUnprotectedTrial) {
+  product_harness pair({Member(1), Member(2)});
+  pair.Fail(1, 5, At({}));
+  choice_request order;
+  order.is_protected = true;
+  EXPECT_THAT(pair.Picks(20, At(seconds(1)), order), ElementsAre(2));
+  const choice_result trial = pair.Choose(At(seconds(1)));
+  ASSERT_EQ(trial.member, member_id{1});
+  EXPECT_TRUE(trial.is_trial);
+  EXPECT_EQ(trial.explanation.reason, choice_reason::kTrialCall);
+  pair.system_.OnAttemptSent(member_id{1}, true, At(seconds(1)));
+  EXPECT_THAT(pair.Picks(20, At(seconds(1))), ElementsAre(2)) << "the trial is open";
+  pair.system_.OnAttemptEnded(member_id{1}, attempt_outcome::kFailed, true, At(seconds(1)));
+  EXPECT_THAT(pair.Picks(20, At(milliseconds(2999))), ElementsAre(2)) << "2 s now";
+  pair.End(1, attempt_outcome::kAnswered, At(seconds(3)), true);
+  EXPECT_EQ(pair.system_.StateOf(member_id{1}, At(seconds(3))), ejection_state::kClear);
+}
+
+// Guards against a service that ejects all its members after a fault that hits each of them.
+TEST(RoutingSystem, AtMostHalfOfAServiceIsEjected) {
+  product_harness set({Member(1), Member(2), Member(3), Member(4), Member(5)});
+  for (std::uint64_t id = 1; id <= 5; ++id) set.Fail(id, 8, At({}));
+  EXPECT_THAT(set.Picks(200), ElementsAre(3, 4, 5));
+  set.members_.resize(3);  // Members leave: of three, only one may stay ejected.
+  set.Announce(At({}));
+  EXPECT_THAT(set.Picks(200), ElementsAre(2, 3));
+}
+
+// Guards against entries that go on sending to an upstream that its owner has ejected.
+TEST(RoutingSystem, OwnerEjectionIsFollowedAndEndsWithItsHint) {
+  product_harness pair({Member(1), Member(2)});
+  load_hint hint = Hint(1, 0);
+  hint.failing = true;
+  pair.Report(1, hint);
+  pair.Report(2, Hint(1, 8));
+  EXPECT_THAT(pair.Picks(20), ElementsAre(2));
+  pair.Report(1, Hint(2, 0));
+  EXPECT_THAT(pair.Picks(20), ElementsAre(1));
+}
+
+// Guards against baselines that do not do what their name says, which would void comparisons.
+TEST(RoutingSystem, Baselines) {
+  routing_harness<policy_round_robin> in_turn({Member(1), Member(2), Member(3)});
+  EXPECT_EQ(in_turn.Pick(), 1);
+  EXPECT_EQ(in_turn.Pick(), 2);
+  EXPECT_EQ(in_turn.Pick(), 3);
+  EXPECT_EQ(in_turn.Pick(), 1);
+  routing_harness<policy_random> any({Member(1), Member(2), Member(3)});
+  EXPECT_THAT(any.Picks(100), ElementsAre(1, 2, 3));
+  routing_harness<policy_least_reported> least({Member(1), Member(2), Member(3)});
+  least.Report(1, Hint(1, 5));
+  least.Report(2, Hint(1, 2));
+  least.Report(3, Hint(1, 4));
+  EXPECT_THAT(least.Picks(20), ElementsAre(2));
+}
+
+struct event {
+  std::uint32_t kind = 0;
+  std::uint32_t member = 0;
+  std::uint32_t value = 0;
+};
+
+void showValue(const event& item, std::ostream& out) {
+  out << item.kind << '/' << item.member << '/' << item.value;
+}
+
+// Guards, under any order of events, against a choice of an excluded or draining member, a
+// protected trial, two open trials at one member, and a refusal while a member is usable.
+TEST(RoutingProperty, ChoicesKeepTheRules) {
+  EXPECT_TRUE(rc::check("routing", [] {
+    const auto any_event =
+        rc::gen::build<event>(rc::gen::set(&event::kind, rc::gen::inRange(0U, 6U)),
+                              rc::gen::set(&event::member, rc::gen::inRange(1U, 7U)),
+                              rc::gen::set(&event::value, rc::gen::inRange(0U, 1'000'000U)));
+    const auto events = *rc::gen::scale(4, rc::gen::container<std::vector<event>>(any_event));
+    product_harness set({Member(1), Member(2), Member(3, "b"), Member(4, "b"),
+                         Member(5, "c", "south"), Member(6, "d", "south")});
+    std::map<std::uint64_t, std::vector<bool>> open;
+    time_point now = At({});
+    std::uint64_t sequence = 0;
+    for (const event& item : events) {
+      const std::uint64_t id = item.member;
+      switch (item.kind) {
+        case 0:
+          set.Report(id, Hint(++sequence, item.value % 12), now);
+          break;
+        case 1:
+          set.members_[id - 1].draining = item.value % 3 == 0;
+          set.Announce(now);
+          break;
+        case 2:
+          now += duration(item.value);
+          break;
+        case 3:
+          if (!open[id].empty()) {
+            const bool is_trial = open[id].back();
+            open[id].pop_back();
+            set.system_.OnAttemptEnded(
+                member_id{id}, static_cast<attempt_outcome>(item.value % 5), is_trial, now);
+          }
+          break;
+        default: {
+          choice_request request;
+          request.is_protected = item.value % 2 == 0;
+          const choice_result result = set.Choose(now, request, {member_id{id}});
+          std::size_t serving = 0;
+          std::size_t ejected = 0;
+          bool clear = false;
+          bool untried = false;
+          for (const member_row& row : set.members_) {
+            if (row.draining) continue;
+            const bool is_clear = set.system_.StateOf(row.id, now) == ejection_state::kClear;
+            ++serving;
+            if (!is_clear) ++ejected;
+            untried |= row.id.value != id;
+            clear |= is_clear && row.id.value != id;
+          }
+          if (!result.member) {
+            RC_ASSERT(!clear);
+            RC_ASSERT(!untried || ejected * 2 <= serving);
+            break;
+          }
+          const std::uint64_t picked = result.member->value;
+          RC_ASSERT(picked != id);
+          RC_ASSERT(!set.members_[picked - 1].draining);
+          RC_ASSERT(!(result.is_trial && request.is_protected));
+          std::vector<bool>& attempts = open[picked];
+          const auto trials = std::count(attempts.begin(), attempts.end(), true);
+          RC_ASSERT(!result.is_trial || trials == 0);
+          attempts.push_back(result.is_trial);
+          set.system_.OnAttemptSent(*result.member, result.is_trial, now);
+          break;
+        }
+      }
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace bronzeroute
