Add the configuration core: documents, routes, fold, system, guarantees

Ruled out: ending the fold at a record of an unknown format, since a fleet without a build that reads it would never accept a publication again; treating such a record as refused, since a racing publication would then split old and new builds. The version advances without a document.

--- /dev/null
+++ b/src/configuration/configuration_fold.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/configuration/configuration_snapshot.h"
+#include "src/configuration/record_verdict.h"
+#include "src/platform/log_read.h"
+
+namespace bronzeroute {
+
+namespace proto {
+class Publication;
+class Snapshot;
+}  // namespace proto
+
+/// Folds the records of one configuration stream, in order of offsets, to the accepted version.
+/// Two folds that have read up to the same offset agree, whenever each of them began.
+///
+/// A publication is accepted if and only if its base is the version accepted before it, its
+/// digest matches and it parses. If the beginning of the stream is no longer kept, the fold is
+/// not *anchored*: it holds records back until it meets a snapshot that covers everything
+/// before the first kept record.
+class configuration_fold {
+ public:
+  explicit configuration_fold(std::string environment) : environment_(std::move(environment)) {}
+
+  /// Folds one read. Records that were folded before are skipped, so repeated and late reads do
+  /// no harm. Returns a verdict for each record that was folded.
+  std::vector<record_verdict> Fold(const log_read& read);
+
+  /// Continues from a snapshot that came from elsewhere. True if it took effect: it must not
+  /// lie before what an anchored fold has read.
+  bool Restore(const configuration_snapshot& snapshot);
+
+  /// True if the state up to `position()` is known.
+  bool anchored() const { return anchored_; }
+  /// Offset of the next record wanted.
+  std::int64_t position() const { return position_; }
+  /// The accepted version and its bytes, as of `position() - 1`. Not meaningful while the fold
+  /// is not anchored.
+  const configuration_snapshot& head() const { return head_; }
+  /// `as_of` of the newest snapshot met in the stream; -1 if there is none since the start
+  /// or the last `Restore`. A reader can begin with that snapshot for as long as the record
+  /// after it is kept.
+  std::int64_t newest_anchor() const { return newest_anchor_; }
+
+ private:
+  void Unanchor(std::int64_t first);
+  void TryAnchor(const log_record& record, std::vector<record_verdict>& verdicts);
+  record_verdict Apply(const log_record& record);
+  void CheckSnapshot(const proto::Snapshot& snapshot, std::int64_t offset);
+  void ApplyPublication(proto::Publication& publication, record_verdict& result);
+
+  std::string environment_;
+  bool anchored_ = false;
+  std::int64_t position_ = 0;
+  /// Snapshots before this offset leave a gap.
+  std::int64_t needed_as_of_ = -1;
+  std::int64_t newest_anchor_ = -1;
+  configuration_snapshot head_;
+  /// Records read while not anchored.
+  std::vector<log_record> pending_;
+  /// Ids of the latest accepted publications, newest last; they only name duplicates.
+  std::deque<std::string> accepted_ids_;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/configuration/configuration_system.cc
@@ -0,0 +1,253 @@
+#include "src/configuration/configuration_system.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <iterator>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "src/configuration/configuration_record.h"
+
+namespace bronzeroute {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration kFirstRetry = milliseconds(250);
+// 540 daemons at this interval put 135 reads/s on a log that comes back.
+constexpr duration kMaxRetry = seconds(4);
+// Bounds the reads on a log that does not wait for records.
+constexpr duration kEmptyReadInterval = milliseconds(100);
+// Longer than the client's own timeout; covers a result that never comes.
+constexpr duration kReadDeadline = seconds(10);
+// The log usually supplies a new version first. With two failed fetches of 1.5 s the version
+// is still in effect within 6 s.
+constexpr duration kFetchGrace = seconds(1);
+constexpr duration kFetchGraceWithoutLog = milliseconds(100);
+constexpr duration kFetchSpread = milliseconds(400);
+constexpr duration kFetchDeadline = milliseconds(1500);
+constexpr std::size_t kMaxNewerPeers = 8;
+// Longer than an append takes to reach the other daemons, so that they see it and do not
+// repeat it.
+constexpr duration kMaxRankStep = seconds(2);
+constexpr duration kAppendDeadline = seconds(10);
+constexpr duration kAppendRetry = seconds(5);
+// Sets these tokens apart from those of other users of the log port.
+constexpr std::uint64_t kTokenTag = std::uint64_t{0xC0} << 56;
+
+}  // namespace
+
+configuration_system::configuration_system(configuration_settings settings, log_port& log,
+                                           configuration_peer_port& peers)
+    : settings_(std::move(settings)),
+      stream_(ConfigurationStream(settings_.environment)),
+      log_(log),
+      peers_(peers),
+      random_(settings_.seed),
+      fold_(settings_.environment),
+      append_token_(kTokenTag) {}
+
+void configuration_system::OnLogRead(const log_read& read, time_point now) {
+  if (read.stream != stream_) return;
+  read_open_ = false;
+  read_failures_ = 0;
+  next_read_ = read.records.empty() ? now + kEmptyReadInterval : now;
+  retention_ = milliseconds(read.retention_ms);
+  log_behind_ = read.next < fold_.position();
+  std::ranges::move(fold_.Fold(read), std::back_inserter(verdicts_));
+  NoteRecords(read, now);
+  AdoptHead();
+}
+
+void configuration_system::OnLogFailed(std::string_view stream, time_point now) {
+  if (stream == stream_) FailRead(now);
+}
+
+void configuration_system::OnAppendResult(std::uint64_t token, bool /*succeeded*/,
+                                          time_point now) {
+  if (token != append_token_ || !append_open_) return;
+  append_open_ = false;
+  // Either way the stream tells whether it took effect; another follows only if it did not.
+  snapshot_at_ = now + kAppendRetry + Jitter(duration(0), kAppendRetry);
+}
+
+void configuration_system::OnPeerVersion(member_id peer, std::int64_t version, time_point now) {
+  if (version <= std::max(in_effect_.version, unusable_version_) || version < peer_version_) {
+    return;
+  }
+  if (newer_peers_.empty()) {
+    fetch_at_ = now + (read_failures_ > 0 ? kFetchGraceWithoutLog : kFetchGrace) +
+                Jitter(duration(0), kFetchSpread);
+  }
+  if (version > peer_version_) newer_peers_.clear();
+  peer_version_ = version;
+  if (newer_peers_.size() < kMaxNewerPeers &&
+      std::ranges::find(newer_peers_, peer) == newer_peers_.end()) {
+    newer_peers_.push_back(peer);
+  }
+}
+
+void configuration_system::OnSnapshot(member_id peer, std::string_view record, time_point now) {
+  std::optional<configuration_snapshot> snapshot =
+      DecodeSnapshot(record, settings_.environment);
+  if (!snapshot) {
+    OnSnapshotFailed(peer, now);
+    return;
+  }
+  if (fetching_from_ == peer) fetching_from_.reset();
+  if (snapshot->version > in_effect_.version) {
+    const bool restored = snapshot->parsed != nullptr && fold_.Restore(*snapshot);
+    if (restored) {
+      restored_at_ = now;
+      ranked_anchor_ = kNotRanked;
+      appended_.clear();
+    }
+    // An anchored fold that read further and did not accept this version is right about it.
+    if (snapshot->parsed != nullptr && (restored || !fold_.anchored())) {
+      in_effect_ = *std::move(snapshot);
+    } else {
+      unusable_version_ = std::max(unusable_version_, snapshot->version);
+    }
+  }
+  DropStalePeers();
+  fetch_at_ = now + kFirstRetry + Jitter(duration(0), kFetchSpread);
+}
+
+void configuration_system::OnSnapshotFailed(member_id peer, time_point now) {
+  if (fetching_from_ == peer) FailFetch(now);
+}
+
+void configuration_system::OnMembers(std::span<const member_id> alive) {
+  alive_.assign(alive.begin(), alive.end());
+}
+
+void configuration_system::Tick(time_point now) {
+  TickRead(now);
+  TickFetch(now);
+  TickSnapshot(now);
+}
+
+std::string configuration_system::SnapshotFor(std::int64_t known_version) const {
+  return in_effect_.version > known_version ? EncodeSnapshot(in_effect_, settings_.environment)
+                                            : std::string();
+}
+
+std::string_view configuration_system::problem() const {
+  if (unusable_version_ > in_effect_.version) {
+    return "a newer version is in force that this build cannot read";
+  }
+  if (read_failures_ > 0) return "the log is unavailable";
+  if (log_behind_) return "the log ends before the records read earlier";
+  if (fold_.position() == 0 && !fold_.anchored()) return "the log was not read yet";
+  if (!fold_.anchored()) return "no snapshot covers the beginning of the stream";
+  return {};
+}
+
+void configuration_system::NoteRecords(const log_read& read, time_point now) {
+  if (fold_.newest_anchor() >= 0) restored_at_.reset();
+  for (const log_record& record : read.records) {
+    if (!appended_.empty() && record.offset <= appended_.back().first) continue;
+    appended_.emplace_back(record.offset, now - milliseconds(record.age_ms));
+  }
+  while (!appended_.empty() && appended_.front().first <= fold_.newest_anchor()) {
+    appended_.pop_front();
+  }
+}
+
+void configuration_system::AdoptHead() {
+  if (!fold_.anchored()) return;
+  const configuration_snapshot& head = fold_.head();
+  if (head.version == in_effect_.version) {
+    in_effect_.as_of = std::max(in_effect_.as_of, head.as_of);
+  } else if (head.version > in_effect_.version) {
+    if (head.parsed != nullptr) {
+      in_effect_ = head;
+    } else {
+      unusable_version_ = std::max(unusable_version_, head.version);
+    }
+  }
+  DropStalePeers();
+}
+
+void configuration_system::FailRead(time_point now) {
+  read_open_ = false;
+  const duration backoff =
+      std::min(kMaxRetry, kFirstRetry * (1 << std::min(read_failures_, 8)));
+  ++read_failures_;
+  next_read_ = now + Jitter(backoff / 2, backoff);
+}
+
+void configuration_system::FailFetch(time_point now) {
+  std::erase(newer_peers_, *fetching_from_);
+  fetching_from_.reset();
+  // Forgetting the version lets the next message of any peer that has it start over.
+  if (newer_peers_.empty()) peer_version_ = -1;
+  fetch_at_ = now + Jitter(duration(0), kFetchSpread);
+}
+
+void configuration_system::DropStalePeers() {
+  if (peer_version_ > std::max(in_effect_.version, unusable_version_)) return;
+  newer_peers_.clear();
+  peer_version_ = -1;
+}
+
+void configuration_system::TickRead(time_point now) {
+  if (read_open_ && now >= read_deadline_) FailRead(now);
+  if (read_open_ || now < next_read_) return;
+  read_open_ = true;
+  read_deadline_ = now + kReadDeadline;
+  log_.Read(stream_, fold_.position());
+}
+
+void configuration_system::TickFetch(time_point now) {
+  if (fetching_from_ && now >= fetch_deadline_) FailFetch(now);
+  if (fetching_from_ || newer_peers_.empty() || now < fetch_at_) return;
+  std::uniform_int_distribution<std::size_t> pick(0, newer_peers_.size() - 1);
+  fetching_from_ = newer_peers_[pick(random_)];
+  fetch_deadline_ = now + kFetchDeadline;
+  peers_.FetchSnapshot(*fetching_from_, in_effect_.version);
+}
+
+void configuration_system::TickSnapshot(time_point now) {
+  if (append_open_ && now >= append_deadline_) OnAppendResult(append_token_, false, now);
+  if (append_open_ || !fold_.anchored() || read_failures_ > 0 || retention_ == duration(0)) {
+    return;
+  }
+  if (!restored_at_ && appended_.empty()) return;
+  const time_point due =
+      restored_at_ ? *restored_at_ : appended_.front().second + retention_ / 2;
+  if (now < due) return;
+  if (ranked_anchor_ != fold_.newest_anchor()) {
+    ranked_anchor_ = fold_.newest_anchor();
+    snapshot_at_ = due + RankDelay();
+  }
+  if (now < snapshot_at_) return;
+  append_open_ = true;
+  append_deadline_ = now + kAppendDeadline;
+  log_.Append(stream_, EncodeSnapshot(fold_.head(), settings_.environment), ++append_token_);
+}
+
+duration configuration_system::RankDelay() {
+  const auto hash = [this](member_id member) {
+    const std::array<std::uint64_t, 2> input = {
+        member.value, static_cast<std::uint64_t>(fold_.newest_anchor())};
+    return XXH64(input.data(), sizeof(input), 0);
+  };
+  const auto own = hash(settings_.self);
+  const auto rank =
+      std::ranges::count_if(alive_, [&](member_id member) { return hash(member) < own; });
+  const duration step = std::min(kMaxRankStep, retention_ / 40);
+  // Half of the retention is left: a quarter for the ranks, an eighth for the rest.
+  const duration delay = step * rank;
+  return delay < retention_ / 4 ? delay : retention_ / 4 + Jitter(duration(0), retention_ / 8);
+}
+
+duration configuration_system::Jitter(duration low, duration high) {
+  std::uniform_int_distribution<duration::rep> spread(low.count(), high.count());
+  return duration(spread(random_));
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/configuration/document_error.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace bronzeroute {
+
+/// One fault of a document.
+struct document_error {
+  std::string file;
+  /// Line in `file`, from 1.
+  std::uint32_t line = 0;
+  /// Path of the key, for example "service[1].route[0].prefix"; empty for a syntax error.
+  std::string key;
+  /// What the document has there.
+  std::string found;
+  /// What may be there.
+  std::string allowed;
+
+  friend bool operator==(const document_error&, const document_error&) = default;
+};
+
+/// "file:line: key: found ...; allowed: ...".
+std::string DescribeError(const document_error& error);
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/configuration/find_route.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string_view>
+
+#include "src/configuration/route_spec.h"
+#include "src/configuration/service_spec.h"
+
+namespace bronzeroute {
+
+/// The route of `service` for a request with `method` and `path` (a query is ignored): the
+/// longest prefix that ends at a segment boundary; a named method goes before "*". Without a
+/// match it is a short route with the service's deadline, repeatable for GET, HEAD and OPTIONS
+/// and protected for every other method. Percent-encoded, empty and dot segments are resolved
+/// before the comparison, so that another spelling of a protected path is protected too.
+route_spec FindRoute(const service_spec& service, std::string_view method,
+                     std::string_view path);
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/tests/configuration/configuration_fold_test.cc
@@ -0,0 +1,132 @@
+#include "src/configuration/configuration_fold.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "proto/configuration.pb.h"
+#include "src/configuration/configuration_record.h"
+#include "src/configuration/parse_document.h"
+#include "tests/configuration/log_model.h"
+#include "tests/configuration/sample_document.h"
+
+namespace bronzeroute {
+namespace {
+
+std::string Publication(const std::string& id, std::int64_t base, int number) {
+  return EncodePublication(id, base, SampleDocument(number), std::nullopt);
+}
+
+std::vector<verdict> Verdicts(configuration_fold& fold, const log_read& read) {
+  std::vector<verdict> result;
+  for (const record_verdict& row : fold.Fold(read)) result.push_back(row.value);
+  return result;
+}
+
+// Guards against each way in which a record must not take effect.
+TEST(ConfigurationFold, GivesTheReasonForEachRefusal) {
+  log_model log;
+  log.Append(Publication("a", -1, 1));
+  log.Append(Publication("b", -1, 2));
+  log.Append(Publication("a", -1, 1));
+  log.Append(EncodePublication("c", 0, "format = 1", std::nullopt));
+  proto::ConfigurationRecord record;
+  record.ParseFromString(Publication("d", 0, 3));
+  record.mutable_publication()->set_digest(7);
+  log.Append(record.SerializeAsString());
+  log.Append("\x07 not a record");
+  log.Append("");
+  log.Append(Publication("e", 0, 4));
+  configuration_fold fold("trial");
+  EXPECT_EQ(
+      Verdicts(fold, log.Read(0)),
+      (std::vector<verdict>{verdict::kAccepted, verdict::kStaleBase, verdict::kDuplicate,
+                            verdict::kInvalidDocument, verdict::kBadDigest,
+                            verdict::kUnreadable, verdict::kUnreadable, verdict::kAccepted}));
+  EXPECT_EQ(fold.head().version, 7);
+  EXPECT_EQ(fold.head().bytes, SampleDocument(4));
+}
+
+// Guards against a daemon of an older build that accepts a publication which newer builds
+// refuse as stale, after which the two would never agree again.
+TEST(ConfigurationFold, UnknownFormatAdvancesTheVersionWithoutADocument) {
+  log_model log;
+  log.Append(Publication("a", -1, 1));
+  proto::ConfigurationRecord newer;
+  newer.ParseFromString(Publication("b", 0, 2));
+  newer.mutable_publication()->set_format(kDocumentFormat + 1);
+  log.Append(newer.SerializeAsString());
+  log.Append(Publication("c", 0, 3));
+  configuration_fold fold("trial");
+  EXPECT_EQ(Verdicts(fold, log.Read(0)),
+            (std::vector<verdict>{verdict::kAccepted, verdict::kUnsupportedFormat,
+                                  verdict::kStaleBase}));
+  EXPECT_EQ(fold.head().parsed, nullptr);
+  log.Append(Publication("d", 1, 4));
+  EXPECT_EQ(Verdicts(fold, log.Read(3)), std::vector<verdict>{verdict::kAccepted});
+}
+
+// Guards against beginning with a snapshot that leaves a gap to the first kept record.
+TEST(ConfigurationFold, IgnoresSnapshotsThatLeaveAGap) {
+  log_model log;
+  log.Append(Publication("a", -1, 1));
+  configuration_fold writer("trial");
+  writer.Fold(log.Read(0));
+  const std::string early = EncodeSnapshot(writer.head(), "trial");
+  log.Append(Publication("b", 0, 2));  // lands before the snapshot as of 0
+  log.Append(early);
+  writer.Fold(log.Read(1));
+  log.first = 2;
+  configuration_fold reader("trial");
+  reader.Fold(log.Read(0));
+  EXPECT_FALSE(reader.anchored());
+  log.Append(EncodeSnapshot(writer.head(), "trial"));
+  reader.Fold(log.Read(reader.position()));
+  EXPECT_TRUE(reader.anchored());
+  EXPECT_EQ(reader.head().version, 1);
+}
+
+// Guards against taking a stream whose records all expired for one that never had any.
+TEST(ConfigurationFold, ExpiredStreamIsNotAnEmptyOne) {
+  log_model log;
+  log.Append(Publication("a", -1, 1));
+  log.first = 1;
+  configuration_fold reader("trial");
+  reader.Fold(log.Read(0));
+  EXPECT_FALSE(reader.anchored());
+  log.Append(Publication("b", -1, 2));
+  EXPECT_TRUE(reader.Fold(log.Read(reader.position())).empty());
+}
+
+// Guards against losing a publication that lands between a snapshot and the state it holds.
+TEST(ConfigurationFold, FoldsRecordsBetweenASnapshotAndItsState) {
+  log_model log;
+  log.Append(Publication("a", -1, 1));
+  log.Append("junk");
+  configuration_fold writer("trial");
+  writer.Fold(log.Read(0));
+  log.Append(Publication("b", 0, 2));
+  log.Append(EncodeSnapshot(writer.head(), "trial"));
+  log.first = 1;
+  configuration_fold reader("trial");
+  reader.Fold(log.Read(0));
+  EXPECT_EQ(reader.head().version, 2);
+  EXPECT_EQ(reader.head().bytes, SampleDocument(2));
+}
+
+// Guards against taking over the configuration of another environment or damaged bytes.
+TEST(ConfigurationFold, SnapshotMustBeOfThisEnvironmentAndWhole) {
+  log_model log;
+  log.Append(Publication("a", -1, 1));
+  configuration_fold writer("trial");
+  writer.Fold(log.Read(0));
+  EXPECT_TRUE(DecodeSnapshot(EncodeSnapshot(writer.head(), "trial"), "trial"));
+  EXPECT_FALSE(DecodeSnapshot(EncodeSnapshot(writer.head(), "trial"), "production"));
+  configuration_snapshot damaged = writer.head();
+  damaged.bytes += " ";
+  EXPECT_FALSE(DecodeSnapshot(EncodeSnapshot(damaged, "trial"), "trial"));
+}
+
+}  // namespace
+}  // namespace bronzeroute
