Add service-level metrics and text exposition

Cause: operators see service levels, burn and the cost of measuring only through /metrics, and nothing counted them yet. The cap on budget debt now starts above the burst: a property test found that with a limit of 1 byte/s the cap forgave real spending (1,230 bytes taken at once, 1,229 allowed). Conclusion: the daemon can serve /metrics from ExpositionText.

--- a/src/measuring/budget_account.cc
+++ b/src/measuring/budget_account.cc
@@ -11,7 +11,7 @@
 // refuse it for ever.
 constexpr std::uint64_t kLeastBurstBytes = 1'228;
 
-// Debt beyond this is forgiven, so that a raised limit takes effect within seconds.
+// Debt beyond the burst by more than this is forgiven, so that charging starts again.
 constexpr duration kMostDebt = std::chrono::seconds(10);
 
 // Gelo's workers take 6 ms for one probe.
@@ -44,7 +44,7 @@
 
 void budget_account::bucket::Take(std::uint64_t units, time_point now) {
   if (units == 0 || per_second == 0) return;
-  earned = std::min(std::max(earned, now) + TimeFor(units), now + kMostDebt);
+  earned = std::min(std::max(earned, now) + TimeFor(units), now + TimeFor(burst) + kMostDebt);
 }
 
 budget_account::budget_account(std::uint64_t bytes_per_second,
--- /dev/null
+++ b/src/measuring/exposition.cc
@@ -0,0 +1,168 @@
+#include "src/measuring/exposition.h"
+
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "src/measuring/budget_account.h"
+#include "src/measuring/service_metrics.h"
+
+namespace bronzeroute {
+namespace {
+
+using std::string_view;
+
+void AppendNumber(std::string& out, double value) {
+  if (std::isinf(value)) {
+    out += "+Inf";
+    return;
+  }
+  std::array<char, 32> text{};
+  const auto [end, error] = std::to_chars(text.data(), text.data() + text.size(), value);
+  out.append(text.data(), error == std::errc() ? end : text.data());
+}
+
+void AppendHeader(std::string& out, string_view name, string_view type, string_view help) {
+  out.append("# HELP ").append(name).append(" ").append(help).append("\n# TYPE ");
+  out.append(name).append(" ").append(type).append("\n");
+}
+
+void AppendEscaped(std::string& out, string_view label) {
+  for (const char c : label) {
+    if (c == '\n') {
+      out += "\\n";
+      continue;
+    }
+    if (c == '\\' || c == '"') out += '\\';
+    out += c;
+  }
+}
+
+struct label {
+  string_view name;
+  string_view value;
+};
+
+template <std::size_t Count>
+void AppendSample(std::string& out, string_view metric, const std::array<label, Count>& labels,
+                  double value) {
+  out.append(metric);
+  char separator = '{';
+  for (const label& each : labels) {
+    out += separator;
+    out.append(each.name).append("=\"");
+    AppendEscaped(out, each.value);
+    out += '"';
+    separator = ',';
+  }
+  out += "} ";
+  AppendNumber(out, value);
+  out += '\n';
+}
+
+double Seconds(duration value) { return static_cast<double>(value.count()) / 1e6; }
+
+// Calls `visit` with service name, service and class for each class that has requests.
+template <typename Visitor>
+void ForEachClass(const service_metrics& metrics, Visitor visit) {
+  for (const auto& [name, row] : metrics.services()) {
+    for (std::size_t i = 0; i < kRequestClasses; ++i) {
+      if (row.classes[i]) visit(name, row, static_cast<request_class>(i), *row.classes[i]);
+    }
+  }
+}
+
+void AppendRequests(std::string& out, const service_metrics& metrics) {
+  constexpr string_view kName = "bronzeroute_requests_total";
+  AppendHeader(out, kName, "counter", "Requests that entered here, by how they ended.");
+  ForEachClass(metrics, [&](const std::string& name, const auto&, request_class of,
+                            const class_metrics& row) {
+    for (std::size_t i = 0; i < kRequestResults; ++i) {
+      AppendSample<3>(out, kName,
+                      {{{"service", name},
+                        {"class", RequestClassName(of)},
+                        {"result", RequestResultName(static_cast<request_result>(i))}}},
+                      static_cast<double>(row.results[i]));
+    }
+  });
+}
+
+void AppendLatency(std::string& out, const service_metrics& metrics, time_point now) {
+  constexpr string_view kName = "bronzeroute_request_latency_seconds";
+  constexpr std::array<string_view, latency_summary::kQuantiles.size()> kLabels = {
+      "0.5", "0.9", "0.99", "0.999"};
+  AppendHeader(out, kName, "summary", "Latency of served requests.");
+  ForEachClass(metrics, [&](const std::string& name, const auto&, request_class of,
+                            const class_metrics& row) {
+    for (std::size_t i = 0; i < kLabels.size(); ++i) {
+      AppendSample<3>(
+          out, kName,
+          {{{"service", name}, {"class", RequestClassName(of)}, {"quantile", kLabels[i]}}},
+          Seconds(row.latency.Quantile(i, now)));
+    }
+    const std::array<label, 2> labels = {{{"service", name}, {"class", RequestClassName(of)}}};
+    AppendSample(out, "bronzeroute_request_latency_seconds_sum", labels,
+                 Seconds(row.latency.sum()));
+    AppendSample(out, "bronzeroute_request_latency_seconds_count", labels,
+                 static_cast<double>(row.latency.count()));
+  });
+}
+
+void AppendBurn(std::string& out, const service_metrics& metrics, time_point now) {
+  constexpr string_view kName = "bronzeroute_burn_rate";
+  AppendHeader(out, kName, "gauge",
+               "Share of requests not served in time over the share that is allowed.");
+  ForEachClass(metrics, [&](const std::string& name, const service_metrics::service& service,
+                            request_class of, const class_metrics& row) {
+    AppendSample<3>(out, kName,
+                    {{{"service", name}, {"class", RequestClassName(of)}, {"window", "5m"}}},
+                    row.short_window.Rate(service.objective, now));
+    AppendSample<3>(out, kName,
+                    {{{"service", name}, {"class", RequestClassName(of)}, {"window", "1h"}}},
+                    row.long_window.Rate(service.objective, now));
+  });
+}
+
+template <typename Value>
+void AppendBudget(std::string& out, const budget_account& budget, string_view name,
+                  string_view help, Value value) {
+  constexpr std::array<distance, 3> kDistances = {distance::kSameZone, distance::kSameRegion,
+                                                  distance::kOtherRegion};
+  constexpr std::array<string_view, 3> kLabels = {"zone", "region", "other_region"};
+  AppendHeader(out, name, "counter", help);
+  for (std::size_t i = 0; i < kChargePurposes; ++i) {
+    const auto purpose = static_cast<charge_purpose>(i);
+    for (std::size_t d = 0; d < kDistances.size(); ++d) {
+      AppendSample<2>(out, name,
+                      {{{"purpose", ChargePurposeName(purpose)}, {"distance", kLabels[d]}}},
+                      value(budget.Counter(purpose, kDistances[d])));
+    }
+  }
+}
+
+}  // namespace
+
+std::string ExpositionText(const service_metrics& metrics, const budget_account& budget,
+                           time_point now) {
+  std::string out;
+  AppendRequests(out, metrics);
+  AppendLatency(out, metrics, now);
+  AppendBurn(out, metrics, now);
+  AppendBudget(out, budget, "bronzeroute_measuring_bytes_total", "Bytes sent for measuring.",
+               [](const budget_counter& row) { return static_cast<double>(row.bytes); });
+  AppendBudget(out, budget, "bronzeroute_measuring_upstream_seconds_total",
+               "Time of the upstream taken for measuring.",
+               [](const budget_counter& row) { return Seconds(row.upstream_time); });
+  AppendBudget(out, budget, "bronzeroute_measuring_refused_total",
+               "Measurements left out because the budget was used up.",
+               [](const budget_counter& row) { return static_cast<double>(row.refused); });
+  AppendBudget(out, budget, "bronzeroute_measuring_forced_total",
+               "Charges taken on credit so that failure detection goes on.",
+               [](const budget_counter& row) { return static_cast<double>(row.forced); });
+  return out;
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/measuring/exposition.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+#include "src/base/time.h"
+
+namespace bronzeroute {
+
+class budget_account;
+class service_metrics;
+
+/// The service levels and the use of the measuring budget in the Prometheus text format.
+/// Times are in seconds.
+std::string ExpositionText(const service_metrics& metrics, const budget_account& budget,
+                           time_point now);
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/measuring/service_metrics.cc
@@ -0,0 +1,57 @@
+#include "src/measuring/service_metrics.h"
+
+namespace bronzeroute {
+
+void service_metrics::SetObjective(std::string_view service_name, double objective) {
+  const auto found = services_.find(service_name);
+  service& row =
+      found == services_.end() ? services_[std::string(service_name)] : found->second;
+  row.objective = objective;
+}
+
+void service_metrics::Remove(std::string_view service_name) {
+  const auto found = services_.find(service_name);
+  if (found != services_.end()) services_.erase(found);
+}
+
+void service_metrics::Record(std::string_view service_name, request_class of,
+                             request_result result, duration latency, time_point now) {
+  const auto found = services_.find(service_name);
+  if (found == services_.end()) return;
+  std::unique_ptr<class_metrics>& metrics = found->second.classes[static_cast<std::size_t>(of)];
+  if (!metrics) metrics = std::make_unique<class_metrics>();
+  ++metrics->results[static_cast<std::size_t>(result)];
+  const bool good = result == request_result::kServedInTime;
+  metrics->short_window.Add(good, now);
+  metrics->long_window.Add(good, now);
+  if (good || result == request_result::kServedLate) metrics->latency.Add(latency, now);
+}
+
+const class_metrics* service_metrics::Find(std::string_view service_name,
+                                           request_class of) const {
+  const auto found = services_.find(service_name);
+  if (found == services_.end()) return nullptr;
+  return found->second.classes[static_cast<std::size_t>(of)].get();
+}
+
+std::uint64_t service_metrics::Count(std::string_view service_name, request_class of,
+                                     request_result result) const {
+  const class_metrics* metrics = Find(service_name, of);
+  return metrics == nullptr ? 0 : metrics->results[static_cast<std::size_t>(result)];
+}
+
+double service_metrics::ShortBurnRate(std::string_view service_name, request_class of,
+                                      time_point now) const {
+  const class_metrics* metrics = Find(service_name, of);
+  if (metrics == nullptr) return 0;
+  return metrics->short_window.Rate(services_.find(service_name)->second.objective, now);
+}
+
+double service_metrics::LongBurnRate(std::string_view service_name, request_class of,
+                                     time_point now) const {
+  const class_metrics* metrics = Find(service_name, of);
+  if (metrics == nullptr) return 0;
+  return metrics->long_window.Rate(services_.find(service_name)->second.objective, now);
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/tests/measuring/service_metrics_test.cc
@@ -0,0 +1,141 @@
+#include "src/measuring/service_metrics.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <string>
+
+#include "src/measuring/budget_account.h"
+#include "src/measuring/exposition.h"
+
+namespace bronzeroute {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using enum request_result;
+
+constexpr time_point kStart{seconds(1000)};
+constexpr request_class kShort = request_class::kShort;
+
+// Guards against results that mix between classes and services.
+TEST(ServiceMetrics, CountsPerServiceClassAndResult) {
+  service_metrics metrics;
+  metrics.SetObjective("pedidos", 0.99);
+  metrics.Record("pedidos", request_class::kProtected, kUnknown, milliseconds(9), kStart);
+  EXPECT_EQ(metrics.Count("pedidos", request_class::kProtected, kUnknown), 1U);
+  EXPECT_EQ(metrics.Count("pedidos", request_class::kProtected, kFailed), 0U);
+  EXPECT_EQ(metrics.Count("pedidos", kShort, kUnknown), 0U);
+}
+
+// Guards against memory that grows with names taken from requests.
+TEST(ServiceMetrics, UnknownServicesTakeNoMemory) {
+  service_metrics metrics;
+  metrics.Record("nonesuch", kShort, kServedInTime, milliseconds(1), kStart);
+  EXPECT_TRUE(metrics.services().empty());
+}
+
+// Guards against a served request that counts as late at exactly its limit.
+TEST(ServiceMetrics, ServedAtTheLimitIsInTime) {
+  EXPECT_EQ(ServedResult(milliseconds(5), milliseconds(5)), kServedInTime);
+  EXPECT_EQ(ServedResult(milliseconds(5) + duration(1), milliseconds(5)), kServedLate);
+}
+
+// Guards against a burn rate off by its objective, and against refusals that look like success.
+TEST(ServiceMetrics, BurnRateIsShareOfTheAllowance) {
+  service_metrics metrics;
+  metrics.SetObjective("estoque", 0.99);
+  for (int i = 0; i < 96; ++i) {
+    metrics.Record("estoque", kShort, kServedInTime, milliseconds(2), kStart);
+  }
+  for (const request_result bad : {kServedLate, kRefused, kUnknown, kFailed}) {
+    metrics.Record("estoque", kShort, bad, milliseconds(2), kStart);
+  }
+  EXPECT_NEAR(metrics.ShortBurnRate("estoque", kShort, kStart), 4, 1e-9);
+  EXPECT_NEAR(metrics.LongBurnRate("estoque", kShort, kStart), 4, 1e-9);
+}
+
+// Guards against windows that keep old failures, or that drop them early.
+TEST(ServiceMetrics, WindowsForget) {
+  service_metrics metrics;
+  metrics.SetObjective("estoque", 0.9);
+  metrics.Record("estoque", kShort, kFailed, milliseconds(2), kStart);
+  const auto burns_at = [&metrics](duration later) {
+    return std::pair(metrics.ShortBurnRate("estoque", kShort, kStart + later) > 0,
+                     metrics.LongBurnRate("estoque", kShort, kStart + later) > 0);
+  };
+  EXPECT_EQ(burns_at(minutes(4)), std::pair(true, true));
+  EXPECT_EQ(burns_at(minutes(6)), std::pair(false, true));
+  EXPECT_EQ(burns_at(minutes(58)), std::pair(false, true));
+  EXPECT_EQ(burns_at(minutes(61)), std::pair(false, false));
+}
+
+// Guards against a division by zero for an objective without allowance.
+TEST(ServiceMetrics, FullObjectiveBurnsInfinitely) {
+  service_metrics metrics;
+  metrics.SetObjective("scoring", 1);
+  metrics.Record("scoring", kShort, kServedInTime, milliseconds(2), kStart);
+  EXPECT_EQ(metrics.ShortBurnRate("scoring", kShort, kStart), 0);
+  metrics.Record("scoring", kShort, kFailed, milliseconds(2), kStart);
+  EXPECT_TRUE(std::isinf(metrics.ShortBurnRate("scoring", kShort, kStart)));
+}
+
+// Guards against quantiles read from an estimator that has too few samples.
+TEST(LatencySummary, FewSamplesAreExact) {
+  latency_summary summary;
+  EXPECT_EQ(summary.Quantile(0, kStart), duration(0));
+  for (int i = 1; i <= 5; ++i) summary.Add(milliseconds(i), kStart);
+  EXPECT_EQ(summary.Quantile(0, kStart), milliseconds(3));
+  EXPECT_EQ(summary.Quantile(2, kStart), milliseconds(5));
+}
+
+// Guards against quantiles that stray from the true ones.
+TEST(LatencySummary, ManySamplesAreClose) {
+  latency_summary summary;
+  for (int i = 0; i < 100'000; ++i) {
+    summary.Add(duration((i * 7919LL) % 100'000), kStart + milliseconds(i));
+  }
+  const time_point end = kStart + milliseconds(100'000);
+  EXPECT_NEAR(static_cast<double>(summary.Quantile(0, end).count()), 50'000, 1'000);
+  EXPECT_NEAR(static_cast<double>(summary.Quantile(2, end).count()), 99'000, 1'000);
+  EXPECT_EQ(summary.Highest(end), duration(99'999));
+}
+
+// Guards against a summary that still shows an incident of long ago.
+TEST(LatencySummary, ForgetsAfterTenMinutes) {
+  latency_summary summary;
+  summary.Add(seconds(9), kStart);
+  EXPECT_EQ(summary.Highest(kStart + minutes(4)), seconds(9));
+  for (int minute = 0; minute < 11; ++minute) {
+    summary.Add(milliseconds(1), kStart + minutes(minute));
+  }
+  EXPECT_EQ(summary.Highest(kStart + minutes(11)), milliseconds(1));
+  EXPECT_EQ(summary.Highest(kStart + minutes(30)), duration(0));
+  EXPECT_EQ(summary.count(), 12U);
+}
+
+// Guards against text that a scraper rejects, such as an unescaped label.
+TEST(Exposition, FollowsTheTextFormat) {
+  service_metrics metrics;
+  metrics.SetObjective("a\"b\\c\n", 1);
+  metrics.Record("a\"b\\c\n", kShort, kServedInTime, milliseconds(250), kStart);
+  metrics.Record("a\"b\\c\n", kShort, kFailed, milliseconds(250), kStart);
+  budget_account budget(5000, duration(0));
+  budget.TryCharge({.bytes = 130, .where = distance::kOtherRegion}, kStart);
+  const std::string text = ExpositionText(metrics, budget, kStart);
+  const auto has = [&text](std::string_view line) {
+    return text.find(std::string(line) + "\n") != std::string::npos;
+  };
+  const std::string labels = R"({service="a\"b\\c\n",class="short",)";
+  EXPECT_TRUE(has("# TYPE bronzeroute_requests_total counter"));
+  EXPECT_TRUE(has("bronzeroute_requests_total" + labels + "result=\"failed\"} 1"));
+  EXPECT_TRUE(has("bronzeroute_request_latency_seconds" + labels + "quantile=\"0.99\"} 0.25"));
+  EXPECT_TRUE(has("bronzeroute_burn_rate" + labels + "window=\"5m\"} +Inf"));
+  EXPECT_TRUE(
+      has("bronzeroute_measuring_bytes_total"
+          "{purpose=\"membership_probe\",distance=\"other_region\"} 130"));
+}
+
+}  // namespace
+}  // namespace bronzeroute
