Count verdicts of other members as suspicions

Cause: after a short cut, members still passing on "dead" records made a healed side remove its own healthy members: the first record started a suspicion and the second ended it. Ruled out: dropping "dead" records at the sender, which cannot know that the cut has ended. Change: a "dead" record counts as a suspicion at every receiver, which decides by itself after a full suspicion time without refutation. Before: VerdictsDoNotCrossAHealedCut failed with healthy members dead on their own side. Conclusion: a verdict needs an unrefuted suspicion at the process that acts on it.

--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -86,8 +86,8 @@
     return result;
   }
   if (update.row.run == row.run) return MergeSameRun(index, update);
-  if (!update.has_details && IsLive(update.row.state)) {
-    result.needs_details = true;
+  if (!update.has_details && update.row.state != member_state::kLeft) {
+    result.needs_details = IsLive(update.row.state);
     return result;
   }
   if (update.has_details) {
@@ -96,7 +96,8 @@
   }
   row.run = update.row.run;
   row.refutation = update.row.refutation;
-  row.state = update.row.state;
+  row.state =
+      update.row.state == member_state::kDead ? member_state::kSuspect : update.row.state;
   row.draining = update.row.draining;
   row.config_version = -1;
   row.hint = load_hint();
@@ -133,14 +134,8 @@
       state = member_state::kLeft;
       break;
     case member_state::kDead:
-      // A member held for alive gets a suspicion first: when two sides of a partition meet,
+      // Another process's verdict counts as a suspicion: when two sides of a partition meet,
       // the verdicts of one side must not remove healthy members on the other.
-      if (theirs >= row.refutation && row.state == member_state::kAlive) {
-        state = member_state::kSuspect;
-      } else if (theirs >= row.refutation) {
-        state = member_state::kDead;
-      }
-      break;
     case member_state::kSuspect:
       if (theirs > row.refutation ||
           (theirs == row.refutation && row.state == member_state::kAlive)) {
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -18,7 +18,8 @@
 /// Member rows with their order of precedence. Row 0 is the own daemon and is never merged.
 ///
 /// A higher run replaces a lower one. Within a run left is final; then the higher refutation
-/// counter wins, and at the same counter dead before suspect before alive.
+/// counter wins, and at the same counter suspect before alive. Dead is each process's own
+/// verdict after a suspicion that nobody refuted; a record that says dead counts as suspect.
 class member_table {
  public:
   static constexpr std::size_t kBuckets = 16;
--- a/tests/membership/member_net.h
+++ b/tests/membership/member_net.h
@@ -69,7 +69,8 @@
     for (std::size_t i = 0; i < count; ++i) Start(i);
   }
   void Kill(std::size_t slot) { nodes_[slot].reset(); }
-  /// A frozen process does not run; its datagrams wait as in a socket buffer.
+  /// A frozen process does not run; its datagrams wait as in a socket buffer, or are lost as in
+  /// a full one.
   void Freeze(std::size_t slot, bool frozen) { nodes_[slot]->frozen = frozen; }
   /// Cuts every link between the two groups.
   void Cut(std::set<std::size_t> side) { cut_ = std::move(side); }
@@ -124,6 +125,8 @@
     return true;
   }
 
+  bool lose_while_frozen = false;
+
   // The log.
   bool log_down = false;
   int lose_append_responses = 0;
@@ -213,7 +216,7 @@
     const std::size_t from = SlotOf(arriving.from);
     if (!running(to) || cut_.contains(to) != cut_.contains(from)) return;
     if (nodes_[to]->frozen) {
-      nodes_[to]->waiting.push_back(arriving);
+      if (!lose_while_frozen) nodes_[to]->waiting.push_back(arriving);
     } else {
       nodes_[to]->system->OnDatagram(arriving.from, arriving.payload, now_);
     }
--- /dev/null
+++ b/tests/membership/member_table_test.cc
@@ -0,0 +1,96 @@
+#include "src/membership/member_table.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstdint>
+#include <tuple>
+#include <vector>
+
+namespace bronzeroute {
+namespace {
+
+constexpr member_id kPeer{77};
+
+member_table MakeTable() {
+  member_row self;
+  self.id.value = 1;
+  return member_table(self, 1);
+}
+
+member_update Say(std::uint64_t run, std::uint64_t refutation, member_state state) {
+  member_update update;
+  update.row.id = kPeer;
+  update.row.run.value = run;
+  update.row.refutation = refutation;
+  update.row.state = state;
+  update.has_details = true;
+  update.details_version = 1;
+  return update;
+}
+
+// Guards against verdicts of others, however many, that remove a healthy member.
+TEST(MemberTable, VerdictsOfOthersOnlyStartASuspicion) {
+  member_table table = MakeTable();
+  table.Merge(Say(5, 2, member_state::kAlive));
+  table.Merge(Say(5, 2, member_state::kDead));
+  EXPECT_EQ(table.Find(kPeer)->state, member_state::kSuspect);
+  table.Merge(Say(5, 2, member_state::kDead));
+  table.Merge(Say(5, 3, member_state::kDead));
+  EXPECT_EQ(table.Find(kPeer)->state, member_state::kSuspect);
+}
+
+// Guards against a dead or departed run that comes back without its own refutation.
+TEST(MemberTable, OnlyAHigherCounterOrRunRevives) {
+  member_table table = MakeTable();
+  table.Merge(Say(5, 2, member_state::kAlive));
+  table.Mutable(1).state = member_state::kDead;
+  table.Refresh(1);
+  EXPECT_TRUE(table.Merge(Say(5, 2, member_state::kAlive)).contradicts_dead);
+  EXPECT_EQ(table.Find(kPeer)->state, member_state::kDead);
+  table.Merge(Say(5, 3, member_state::kAlive));
+  EXPECT_EQ(table.Find(kPeer)->state, member_state::kAlive);
+  table.Merge(Say(5, 3, member_state::kLeft));
+  table.Merge(Say(5, 9, member_state::kAlive));
+  EXPECT_EQ(table.Find(kPeer)->state, member_state::kLeft);
+  EXPECT_TRUE(table.Merge(Say(4, 9, member_state::kAlive)).earlier_run);
+  table.Merge(Say(6, 0, member_state::kAlive));
+  EXPECT_EQ(table.Find(kPeer)->state, member_state::kAlive);
+}
+
+// Guards against digests that drift from the rows, after which peers compare in vain, and
+// against runs or counters that go back.
+RC_GTEST_PROP(MemberTableProperty, DigestsFollowRowsAndRunsNeverGoBack, ()) {
+  member_table table = MakeTable();
+  const auto says = *rc::gen::container<std::vector<std::tuple<int, int, int, int>>>(
+      rc::gen::tuple(rc::gen::inRange(2, 6), rc::gen::inRange(1, 4), rc::gen::inRange(0, 4),
+                     rc::gen::inRange(0, 5)));
+  for (const auto& [id, run, refutation, state] : says) {
+    const member_id peer{static_cast<std::uint64_t>(id)};
+    if (state == 4) {
+      if (table.IndexOf(peer) > 0) table.Erase(static_cast<std::size_t>(table.IndexOf(peer)));
+      continue;
+    }
+    const member_row before = table.Find(peer) != nullptr ? *table.Find(peer) : member_row{};
+    member_update update =
+        Say(static_cast<std::uint64_t>(run), static_cast<std::uint64_t>(refutation),
+            static_cast<member_state>(state));
+    update.row.id = peer;
+    table.Merge(update);
+    if (const member_row* after = table.Find(peer)) {
+      RC_ASSERT(after->run.value >= before.run.value);
+      RC_ASSERT(after->run != before.run || after->refutation >= before.refutation);
+    }
+  }
+  member_table rebuilt = MakeTable();
+  for (std::size_t i = 1; i < table.size(); ++i) {
+    if (IsLive(table.row(i).state)) rebuilt.Merge(table.Update(i, true));
+  }
+  RC_ASSERT(rebuilt.live() == table.live());
+  for (std::size_t b = 0; b < member_table::kBuckets; ++b) {
+    RC_ASSERT(rebuilt.digests()[b] == table.digests()[b]);
+  }
+}
+
+}  // namespace
+}  // namespace bronzeroute
--- a/tests/membership/membership_system_test.cc
+++ b/tests/membership/membership_system_test.cc
@@ -145,6 +145,7 @@
   net.Freeze(3, true);
   ASSERT_TRUE(
       net.RunUntil(seconds(15), [&] { return HasState(net, 0, 3, member_state::kSuspect); }));
+  net.lose_while_frozen = true;
   net.Freeze(0, true);
   net.Freeze(3, false);
   net.RunFor(seconds(60));
@@ -174,6 +175,30 @@
   }
 }
 
+// Guards against verdicts of one side, still being passed on when the sides meet again, that
+// remove healthy members on the other side.
+TEST(Membership, VerdictsDoNotCrossAHealedCut) {
+  member_net net({.seed = 5});
+  for (std::size_t i = 0; i < 16; ++i) net.Start(i, i < 8 ? "recife" : "salvador");
+  net.RunFor(seconds(15));
+  net.Cut({0, 1, 2, 3, 4, 5, 6, 7});
+  ASSERT_TRUE(net.RunUntil(seconds(30), [&] {
+    int dead = 0;
+    for (std::size_t b = 8; b < 16; ++b) dead += HasState(net, 0, b, member_state::kDead);
+    return dead >= 6;
+  }));
+  for (std::size_t i = 0; i < 16; ++i) net.at(i).TakeEvents();
+  net.Heal();
+  net.RunFor(seconds(40));
+  EXPECT_TRUE(net.Converged());
+  for (std::size_t i = 8; i < 16; ++i) {
+    for (const membership_event& event : net.at(i).TakeEvents()) {
+      const bool same_side = event.id.value >= member_net::Id(8).value;
+      EXPECT_FALSE(event.kind == membership_event_kind::kDead && same_side) << i;
+    }
+  }
+}
+
 // Guards against memory of dead members without end.
 TEST(Membership, DeadMembersAreForgottenAfterTwoHours) {
   member_net net({});
