Add policy benchmark on a virtual clock

Cause: the choice of upstream could not be compared with the baselines. Ruled out: measuring on processes, since wall-clock time would judge the policy; a model of the whole cluster, since one service shows all four measures. Change: bench/policy_bench, an event model of one service with the real admission and routing systems on both users' shapes. Neighbours slow each worker for some 5 ms at a time.

--- /dev/null
+++ b/bench/policy_bench.cc
@@ -0,0 +1,668 @@
+// Compares choice policies on a virtual clock: one service, the entries and owners of one
+// user's environment, the real admission and routing systems, and workers whose speed shifts
+// every few milliseconds. All policies of a run get the same calls and the same shifts of
+// speed. Usage: policy_bench [SEED]
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/admission/admission_listener.h"
+#include "src/admission/admission_system.h"
+#include "src/base/error_answer.h"
+#include "src/calls/attempt_head.h"
+#include "src/membership/member_row.h"
+#include "src/routing/policy_least_reported.h"
+#include "src/routing/policy_random.h"
+#include "src/routing/policy_round_robin.h"
+#include "src/routing/policy_two_choices.h"
+#include "src/routing/routing_system.h"
+
+namespace bronzeroute {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// One user's environment, as in section 1 of the design page.
+struct user_shape {
+  std::string_view name;
+  std::uint32_t entries = 0;
+  std::uint32_t workers = 0;
+  std::uint32_t slots = 0;
+  std::uint32_t connections = 0;
+  /// Work that a probe of its load costs a worker.
+  duration probe_cost{};
+};
+
+constexpr user_shape kGelo = {"gelo", 19, 6, 6, 260, milliseconds(6)};
+constexpr user_shape kSiam = {"siam", 18, 6, 9, 220, milliseconds(0)};
+
+constexpr std::uint32_t kZones = 6;
+constexpr std::uint32_t kZonesPerRegion = 2;
+constexpr duration kOneWayInZone{100};
+constexpr duration kOneWayZones{1400};
+constexpr duration kOneWayRegions{12000};
+/// 4,000 Mbit/s between two regions.
+constexpr double kLinkBytesPerUs = 500;
+
+constexpr double kShortWorkUs = 4000;
+constexpr double kShortSigma = 0.6;
+constexpr double kLongWorkUs = 400'000;
+constexpr double kLongSigma = 0.5;
+constexpr std::uint64_t kLongBytes = 8 << 20;
+constexpr duration kShortTimeLimit = milliseconds(250);
+constexpr duration kLongTimeLimit = seconds(30);
+
+/// A neighbour takes half or four fifths of a worker for some 5 ms at a time.
+constexpr double kSpeedShiftUs = 5000;
+constexpr double kMeanSpeed = 0.60 * 1.0 + 0.25 * 0.5 + 0.15 * 0.2;
+
+constexpr std::uint64_t kHintBytes = 20;
+constexpr duration kReportInterval = milliseconds(100);
+constexpr duration kTick = milliseconds(10);
+constexpr std::uint32_t kMaxAttempts = 3;
+/// Attempts after a refusal, as a share of first attempts.
+constexpr double kRetryShare = 0.2;
+constexpr double kRetryBurst = 20;
+
+constexpr duration kWarmUp = seconds(1);
+constexpr duration kCrestStart = seconds(3);
+constexpr duration kCrestRise = milliseconds(500);
+constexpr duration kCrestEnd = seconds(6);
+constexpr double kCrestFactor = 5;
+
+struct scenario {
+  /// Short work offered, as a share of what the workers can do at their mean speed.
+  double load = 0;
+  /// Share of the slots that long work would fill.
+  double long_load = 0;
+  bool crest = false;
+  duration length{};
+};
+
+/// What a variant of the model knows of the owners' load.
+enum class knowledge : std::uint8_t { kNone, kReports, kHints };
+
+struct call {
+  time_point arrival;
+  time_point deadline;
+  std::uint32_t entry = 0;
+  bool is_long = false;
+  double work_us = 0;
+  std::vector<member_id> tried;
+  std::uint32_t owner = 0;
+  bool is_trial = false;
+};
+
+struct call_result {
+  time_point arrival;
+  duration latency{};
+  bool is_long = false;
+  bool answered = false;
+  bool in_time = false;
+};
+
+struct run_result {
+  std::vector<call_result> calls;
+  /// Bytes of hints and reports: within a zone, between zones, between regions.
+  std::array<std::uint64_t, 3> measuring_bytes{};
+  duration probe_time{};
+  std::uint64_t attempts = 0;
+  std::uint64_t other_region = 0;
+  std::uint64_t billed_bytes = 0;
+};
+
+enum class event_kind : std::uint8_t {
+  kArrival,
+  kAttemptAtOwner,
+  kWorkerDone,
+  kSpeedShift,
+  kResponse,
+  kReport,
+  kReportAtEntry,
+  kTick,
+};
+
+struct event {
+  time_point at;
+  std::uint64_t order = 0;
+  event_kind kind = event_kind::kTick;
+  std::uint32_t subject = 0;
+  std::uint64_t version = 0;
+  error_kind error = error_kind::kNone;
+  load_hint hint{};
+
+  bool operator>(const event& other) const {
+    return at != other.at ? at > other.at : order > other.order;
+  }
+};
+
+struct running_work {
+  std::uint32_t call_index = 0;
+  exchange_id exchange;
+  double remaining_us = 0;
+  time_point started;
+};
+
+std::uint32_t ZoneOf(std::uint32_t instance) { return instance % kZones; }
+std::uint32_t RegionOf(std::uint32_t instance) { return ZoneOf(instance) / kZonesPerRegion; }
+
+distance DistanceOf(std::uint32_t a, std::uint32_t b) {
+  if (a == b) return distance::kSameInstance;
+  if (RegionOf(a) != RegionOf(b)) return distance::kOtherRegion;
+  return ZoneOf(a) == ZoneOf(b) ? distance::kSameZone : distance::kSameRegion;
+}
+
+duration OneWay(std::uint32_t a, std::uint32_t b) {
+  switch (DistanceOf(a, b)) {
+    case distance::kSameInstance:
+      return duration(0);
+    case distance::kSameZone:
+      return kOneWayInZone;
+    case distance::kSameRegion:
+      return kOneWayZones;
+    case distance::kOtherRegion:
+      break;
+  }
+  return kOneWayRegions;
+}
+
+/// Instance i is an entry; the first ones are owners too.
+template <choice_policy Policy>
+class policy_model {
+ public:
+  policy_model(const user_shape& shape, const scenario& plan, knowledge known,
+               std::uint64_t seed)
+      : shape_(shape), plan_(plan), known_(known), arrivals_(seed), works_(seed + 1) {
+    spec_.name = "orders";
+    spec_.max_slots = shape.slots;
+    spec_.max_connections = shape.connections;
+    spec_.queue_limit = 64;
+    spec_.long_share = 0.34;
+    spec_.routes = {{.method = "*", .prefix = "/orders/read"},
+                    {.method = "*", .prefix = "/orders/photos", .is_long = true}};
+    std::vector<member_row> members(shape.workers);
+    for (std::uint32_t i = 0; i < shape.workers; ++i) {
+      members[i].id = Id(i);
+      members[i].run = incarnation{1};
+      members[i].service = spec_.name;
+      members[i].region = std::to_string(RegionOf(i));
+      members[i].availability_zone = std::to_string(ZoneOf(i));
+      owners_.push_back(std::make_unique<owner>(this, seed + 100 + i));
+      owners_[i]->admission.Configure(spec_, shape.slots, shape.connections, time_point());
+      Push({.at = time_point(), .kind = event_kind::kSpeedShift, .subject = i});
+      Push({.at = time_point() + kTick, .kind = event_kind::kTick, .subject = i});
+      if (known == knowledge::kReports) {
+        // Reports of different workers are not in step.
+        Push({.at = time_point() + kReportInterval * i / shape.workers,
+              .kind = event_kind::kReport,
+              .subject = i});
+      }
+    }
+    for (std::uint32_t i = 0; i < shape.entries; ++i) {
+      entries_.push_back(std::make_unique<entry>(seed + 200 + i));
+      entries_[i]->routing.OnMembers(members, Id(i), std::to_string(RegionOf(i)),
+                                     std::to_string(ZoneOf(i)), time_point());
+    }
+    const double capacity = shape.workers * shape.slots * kMeanSpeed;
+    short_per_us_ = plan.load * capacity / kShortWorkUs;
+    long_per_us_ = plan.long_load * capacity / kLongWorkUs;
+    Push({.at = time_point(), .kind = event_kind::kArrival, .subject = 0});
+    Push({.at = time_point(), .kind = event_kind::kArrival, .subject = 1});
+  }
+
+  run_result Run() {
+    while (!events_.empty()) {
+      const event next = events_.top();
+      events_.pop();
+      now_ = next.at;
+      // Calls that are open at the end are finished, but nothing is repeated any more.
+      if (now_ > time_point() + plan_.length + kLongTimeLimit) break;
+      Handle(next);
+      if (now_ > time_point() + plan_.length && open_calls_ == 0) break;
+    }
+    return std::move(result_);
+  }
+
+ private:
+  struct owner : public admission_listener {
+    owner(policy_model* the_model, std::uint64_t seed) : model(the_model), random(seed) {}
+    void OnQueuedStarted(exchange_id exchange) override { model->StartWork(*this, exchange); }
+    void OnQueuedRefused(exchange_id exchange, error_kind kind) override {
+      model->Respond(CallOf(exchange), kind);
+    }
+
+    policy_model* model;
+    std::mt19937_64 random;
+    admission_system admission{this};
+    std::vector<running_work> running;
+    double speed = 1;
+    time_point advanced;
+    std::uint64_t version = 0;
+  };
+
+  struct entry {
+    explicit entry(std::uint64_t seed) : routing(seed) {}
+    routing_system<Policy> routing;
+    double retry_tokens = kRetryBurst;
+  };
+
+  static member_id Id(std::uint32_t instance) { return member_id{instance + 1}; }
+  static std::uint32_t CallOf(exchange_id exchange) {
+    return static_cast<std::uint32_t>(exchange.value / (kMaxAttempts + 1));
+  }
+  exchange_id ExchangeOf(std::uint32_t index) const {
+    return exchange_id{std::uint64_t{index} * (kMaxAttempts + 1) + calls_[index].tried.size()};
+  }
+  owner& OwnerAt(std::uint32_t index) { return *owners_[index]; }
+  bool Ended() const { return now_ > time_point() + plan_.length; }
+
+  void Push(event item) {
+    item.order = ++order_;
+    events_.push(item);
+  }
+
+  void Handle(const event& item) {
+    switch (item.kind) {
+      case event_kind::kArrival:
+        Arrive(item.subject == 1);
+        break;
+      case event_kind::kAttemptAtOwner:
+        OfferAtOwner(item.subject);
+        break;
+      case event_kind::kWorkerDone:
+        if (item.version == OwnerAt(item.subject).version) FinishWork(item.subject);
+        break;
+      case event_kind::kSpeedShift:
+        ShiftSpeed(item.subject);
+        break;
+      case event_kind::kResponse:
+        OnResponse(item);
+        break;
+      case event_kind::kReport:
+        SendReports(item.subject);
+        break;
+      case event_kind::kReportAtEntry:
+        entries_[item.version]->routing.OnHint(Id(item.subject), incarnation{1}, item.hint,
+                                               now_);
+        break;
+      case event_kind::kTick:
+        OwnerAt(item.subject).admission.Tick(now_);
+        if (!Ended() || open_calls_ > 0) {
+          Push({.at = now_ + kTick, .kind = event_kind::kTick, .subject = item.subject});
+        }
+        break;
+    }
+  }
+
+  double DemandFactor() const {
+    const duration at = now_ - time_point();
+    if (!plan_.crest || at < kCrestStart || at >= kCrestEnd) return 1;
+    const double rise = static_cast<double>((at - kCrestStart).count()) /
+                        static_cast<double>(kCrestRise.count());
+    return 1 + (kCrestFactor - 1) * std::min(rise, 1.0);
+  }
+
+  void Arrive(bool is_long) {
+    const double rate = is_long ? long_per_us_ : short_per_us_ * DemandFactor();
+    if (rate <= 0 || Ended()) return;
+    std::mt19937_64& random = is_long ? works_ : arrivals_;
+    const double gap = std::exponential_distribution<>(rate)(random);
+    Push({.at = now_ + duration(static_cast<duration::rep>(gap)),
+          .kind = event_kind::kArrival,
+          .subject = is_long ? 1U : 0U});
+    const double sigma = is_long ? kLongSigma : kShortSigma;
+    const double mean = is_long ? kLongWorkUs : kShortWorkUs;
+    std::lognormal_distribution<> work(std::log(mean) - sigma * sigma / 2, sigma);
+    call item;
+    item.arrival = now_;
+    item.deadline = now_ + (is_long ? kLongTimeLimit : kShortTimeLimit);
+    item.entry = std::uniform_int_distribution<std::uint32_t>(0, shape_.entries - 1)(random);
+    item.is_long = is_long;
+    item.work_us = work(random);
+    calls_.push_back(item);
+    ++open_calls_;
+    entry& at = *entries_[item.entry];
+    at.retry_tokens = std::min(at.retry_tokens + kRetryShare, kRetryBurst);
+    SendAttempt(static_cast<std::uint32_t>(calls_.size() - 1));
+  }
+
+  void SendAttempt(std::uint32_t index) {
+    call& item = calls_[index];
+    entry& from = *entries_[item.entry];
+    if (known_ == knowledge::kHints && item.entry < shape_.workers) {
+      from.routing.OnHint(Id(item.entry), incarnation{1},
+                          OwnerAt(item.entry).admission.Hint(now_), now_);
+    }
+    choice_request request;
+    request.is_long = item.is_long;
+    request.content_length = item.is_long ? kLongBytes : 0;
+    request.deadline = item.deadline;
+    const choice_result chosen = from.routing.Choose(spec_, request, item.tried, now_);
+    if (!chosen.member) {
+      EndCall(index, false);
+      return;
+    }
+    item.owner = static_cast<std::uint32_t>(chosen.member->value - 1);
+    item.is_trial = chosen.is_trial;
+    item.tried.push_back(*chosen.member);
+    from.routing.OnAttemptSent(*chosen.member, chosen.is_trial, now_);
+    ++result_.attempts;
+    if (DistanceOf(item.entry, item.owner) == distance::kOtherRegion) ++result_.other_region;
+    Push({.at = now_ + OneWay(item.entry, item.owner),
+          .kind = event_kind::kAttemptAtOwner,
+          .subject = index});
+  }
+
+  void OfferAtOwner(std::uint32_t index) {
+    const call& item = calls_[index];
+    owner& at = OwnerAt(item.owner);
+    attempt_head head;
+    head.service = spec_.name;
+    head.method = "POST";
+    head.path = item.is_long ? "/orders/photos" : "/orders/read";
+    head.is_long = item.is_long;
+    head.content_length = item.is_long ? kLongBytes : 0;
+    head.deadline = item.deadline;
+    const offer_result result = at.admission.Offer(ExchangeOf(index), head, now_);
+    if (result.state == offer_state::kStarted) StartWork(at, ExchangeOf(index));
+    if (result.state == offer_state::kRefused) Respond(index, result.kind);
+  }
+
+  void StartWork(owner& at, exchange_id exchange) {
+    const std::uint32_t index = CallOf(exchange);
+    const call& item = calls_[index];
+    double work = item.work_us;
+    if (item.is_long && DistanceOf(item.entry, item.owner) == distance::kOtherRegion) {
+      work += static_cast<double>(kLongBytes) / kLinkBytesPerUs;
+      result_.billed_bytes += kLongBytes;
+    }
+    Advance(at);
+    at.running.push_back(
+        {.call_index = index, .exchange = exchange, .remaining_us = work, .started = now_});
+    ScheduleNext(at, item.owner);
+  }
+
+  void Advance(owner& at) {
+    const double done = static_cast<double>((now_ - at.advanced).count()) * at.speed;
+    for (running_work& work : at.running) work.remaining_us -= done;
+    at.advanced = now_;
+  }
+
+  void ScheduleNext(owner& at, std::uint32_t subject) {
+    ++at.version;
+    const auto next = std::ranges::min_element(at.running, {}, &running_work::remaining_us);
+    if (next == at.running.end()) return;
+    const double wait = std::max(next->remaining_us, 0.0) / at.speed;
+    Push({.at = now_ + duration(static_cast<duration::rep>(std::ceil(wait))),
+          .kind = event_kind::kWorkerDone,
+          .subject = subject,
+          .version = at.version});
+  }
+
+  void FinishWork(std::uint32_t subject) {
+    owner& at = OwnerAt(subject);
+    Advance(at);
+    const auto done = std::ranges::min_element(at.running, {}, &running_work::remaining_us);
+    const running_work work = *done;
+    at.running.erase(done);
+    at.admission.OnUpstreamEnded(
+        work.exchange,
+        {.result = upstream_result::kAnswered, .service_time = now_ - work.started}, now_);
+    ScheduleNext(at, subject);
+    Respond(work.call_index, error_kind::kNone);
+  }
+
+  void ShiftSpeed(std::uint32_t subject) {
+    owner& at = OwnerAt(subject);
+    Advance(at);
+    const double draw = std::uniform_real_distribution<>(0, 1)(at.random);
+    at.speed = draw < 0.6 ? 1 : draw < 0.85 ? 0.5 : 0.2;
+    ScheduleNext(at, subject);
+    const double length = std::exponential_distribution<>(1 / kSpeedShiftUs)(at.random);
+    if (Ended() && open_calls_ == 0) return;
+    Push({.at = now_ + duration(1 + static_cast<duration::rep>(length)),
+          .kind = event_kind::kSpeedShift,
+          .subject = subject});
+  }
+
+  void Respond(std::uint32_t index, error_kind kind) {
+    const call& item = calls_[index];
+    event response = {.at = now_ + OneWay(item.entry, item.owner),
+                      .kind = event_kind::kResponse,
+                      .subject = index,
+                      .error = kind};
+    if (known_ == knowledge::kHints) {
+      response.hint = OwnerAt(item.owner).admission.Hint(now_);
+      CountMeasuring(item.entry, item.owner);
+    }
+    Push(response);
+  }
+
+  void OnResponse(const event& item) {
+    const call& row = calls_[item.subject];
+    entry& at = *entries_[row.entry];
+    const bool refused = item.error != error_kind::kNone;
+    if (known_ == knowledge::kHints) {
+      at.routing.OnHint(Id(row.owner), incarnation{1}, item.hint, now_);
+    }
+    const auto outcome = !refused ? attempt_outcome::kAnswered
+                         : item.error == error_kind::kUpstreamEjected
+                             ? attempt_outcome::kRefusedEjected
+                             : attempt_outcome::kRefused;
+    at.routing.OnAttemptEnded(Id(row.owner), outcome, row.is_trial, now_);
+    const bool again = refused && AnswerFor(item.error).try_elsewhere &&
+                       row.tried.size() < kMaxAttempts && at.retry_tokens >= 1 &&
+                       now_ < row.deadline;
+    if (again) {
+      at.retry_tokens -= 1;
+      SendAttempt(item.subject);
+    } else {
+      EndCall(item.subject, !refused);
+    }
+  }
+
+  void EndCall(std::uint32_t index, bool answered) {
+    const call& item = calls_[index];
+    --open_calls_;
+    result_.calls.push_back({.arrival = item.arrival,
+                             .latency = now_ - item.arrival,
+                             .is_long = item.is_long,
+                             .answered = answered,
+                             .in_time = answered && now_ <= item.deadline});
+  }
+
+  void SendReports(std::uint32_t subject) {
+    result_.probe_time += shape_.probe_cost;
+    const load_hint hint = OwnerAt(subject).admission.Hint(now_);
+    for (std::uint32_t i = 0; i < shape_.entries; ++i) {
+      CountMeasuring(i, subject);
+      Push({.at = now_ + OneWay(i, subject),
+            .kind = event_kind::kReportAtEntry,
+            .subject = subject,
+            .version = i,
+            .hint = hint});
+    }
+    if (Ended()) return;
+    Push({.at = now_ + kReportInterval, .kind = event_kind::kReport, .subject = subject});
+  }
+
+  void CountMeasuring(std::uint32_t a, std::uint32_t b) {
+    const distance where = DistanceOf(a, b);
+    if (where == distance::kSameInstance) return;
+    result_.measuring_bytes[where == distance::kSameZone     ? 0
+                            : where == distance::kSameRegion ? 1
+                                                             : 2] += kHintBytes;
+  }
+
+  user_shape shape_;
+  scenario plan_;
+  knowledge known_;
+  service_spec spec_;
+  std::mt19937_64 arrivals_;
+  std::mt19937_64 works_;
+  double short_per_us_ = 0;
+  double long_per_us_ = 0;
+  time_point now_;
+  std::uint64_t order_ = 0;
+  std::priority_queue<event, std::vector<event>, std::greater<>> events_;
+  std::vector<std::unique_ptr<owner>> owners_;
+  std::vector<std::unique_ptr<entry>> entries_;
+  std::vector<call> calls_;
+  std::uint64_t open_calls_ = 0;
+  run_result result_;
+};
+
+double Percentile(std::vector<double>& values, double share) {
+  if (values.empty()) return 0;
+  const auto index =
+      static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), values.begin() + index, values.end());
+  return values[static_cast<std::size_t>(index)];
+}
+
+/// Latencies in ms of answered short calls that arrived in the span.
+std::vector<double> ShortLatencies(const run_result& run, duration from, duration to) {
+  std::vector<double> values;
+  for (const call_result& row : run.calls) {
+    const duration at = row.arrival - time_point();
+    if (row.answered && !row.is_long && at >= from && at < to) {
+      values.push_back(static_cast<double>(row.latency.count()) / 1000);
+    }
+  }
+  return values;
+}
+
+struct span_counts {
+  double offered = 0;
+  double in_time = 0;
+  double late = 0;
+  double refused = 0;
+};
+
+span_counts Count(const run_result& run, bool is_long, duration from, duration to) {
+  span_counts counts;
+  for (const call_result& row : run.calls) {
+    const duration at = row.arrival - time_point();
+    if (row.is_long != is_long || at < from || at >= to) continue;
+    ++counts.offered;
+    if (row.in_time) {
+      ++counts.in_time;
+    } else if (row.answered) {
+      ++counts.late;
+    } else {
+      ++counts.refused;
+    }
+  }
+  return counts;
+}
+
+/// Time after the crest from which four windows of 50 ms in a row are as before it: 99 in 100
+/// calls served in time and a p99 of at most twice the earlier one. -1 if never.
+double RecoveryMs(const run_result& run, double earlier_p99, duration end) {
+  constexpr duration kWindow = milliseconds(50);
+  int good = 0;
+  for (duration from = kCrestEnd; from + kWindow <= end; from += kWindow) {
+    std::vector<double> latencies = ShortLatencies(run, from, from + kWindow);
+    const span_counts counts = Count(run, false, from, from + kWindow);
+    const bool served = counts.in_time >= 0.99 * counts.offered;
+    good = served && Percentile(latencies, 0.99) <= 2 * earlier_p99 ? good + 1 : 0;
+    if (good == 4) return static_cast<double>((from - 3 * kWindow - kCrestEnd).count()) / 1000;
+  }
+  return -1;
+}
+
+template <choice_policy Policy>
+void Report(std::string_view name, const user_shape& shape, knowledge known,
+            std::uint64_t seed) {
+  const auto run = [&](const scenario& plan) {
+    return policy_model<Policy>(shape, plan, known, seed).Run();
+  };
+  const scenario steady = {.load = 0.6, .length = seconds(21)};
+  const run_result base = run(steady);
+  std::vector<double> latencies = ShortLatencies(base, kWarmUp, steady.length);
+  const span_counts counts = Count(base, false, kWarmUp, steady.length);
+  const double length_s = static_cast<double>(steady.length.count()) / 1e6;
+  const auto calls = static_cast<double>(base.calls.size());
+  std::printf(
+      "%-5s %-18s steady  p50 %6.2f p99 %6.2f p99.9 %7.2f ms  refused %.3f%% late %.3f%%"
+      "  attempts/call %.3f  to another region %.1f%%\n",
+      shape.name.data(), name.data(), Percentile(latencies, 0.5), Percentile(latencies, 0.99),
+      Percentile(latencies, 0.999), 100 * counts.refused / counts.offered,
+      100 * counts.late / counts.offered, static_cast<double>(base.attempts) / calls,
+      100 * static_cast<double>(base.other_region) / static_cast<double>(base.attempts));
+  const auto bytes = [&](std::size_t i) {
+    return static_cast<double>(base.measuring_bytes[i]);
+  };
+  std::printf(
+      "%-5s %-18s measure bytes/call zone %.2f zones %.2f regions %.2f"
+      "  bytes/s %.0f %.0f %.0f  upstream us/call %.1f ms/s %.1f\n",
+      shape.name.data(), name.data(), bytes(0) / calls, bytes(1) / calls, bytes(2) / calls,
+      bytes(0) / length_s, bytes(1) / length_s, bytes(2) / length_s,
+      static_cast<double>(base.probe_time.count()) / calls,
+      static_cast<double>(base.probe_time.count()) / 1000 / length_s);
+
+  const scenario swing = {.load = 0.5, .crest = true, .length = seconds(12)};
+  const run_result crest = run(swing);
+  std::vector<double> before = ShortLatencies(crest, kWarmUp, kCrestStart);
+  const double before_p99 = Percentile(before, 0.99);
+  const span_counts peak = Count(crest, false, kCrestStart + kCrestRise, kCrestEnd);
+  const double peak_s =
+      static_cast<double>((kCrestEnd - kCrestStart - kCrestRise).count()) / 1e6;
+  const double capacity = shape.workers * shape.slots * kMeanSpeed / kShortWorkUs * 1e6;
+  std::vector<double> peak_latencies =
+      ShortLatencies(crest, kCrestStart + kCrestRise, kCrestEnd);
+  std::printf(
+      "%-5s %-18s crest   goodput %.0f/s = %.1f%% of capacity  refused %.1f%% late %.2f%%"
+      "  p99 %.1f ms  recovery %.0f ms\n",
+      shape.name.data(), name.data(), peak.in_time / peak_s,
+      100 * peak.in_time / peak_s / capacity, 100 * peak.refused / peak.offered,
+      100 * peak.late / peak.offered, Percentile(peak_latencies, 0.99),
+      RecoveryMs(crest, before_p99, swing.length));
+
+  scenario mixed = {.load = 0.5, .length = seconds(21)};
+  const run_result without = run(mixed);
+  mixed.long_load = 0.1;
+  const run_result with = run(mixed);
+  std::vector<double> short_without = ShortLatencies(without, kWarmUp, mixed.length);
+  std::vector<double> short_with = ShortLatencies(with, kWarmUp, mixed.length);
+  const span_counts uploads = Count(with, true, kWarmUp, mixed.length);
+  const double p99_without = Percentile(short_without, 0.99);
+  const double p99_with = Percentile(short_with, 0.99);
+  std::printf(
+      "%-5s %-18s uploads short p99 %.2f ms without, %.2f with: ratio %.3f"
+      "  uploads %.0f refused %.1f%%  billed %.1f MB\n",
+      shape.name.data(), name.data(), p99_without, p99_with, p99_with / p99_without,
+      uploads.offered, 100 * uploads.refused / uploads.offered,
+      static_cast<double>(with.billed_bytes) / 1e6);
+}
+
+void ReportUser(const user_shape& shape, std::uint64_t seed) {
+  Report<policy_two_choices>("product", shape, knowledge::kHints, seed);
+  Report<policy_random>("random", shape, knowledge::kNone, seed);
+  Report<policy_round_robin>("round_robin", shape, knowledge::kNone, seed);
+  Report<policy_least_reported>("least_reported", shape, knowledge::kReports, seed);
+  Report<policy_least_reported>("least_with_hints", shape, knowledge::kHints, seed);
+}
+
+}  // namespace
+}  // namespace bronzeroute
+
+int main(int argc, char** argv) {
+  const std::uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+  std::printf("seed %llu\n", static_cast<unsigned long long>(seed));  // NOLINT
+  bronzeroute::ReportUser(bronzeroute::kGelo, seed);
+  bronzeroute::ReportUser(bronzeroute::kSiam, seed);
+  return 0;
+}
