--- a/src/calls/call_log.cc
+++ b/src/calls/call_log.cc
@@ -18,6 +18,7 @@
 }  // namespace
 
 void call_log::Add(call_log_row row) {
+  if (on_end_) on_end_(row);
   if (capacity_ == 0) return;
   if (rows_.size() < capacity_) {
     index_[row.id] = rows_.size();
--- a/src/calls/call_log.h
+++ b/src/calls/call_log.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -16,6 +18,10 @@
 
   explicit call_log(std::size_t capacity = kDefaultCapacity) : capacity_(capacity) {}
 
+  using observer = std::function<void(const call_log_row&)>;
+  /// `on_end` sees every call once, when it ends.
+  void SetObserver(observer on_end) { on_end_ = std::move(on_end); }
+
   void Add(call_log_row row);
   /// Null if the call is unknown, still open, or too old.
   const call_log_row* Find(const call_id& id) const;
@@ -23,6 +29,7 @@
 
  private:
   std::size_t capacity_;
+  observer on_end_;
   std::size_t next_ = 0;
   std::vector<call_log_row> rows_;
   absl::flat_hash_map<call_id, std::size_t> index_;
--- a/src/calls/entry_system.h
+++ b/src/calls/entry_system.h
@@ -73,6 +73,7 @@
   std::size_t open_calls() const { return calls_.size(); }
   std::size_t open_attempts() const { return attempts_.size(); }
   const call_log& log() const { return log_; }
+  call_log& log() { return log_; }
   const entry_counters& counters() const { return counters_; }
 
  private:
--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -18,6 +18,7 @@
 #include "src/calls/peer_port.h"
 #include "src/calls/route_directory.h"
 #include "src/calls/upstream_chooser.h"
+#include "src/routing/choice_request.h"
 
 namespace bronzeroute {
 namespace internal {
@@ -123,7 +124,11 @@
       local_.HasFreeSlot(service, row.log.is_long, now)) {
     return chosen_target{{self_.id, self_.run}, target_reason::kOwnUpstreamFree};
   }
-  const auto chosen = chooser_.Choose(service, row.excluded, row.log.is_protected, now);
+  const choice_request request{.is_protected = row.log.is_protected,
+                               .is_long = row.log.is_long,
+                               .content_length = row.content_length,
+                               .deadline = row.log.deadline};
+  const auto chosen = chooser_.Choose(service, request, row.excluded, now);
   if (!chosen) return error_kind::kNoUpstream;
   return chosen_target{*chosen, target_reason::kChosen};
 }
@@ -466,7 +471,10 @@
   if (local_.HasFreeSlot(service, false, now)) {
     home = member_target{self_.id, self_.run};
   } else {
-    home = chooser_.Choose(service, {}, true, now);
+    choice_request request;
+    request.is_protected = true;
+    request.deadline = now + route.time_limit;
+    home = chooser_.Choose(service, request, {}, now);
   }
   if (!home) return error_kind::kNoUpstream;
   return FormatIssuedKey({.home = *home, .issued_ms = self_.UnixMs(now), .nonce = random_()});
--- a/src/calls/owner_system.h
+++ b/src/calls/owner_system.h
@@ -93,6 +93,8 @@
   /// Hands work that has a slot to the upstream after the last checks.
   void Start(const attempt_id& id, time_point now);
   attempt_row* FindStarted(const attempt_id& id);
+  /// A request that nobody waits for says nothing about the upstream before its deadline.
+  static upstream_outcome OutcomeOfLoss(const attempt_row& row, time_point now);
   /// Removes the row and frees its slot if it has one.
   attempt_row Remove(const attempt_id& id, upstream_outcome outcome, time_point now);
   void EndKey(const attempt_row& row, key_state state, int status, time_point now);
--- a/src/calls/owner_system_impl.h
+++ b/src/calls/owner_system_impl.h
@@ -227,7 +227,7 @@
     OnUpstreamLost(attempt, now);
     return;
   }
-  upstream_outcome outcome = upstream_outcome::kLost;
+  upstream_outcome outcome = OutcomeOfLoss(*row, now);
   if (complete) {
     outcome = row->status >= 500 ? upstream_outcome::kFailed : upstream_outcome::kAnswered;
   }
@@ -235,13 +235,20 @@
   SendFinish(removed, complete, now);
 }
 
+template <typename Rules>
+upstream_outcome basic_owner_system<Rules>::OutcomeOfLoss(const attempt_row& row,
+                                                          time_point now) {
+  const bool is_given_up = row.is_abandoned && now < row.head.deadline;
+  return is_given_up ? upstream_outcome::kCancelled : upstream_outcome::kLost;
+}
+
 template <typename Rules>
 void basic_owner_system<Rules>::OnUpstreamLost(const attempt_id& attempt, time_point now) {
   CheckFreeze(now);
   const attempt_row* row = FindStarted(attempt);
   if (row == nullptr) return;
   const bool is_answering = row->state == row_state::kAnswering;
-  const attempt_row removed = Remove(attempt, upstream_outcome::kLost, now);
+  const attempt_row removed = Remove(attempt, OutcomeOfLoss(*row, now), now);
   if (is_answering) {
     SendFinish(removed, false, now);
     return;
--- a/src/calls/upstream_chooser.h
+++ b/src/calls/upstream_chooser.h
@@ -11,6 +11,7 @@
 
 namespace bronzeroute {
 
+struct choice_request;
 struct load_hint;
 
 /// Choice of upstream as the entry uses it.
@@ -21,8 +22,9 @@
   /// A member that serves `service` and is not in `excluded`, or nothing. A protected call
   /// never serves as the trial call of an ejected upstream.
   virtual std::optional<member_target> Choose(std::string_view service,
+                                              const choice_request& request,
                                               std::span<const member_id> excluded,
-                                              bool is_protected, time_point now) = 0;
+                                              time_point now) = 0;
 
   virtual void OnHint(member_target owner, const load_hint& hint, time_point now) = 0;
   virtual void OnAttemptSent(member_target owner, time_point now) = 0;
--- a/src/calls/upstream_outcome.h
+++ b/src/calls/upstream_outcome.h
@@ -12,6 +12,8 @@
   kConnectFailed,
   /// No complete response came.
   kLost,
+  /// Cancelled before its deadline because nobody waits; says nothing about the upstream.
+  kCancelled,
   /// The slot was given back without contacting the upstream.
   kNotStarted,
 };
--- a/src/configuration/parse_document.cc
+++ b/src/configuration/parse_document.cc
@@ -13,12 +13,12 @@
 
 #include "absl/strings/ascii.h"
 #include "src/base/concat.h"
+#include "src/configuration/toml_reader.h"
 
 namespace bronzeroute {
 namespace internal {
 namespace {
 
-constexpr std::size_t kMaxNameLength = 63;
 constexpr std::int64_t kMaxDeadlineMs = 24LL * 3600 * 1000;
 constexpr std::int64_t kMaxWarmupMs = 600'000;
 constexpr std::int64_t kMaxSlots = 10'000;
@@ -32,8 +32,6 @@
 constexpr double kDefaultLongShare = 0.5;
 constexpr double kDefaultObjective = 0.99;
 
-constexpr std::string_view kNameRule =
-    "1 to 63 characters of a-z, 0-9 and '-', beginning with a letter";
 constexpr auto kMethods = std::to_array<std::string_view>(
     {"*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"});
 constexpr auto kRootKeys =
@@ -46,43 +44,20 @@
 constexpr auto kRouteKeys =
     std::to_array<std::string_view>({"method", "prefix", "class", "protected", "deadline_ms"});
 
-bool IsName(std::string_view text) {
-  return !text.empty() && text.size() <= kMaxNameLength && absl::ascii_islower(text[0]) &&
-         std::ranges::all_of(text, [](char c) {
-           return absl::ascii_islower(c) || absl::ascii_isdigit(c) || c == '-';
-         });
-}
-
-std::string Join(std::span<const std::string_view> names) {
-  std::string joined;
-  for (const std::string_view name : names) joined += Concat(joined.empty() ? "" : ", ", name);
-  return joined;
-}
-
-std::string Describe(const toml::node& node) {
-  if (const auto* text = node.as_string()) return Concat("\"", text->get(), "\"");
-  if (const auto* number = node.as_integer()) return Concat(number->get());
-  if (const auto* number = node.as_floating_point()) return Concat(number->get());
-  if (const auto* flag = node.as_boolean()) return flag->get() ? "true" : "false";
-  if (node.is_table()) return "a table";
-  if (node.is_array()) return "an array";
-  return "a date or time";
-}
-
 std::chrono::milliseconds Milliseconds(std::int64_t count) {
   return std::chrono::milliseconds(count);
 }
 
 // Reads one document and collects its errors. Values read after an error are never used.
-class document_reader {
+class document_reader : public toml_reader {
  public:
-  explicit document_reader(std::string_view file) : file_(file) {}
+  using toml_reader::toml_reader;
 
   document Read(const toml::table& root) {
     CheckKeys(root, "", kRootKeys);
     Integer(root, "", "format", kDocumentFormat, kDocumentFormat, std::nullopt);
     document result;
-    result.name = Name(root, "");
+    result.name = Name(root, "", "name");
     const toml::table* measuring = Table(root, "measuring");
     static const toml::table kEmpty;
     if (measuring == nullptr) measuring = &kEmpty;
@@ -99,140 +74,11 @@
     return result;
   }
 
-  void Add(std::uint32_t line, std::string key, std::string found, std::string allowed) {
-    errors_.push_back({file_, line, std::move(key), std::move(found), std::move(allowed)});
-  }
-
-  std::vector<document_error> TakeErrors() {
-    std::ranges::stable_sort(errors_, {}, &document_error::line);
-    return std::move(errors_);
-  }
-
  private:
-  static std::uint32_t LineOf(const toml::node& node) {
-    return std::max<std::uint32_t>(1, node.source().begin.line);
-  }
-
-  void AddAt(const toml::node& node, std::string key, std::string found, std::string allowed) {
-    Add(LineOf(node), std::move(key), std::move(found), std::move(allowed));
-  }
-
-  void CheckKeys(const toml::table& table, std::string_view path,
-                 std::span<const std::string_view> allowed) {
-    for (const auto& [key, value] : table) {
-      if (std::ranges::find(allowed, key.str()) == allowed.end()) {
-        AddAt(value, Concat(path, key.str()), "an unknown key",
-              Concat("one of ", Join(allowed)));
-      }
-    }
-  }
-
-  // The node at `key`, or null after an error if it is missing and required.
-  const toml::node* Find(const toml::table& table, std::string_view path, std::string_view key,
-                         bool required, std::string_view allowed) {
-    const toml::node* node = table.get(key);
-    if (node == nullptr && required) {
-      AddAt(table, Concat(path, key), "nothing", std::string(allowed));
-    }
-    return node;
-  }
-
-  std::int64_t Integer(const toml::table& table, std::string_view path, std::string_view key,
-                       std::int64_t low, std::int64_t high,
-                       std::optional<std::int64_t> fallback) {
-    const std::string allowed = low == high ? Concat("the integer ", low)
-                                            : Concat("an integer from ", low, " to ", high);
-    const toml::node* node = Find(table, path, key, !fallback, allowed);
-    if (node == nullptr) return fallback.value_or(low);
-    const auto* number = node->as_integer();
-    if (number == nullptr || number->get() < low || number->get() > high) {
-      AddAt(*node, Concat(path, key), Describe(*node), allowed);
-      return low;
-    }
-    return number->get();
-  }
-
-  double Fraction(const toml::table& table, std::string_view path, std::string_view key,
-                  double low, double high, double fallback) {
-    const toml::node* node = table.get(key);
-    if (node == nullptr) return fallback;
-    const std::optional<double> number =
-        node->is_number() ? node->value<double>() : std::nullopt;
-    // Written so that NaN fails the test.
-    if (!number || !(*number >= low && *number <= high)) {
-      AddAt(*node, Concat(path, key), Describe(*node),
-            Concat("a number from ", low, " to ", high));
-      return fallback;
-    }
-    return *number;
-  }
-
-  std::string Text(const toml::table& table, std::string_view path, std::string_view key,
-                   bool required, std::string_view allowed) {
-    const toml::node* node = Find(table, path, key, required, allowed);
-    if (node == nullptr) return {};
-    const auto* text = node->as_string();
-    if (text == nullptr) {
-      AddAt(*node, Concat(path, key), Describe(*node), std::string(allowed));
-      return {};
-    }
-    return text->get();
-  }
-
-  bool Flag(const toml::table& table, std::string_view path, std::string_view key) {
-    const toml::node* node = table.get(key);
-    if (node == nullptr) return false;
-    const auto* flag = node->as_boolean();
-    if (flag == nullptr) {
-      AddAt(*node, Concat(path, key), Describe(*node), "true or false");
-      return false;
-    }
-    return flag->get();
-  }
-
-  std::string Name(const toml::table& table, std::string_view path) {
-    std::string name = Text(table, path, "name", true, kNameRule);
-    const toml::node* node = table.get("name");
-    if (node != nullptr && node->is_string() && !IsName(name)) {
-      AddAt(*node, Concat(path, "name"), Describe(*node), std::string(kNameRule));
-    }
-    return name;
-  }
-
-  const toml::table* Table(const toml::table& table, std::string_view key) {
-    const toml::node* node = table.get(key);
-    if (node == nullptr) return nullptr;
-    if (!node->is_table()) AddAt(*node, std::string(key), Describe(*node), "a table");
-    return node->as_table();
-  }
-
-  template <typename Visitor>
-  void ForEachTable(const toml::table& table, std::string_view path, std::string_view key,
-                    bool required, const Visitor& visit) {
-    const std::string allowed =
-        Concat("one or more [[", path.empty() ? "" : "service.", key, "]] tables");
-    const toml::node* node = Find(table, path, key, required, allowed);
-    if (node == nullptr) return;
-    const toml::array* array = node->as_array();
-    if (array == nullptr || (required && array->empty())) {
-      AddAt(*node, Concat(path, key), array == nullptr ? Describe(*node) : "nothing", allowed);
-      return;
-    }
-    std::size_t index = 0;
-    for (const toml::node& element : *array) {
-      const std::string name = Concat(path, key, "[", index++, "]");
-      if (const toml::table* row = element.as_table()) {
-        visit(*row, Concat(name, "."));
-      } else {
-        AddAt(element, name, Describe(element), "a table");
-      }
-    }
-  }
-
   service_spec ReadService(const toml::table& table, const std::string& path) {
     CheckKeys(table, path, kServiceKeys);
     service_spec service;
-    service.name = Name(table, path);
+    service.name = Name(table, path, "name");
     if (!service.name.empty() && !service_names_.insert(service.name).second) {
       AddAt(*table.get("name"), path + "name", Concat("\"", service.name, "\" again"),
             "a name that no other service has");
@@ -341,8 +187,6 @@
     }
   }
 
-  std::string file_;
-  std::vector<document_error> errors_;
   std::set<std::string> service_names_;
 };
 
--- /dev/null
+++ b/src/configuration/toml_reader.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <toml++/toml.h>
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/base/concat.h"
+#include "src/configuration/document_error.h"
+
+namespace bronzeroute::internal {
+
+/// What a name of a service, region or zone may be.
+inline constexpr std::string_view kNameRule =
+    "1 to 63 characters of a-z, 0-9 and '-', beginning with a letter";
+
+/// True if `text` follows `kNameRule`.
+bool IsName(std::string_view text);
+/// `names` with commas between them.
+std::string Join(std::span<const std::string_view> names);
+/// `node` as it is shown in errors.
+std::string Describe(const toml::node& node);
+
+/// Reads typed values of one TOML file and collects all errors. Values read after an error are
+/// never used.
+class toml_reader {
+ public:
+  explicit toml_reader(std::string_view file) : file_(file) {}
+
+  void Add(std::uint32_t line, std::string key, std::string found, std::string allowed);
+  /// All errors in order of lines.
+  std::vector<document_error> TakeErrors();
+
+ protected:
+  void AddAt(const toml::node& node, std::string key, std::string found, std::string allowed);
+  /// Reports every key of `table` that is not among `allowed`.
+  void CheckKeys(const toml::table& table, std::string_view path,
+                 std::span<const std::string_view> allowed);
+  /// The node at `key`, or null after an error if it is missing and required.
+  const toml::node* Find(const toml::table& table, std::string_view path, std::string_view key,
+                         bool required, std::string_view allowed);
+  /// A number from `low` to `high`; required if there is no fallback.
+  std::int64_t Integer(const toml::table& table, std::string_view path, std::string_view key,
+                       std::int64_t low, std::int64_t high,
+                       std::optional<std::int64_t> fallback);
+  double Fraction(const toml::table& table, std::string_view path, std::string_view key,
+                  double low, double high, double fallback);
+  std::string Text(const toml::table& table, std::string_view path, std::string_view key,
+                   bool required, std::string_view allowed);
+  bool Flag(const toml::table& table, std::string_view path, std::string_view key);
+  /// A required text that follows `kNameRule`.
+  std::string Name(const toml::table& table, std::string_view path, std::string_view key);
+  /// The table at `key`, or null if it is missing.
+  const toml::table* Table(const toml::table& table, std::string_view key);
+
+  /// Calls `visit(table, path)` for each table of the array at `key`.
+  template <typename Visitor>
+  void ForEachTable(const toml::table& table, std::string_view path, std::string_view key,
+                    bool required, const Visitor& visit) {
+    const std::string allowed =
+        Concat("one or more [[", path.empty() ? "" : "service.", key, "]] tables");
+    const toml::node* node = Find(table, path, key, required, allowed);
+    if (node == nullptr) return;
+    const toml::array* array = node->as_array();
+    if (array == nullptr || (required && array->empty())) {
+      AddAt(*node, Concat(path, key), array == nullptr ? Describe(*node) : "nothing", allowed);
+      return;
+    }
+    std::size_t index = 0;
+    for (const toml::node& element : *array) {
+      const std::string name = Concat(path, key, "[", index++, "]");
+      if (const toml::table* row = element.as_table()) {
+        visit(*row, Concat(name, "."));
+      } else {
+        AddAt(element, name, Describe(element), "a table");
+      }
+    }
+  }
+
+ private:
+  std::string file_;
+  std::vector<document_error> errors_;
+};
+
+}  // namespace bronzeroute::internal
--- /dev/null
+++ b/src/daemon/admin_endpoints.cc
@@ -0,0 +1,185 @@
+#include "src/daemon/admin_endpoints.h"
+
+#include <cpprest/json.h>
+
+#include <exception>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "src/base/concat.h"
+#include "src/base/error_answer.h"
+#include "src/calls/call_id_text.h"
+#include "src/calls/call_log.h"
+#include "src/daemon/settings.h"
+#include "src/measuring/exposition.h"
+#include "src/node/node_runtime.h"
+#include "src/transport/error_body.h"
+#include "src/transport/event_loop.h"
+#include "src/transport/http_router.h"
+
+namespace bronzeroute {
+namespace {
+
+using web::json::value;
+
+constexpr std::string_view kPrefix = "/.bronzeroute/v1/";
+constexpr std::uint32_t kMaxAnnounced = 100'000;
+
+local_answer Json(const value& body) { return {200, "application/json", body.serialize()}; }
+
+local_answer BadRequest(std::string_view text) {
+  value body;
+  body["error"] = value::string(std::string(text));
+  return {400, "application/json", body.serialize()};
+}
+
+std::string_view StateName(member_state state) {
+  switch (state) {
+    case member_state::kAlive:
+      return "alive";
+    case member_state::kSuspect:
+      return "suspect";
+    case member_state::kDead:
+      return "dead";
+    case member_state::kLeft:
+      break;
+  }
+  return "left";
+}
+
+value Text(std::string_view text) { return value::string(std::string(text)); }
+
+value MemberJson(const member_row& row) {
+  value result;
+  result["id"] = Text(Concat(row.id.value));
+  result["incarnation"] = value::number(row.run.value);
+  result["state"] = Text(StateName(row.state));
+  result["service"] = Text(row.service);
+  result["region"] = Text(row.region);
+  result["availability_zone"] = Text(row.availability_zone);
+  result["callers_address"] = Text(row.callers_address);
+  result["admin_address"] = Text(row.admin_address);
+  result["peer_address"] = Text(row.peer_address);
+  result["draining"] = value::boolean(row.draining);
+  result["config_version"] = value::number(row.config_version);
+  return result;
+}
+
+local_answer Status(const node_runtime& runtime, const settings& options) {
+  const member_row& self = runtime.membership().self();
+  const admission_system& admission = runtime.admission().system();
+  value result = MemberJson(self);
+  result["environment"] = Text(options.environment);
+  result["config_version"] = value::number(runtime.configuration().version());
+  result["config_problem"] = Text(runtime.configuration().problem());
+  result["ready_members"] = value::number(static_cast<std::uint64_t>(runtime.ServingMembers()));
+  result["log_available"] = value::boolean(runtime.membership().log_available());
+  result["draining"] = value::boolean(admission.draining());
+  result["stopping"] = value::boolean(runtime.stopping());
+  result["running"] = value::number(static_cast<std::uint64_t>(admission.running()));
+  result["queued"] = value::number(static_cast<std::uint64_t>(admission.queued()));
+  result["effective_slots"] = value::number(admission.EffectiveSlots(MonotonicNow()));
+  result["open_calls"] =
+      value::number(static_cast<std::uint64_t>(runtime.calls().entry().open_calls()));
+  return Json(result);
+}
+
+local_answer Members(const node_runtime& runtime) {
+  std::vector<value> rows;
+  for (const member_row& row : runtime.membership().members()) {
+    rows.push_back(MemberJson(row));
+  }
+  value result;
+  result["members"] = value::array(std::move(rows));
+  return Json(result);
+}
+
+local_answer Configuration(const node_runtime& runtime) {
+  const configuration_snapshot& snapshot = runtime.configuration().in_effect();
+  value result;
+  result["version"] = value::number(snapshot.version);
+  result["digest"] = Text(Concat(snapshot.digest));
+  result["document"] = Text(snapshot.bytes);
+  return Json(result);
+}
+
+local_answer Explain(const node_runtime& runtime, std::string_view query) {
+  constexpr std::string_view kParameter = "call=";
+  const std::size_t at = query.find(kParameter);
+  const auto id = at == std::string_view::npos
+                      ? std::nullopt
+                      : ParseCallId(query.substr(at + kParameter.size()));
+  if (!id) {
+    return BadRequest("call=<id> is missing or malformed");
+  }
+  const call_log_row* row = runtime.calls().entry().log().Find(*id);
+  if (row == nullptr) {
+    return {404, "text/plain", "This daemon has no record of the call.\n"};
+  }
+  return {200, "text/plain", ExplainCall(*row)};
+}
+
+local_answer Announce(node_runtime& runtime, std::string_view body) {
+  try {
+    const value announced = value::parse(std::string(body));
+    const std::string service = announced.at("service").as_string();
+    const std::string address = announced.at("address").as_string();
+    const auto slots = announced.at("slots").as_number().to_uint32();
+    const auto connections = announced.at("connections").as_number().to_uint32();
+    if (slots == 0 || slots > kMaxAnnounced || connections == 0 ||
+        connections > kMaxAnnounced) {
+      return BadRequest("slots and connections must be from 1 to 100000");
+    }
+    runtime.OnAnnouncement(service, address, slots, connections, MonotonicNow());
+    return Json(value::object());
+  } catch (const std::exception&) {
+    return BadRequest("expected {\"service\", \"address\", \"slots\", \"connections\"}");
+  }
+}
+
+local_answer IssueKey(node_runtime& runtime, std::string_view path) {
+  const std::string_view service = path.substr(path.rfind('/') + 1);
+  const auto issued = runtime.calls().IssueKey(service, MonotonicNow());
+  if (const auto* kind = std::get_if<error_kind>(&issued)) {
+    return {AnswerFor(*kind).http_status, "application/json", ErrorBody(*kind, {}, 0)};
+  }
+  value result;
+  result["key"] = Text(std::get<std::string>(issued));
+  return Json(result);
+}
+
+}  // namespace
+
+void AddAdminEndpoints(http_router& router, node_runtime& runtime, const settings& options) {
+  const auto path = [](std::string_view name) { return Concat(kPrefix, name); };
+  router.Add("POST", path("announce"), [&runtime](const local_request& request) {
+    return Announce(runtime, request.body);
+  });
+  router.Add("POST", path("drain"), [&runtime](const local_request&) {
+    runtime.Drain(MonotonicNow());
+    return Json(value::object());
+  });
+  router.Add("GET", path("status"),
+             [&runtime, &options](const local_request&) { return Status(runtime, options); });
+  router.Add("GET", path("members"),
+             [&runtime](const local_request&) { return Members(runtime); });
+  router.Add("GET", path("configuration"),
+             [&runtime](const local_request&) { return Configuration(runtime); });
+  router.Add("GET", path("explain"), [&runtime](const local_request& request) {
+    return Explain(runtime, request.query);
+  });
+  router.Add("GET", path("metrics"), [&runtime](const local_request&) {
+    return local_answer{200, "text/plain; version=0.0.4",
+                        ExpositionText(runtime.metrics(), runtime.budget(), MonotonicNow())};
+  });
+}
+
+void AddCallerEndpoints(http_router& router, node_runtime& runtime) {
+  router.Add("POST", Concat(kPrefix, "keys/"), [&runtime](const local_request& request) {
+    return IssueKey(runtime, request.path);
+  });
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/daemon/admin_endpoints.h
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace bronzeroute {
+
+class http_router;
+class node_runtime;
+struct settings;
+
+/// Adds the endpoints of the admin address: announce, drain, status, members, configuration,
+/// explain and metrics. `runtime` must outlive `router`.
+void AddAdminEndpoints(http_router& router, node_runtime& runtime, const settings& options);
+
+/// Adds the endpoints of the callers' address: issued idempotency keys.
+void AddCallerEndpoints(http_router& router, node_runtime& runtime);
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "absl/status/status.h"
+#include "src/configuration/configuration_peer_port.h"
+#include "src/daemon/settings.h"
+#include "src/membership/member_row.h"
+#include "src/node/node_runtime.h"
+#include "src/node/peer_link_port.h"
+#include "src/platform/http_log_port.h"
+#include "src/transport/transport.h"
+#include "src/transport/transport_events.h"
+
+namespace bronzeroute {
+
+/// One daemon: the decision logic joined to its sockets, the log and the clock.
+class daemon final : private transport_events,
+                     private configuration_peer_port,
+                     private peer_link_port {
+ public:
+  explicit daemon(const settings& options);
+  ~daemon() override;
+  daemon(const daemon&) = delete;
+  daemon& operator=(const daemon&) = delete;
+
+  /// Opens all addresses and starts to work. Not on the event loop.
+  absl::Status Start();
+  /// Begins a graceful shutdown: no new work, work in flight ends, then `stopped` turns true.
+  void BeginStop();
+  bool stopped() const { return stopped_; }
+  /// Closes everything. Not on the event loop.
+  void Close();
+
+ private:
+  void OnCallerRequest(const caller_request& request, time_point now) override;
+  void OnCallerGone(exchange_id exchange, time_point now) override;
+  void OnPeerAttempt(exchange_id exchange, const attempt_head& head, time_point now) override;
+  void OnPeerGone(exchange_id exchange, const attempt_id& attempt, time_point now) override;
+  void OnAttemptAdmitted(exchange_id exchange, const attempt_id& attempt,
+                         const owner_report& report, time_point now) override;
+  void OnAttemptRefused(exchange_id exchange, const attempt_id& attempt, error_kind kind,
+                        int recorded_status, const owner_report& report,
+                        time_point now) override;
+  void OnAnswerHead(exchange_id exchange, const attempt_id& attempt, int status,
+                    const owner_report& report, time_point now) override;
+  void OnAttemptFinished(exchange_id exchange, const attempt_id& attempt, bool complete,
+                         const owner_report& report, time_point now) override;
+  void OnAttemptLost(exchange_id exchange, const attempt_id& attempt, time_point now) override;
+  void OnUpstreamConnectFailed(exchange_id exchange, const attempt_id& attempt,
+                               time_point now) override;
+  void OnUpstreamAnswerHead(exchange_id exchange, const attempt_id& attempt, int status,
+                            time_point now) override;
+  void OnUpstreamEnded(exchange_id exchange, const attempt_id& attempt, bool complete,
+                       time_point now) override;
+  void OnUpstreamLost(exchange_id exchange, const attempt_id& attempt, time_point now) override;
+  void OnDatagram(std::string_view from, std::string_view payload, time_point now) override;
+
+  void FetchSnapshot(member_id peer, std::int64_t known_version) override;
+  void OpenPeer(member_id peer, std::string_view address) override;
+  void ClosePeer(member_id peer) override;
+  void SetUpstream(std::string_view address) override;
+
+  void AddEndpoints();
+  log_listener MakeLogListener();
+  void ScheduleTick();
+  void Tick();
+  /// Passes on what an owner said beside its answer.
+  void NoteReport(const answer_identity& from, const owner_report& report, time_point now);
+
+  settings settings_;
+  member_row self_;
+  transport transport_;
+  http_log_port log_;
+  node_runtime runtime_;
+  boost::asio::steady_timer timer_;
+  time_point stop_limit_{};
+  bool closed_ = false;
+  std::atomic<bool> stopped_{false};
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/daemon/parse_settings.cc
@@ -0,0 +1,137 @@
+#include "src/daemon/parse_settings.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <string>
+
+#include "src/configuration/toml_reader.h"
+#include "src/transport/http_address.h"
+
+namespace bronzeroute {
+namespace internal {
+namespace {
+
+constexpr auto kRootKeys = std::to_array<std::string_view>(
+    {"environment", "region", "availability_zone", "addresses", "log", "seeds", "logging"});
+constexpr auto kAddressKeys =
+    std::to_array<std::string_view>({"callers", "peers", "membership", "admin"});
+constexpr auto kLogKeys = std::to_array<std::string_view>({"address"});
+constexpr auto kLoggingKeys = std::to_array<std::string_view>({"level"});
+constexpr auto kEnvironments = std::to_array<std::string_view>({"trial", "production"});
+constexpr auto kLevels = std::to_array<std::string_view>({"debug", "info", "warn", "error"});
+constexpr std::string_view kAddressRule = "an IP address and port, for example \"10.0.0.1:80\"";
+
+class settings_reader : public toml_reader {
+ public:
+  using toml_reader::toml_reader;
+
+  settings Read(const toml::table& root) {
+    CheckKeys(root, "", kRootKeys);
+    settings result;
+    result.environment = OneOf(root, "", "environment", true, kEnvironments);
+    result.region = Name(root, "", "region");
+    result.availability_zone = Name(root, "", "availability_zone");
+    static const toml::table kEmpty;
+    const toml::table* addresses = Section(root, "addresses", kEmpty);
+    CheckKeys(*addresses, "addresses.", kAddressKeys);
+    result.callers_address = Address(*addresses, "addresses.", "callers");
+    result.peers_address = Address(*addresses, "addresses.", "peers");
+    result.membership_address = Address(*addresses, "addresses.", "membership");
+    result.admin_address = Address(*addresses, "addresses.", "admin");
+    // Membership uses UDP, so its port may equal one of the TCP ports.
+    CheckDistinct(*addresses, {"callers", "peers", "admin"});
+    const toml::table* log = Section(root, "log", kEmpty);
+    CheckKeys(*log, "log.", kLogKeys);
+    result.log_address = Address(*log, "log.", "address");
+    ReadSeeds(root, result);
+    const toml::table* logging = Table(root, "logging");
+    if (logging != nullptr) {
+      CheckKeys(*logging, "logging.", kLoggingKeys);
+      const std::string level = OneOf(*logging, "logging.", "level", false, kLevels);
+      result.log_level = level.empty() ? result.log_level : level;
+    }
+    return result;
+  }
+
+ private:
+  const toml::table* Section(const toml::table& root, std::string_view key,
+                             const toml::table& empty) {
+    const toml::table* found = Table(root, key);
+    return found == nullptr ? &empty : found;
+  }
+
+  std::string OneOf(const toml::table& table, std::string_view path, std::string_view key,
+                    bool required, std::span<const std::string_view> allowed) {
+    const std::string rule = Concat("one of ", Join(allowed));
+    const std::string text = Text(table, path, key, required, rule);
+    const toml::node* node = table.get(key);
+    if (node != nullptr && node->is_string() &&
+        std::ranges::find(allowed, text) == allowed.end()) {
+      AddAt(*node, Concat(path, key), Describe(*node), rule);
+    }
+    return text;
+  }
+
+  std::string Address(const toml::table& table, std::string_view path, std::string_view key) {
+    const std::string text = Text(table, path, key, true, kAddressRule);
+    const toml::node* node = table.get(key);
+    if (node != nullptr && node->is_string() && !ParseAddress(text).ok()) {
+      AddAt(*node, Concat(path, key), Describe(*node), std::string(kAddressRule));
+    }
+    return text;
+  }
+
+  void CheckDistinct(const toml::table& addresses,
+                     std::initializer_list<std::string_view> keys) {
+    std::map<std::string, std::string_view> seen;
+    for (const std::string_view key : keys) {
+      const toml::node* node = addresses.get(key);
+      const auto* text = node == nullptr ? nullptr : node->as_string();
+      if (text != nullptr && !seen.emplace(text->get(), key).second) {
+        AddAt(*node, Concat("addresses.", key), Describe(*node),
+              Concat("an address other than that of ", seen[text->get()]));
+      }
+    }
+  }
+
+  void ReadSeeds(const toml::table& root, settings& result) {
+    constexpr std::string_view kAllowed = "an array of membership addresses";
+    const toml::node* node = root.get("seeds");
+    if (node == nullptr) return;
+    const toml::array* array = node->as_array();
+    if (array == nullptr) {
+      AddAt(*node, "seeds", Describe(*node), std::string(kAllowed));
+      return;
+    }
+    for (const toml::node& element : *array) {
+      const auto* text = element.as_string();
+      if (text == nullptr || !ParseAddress(text->get()).ok()) {
+        AddAt(element, "seeds", Describe(element), std::string(kAddressRule));
+        continue;
+      }
+      result.seeds.push_back(text->get());
+    }
+  }
+};
+
+}  // namespace
+}  // namespace internal
+
+settings_result ParseSettings(std::string_view text, std::string_view file) {
+  internal::settings_reader reader(file);
+  settings_result result;
+  try {
+    result.value = reader.Read(toml::parse(text, file));
+  } catch (const toml::parse_error& error) {
+    reader.Add(error.source().begin.line, "", std::string(error.description()),
+               "TOML 1.0 syntax");
+  }
+  result.errors = reader.TakeErrors();
+  if (!result.errors.empty()) result.value.reset();
+  return result;
+}
+
+}  // namespace bronzeroute
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -16,7 +16,7 @@
   std::string peers_address;
   std::string membership_address;
   std::string admin_address;
-  /// "http://ip:port" of the platform's log.
+  /// "ip:port" of the platform's log.
   std::string log_address;
   /// Membership addresses of other daemons, asked while the log is unavailable.
   std::vector<std::string> seeds;
--- /dev/null
+++ b/src/node/admission_adapter.cc
@@ -0,0 +1,107 @@
+#include "src/node/admission_adapter.h"
+
+#include "src/calls/admission_listener.h"
+#include "src/calls/attempt_head.h"
+#include "src/configuration/service_spec.h"
+#include "src/membership/upstream_announcement.h"
+#include "src/routing/load_hint.h"
+
+namespace bronzeroute {
+namespace {
+
+upstream_result ResultOf(upstream_outcome outcome) {
+  switch (outcome) {
+    case upstream_outcome::kAnswered:
+      return upstream_result::kAnswered;
+    case upstream_outcome::kNotStarted:
+    case upstream_outcome::kCancelled:
+      return upstream_result::kCancelled;
+    case upstream_outcome::kFailed:
+    case upstream_outcome::kConnectFailed:
+    case upstream_outcome::kLost:
+      break;
+  }
+  return upstream_result::kFailed;
+}
+
+}  // namespace
+
+void admission_adapter::Configure(const service_spec& spec,
+                                  const upstream_announcement& upstream, time_point now) {
+  now_ = now;
+  service_ = spec.name;
+  system_.Configure(spec, upstream.slots, upstream.connections, now);
+}
+
+bool admission_adapter::HasFreeSlot(std::string_view service, bool is_long, time_point now) {
+  if (service != service_ || system_.draining()) {
+    return false;
+  }
+  if (system_.health(now) != ejection_state::kClear || system_.queued() > 0) {
+    return false;
+  }
+  if (is_long && system_.running_long() >= system_.LongLimit(now)) {
+    return false;
+  }
+  return system_.running() < system_.EffectiveSlots(now);
+}
+
+admission_result admission_adapter::Offer(exchange_id exchange, const attempt_head& head,
+                                          time_point now) {
+  now_ = now;
+  const offer_result offered = system_.Offer(exchange, head, now);
+  admission_result result;
+  switch (offered.state) {
+    case offer_state::kStarted:
+      result.decision = admission_result::state::kStarted;
+      started_[exchange] = now;
+      break;
+    case offer_state::kQueued:
+      result.decision = admission_result::state::kQueued;
+      break;
+    case offer_state::kRefused:
+      result.decision = admission_result::state::kRefused;
+      result.kind = offered.kind;
+      break;
+  }
+  return result;
+}
+
+void admission_adapter::Cancel(exchange_id exchange, time_point now) {
+  now_ = now;
+  system_.Cancel(exchange, now);
+}
+
+void admission_adapter::OnUpstreamEnded(exchange_id exchange, upstream_outcome outcome,
+                                        time_point now) {
+  now_ = now;
+  const auto started = started_.find(exchange);
+  upstream_end end;
+  end.result = ResultOf(outcome);
+  end.service_time = started == started_.end() ? duration{} : now - started->second;
+  if (started != started_.end()) {
+    started_.erase(started);
+  }
+  system_.OnUpstreamEnded(exchange, end, now);
+}
+
+void admission_adapter::Drain(time_point now) {
+  now_ = now;
+  system_.Drain(now);
+}
+
+void admission_adapter::Tick(time_point now) {
+  now_ = now;
+  system_.Tick(now);
+}
+
+void admission_adapter::OnQueuedStarted(exchange_id exchange) {
+  started_[exchange] = now_;
+  listener_->OnQueuedStart(exchange, now_);
+}
+
+void admission_adapter::OnQueuedRefused(exchange_id exchange, error_kind kind) {
+  listener_->OnQueuedRefused(exchange, kind, now_);
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/node/admission_adapter.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "absl/container/flat_hash_map.h"
+#include "src/admission/admission_system.h"
+#include "src/admission/queue_listener.h"
+#include "src/calls/admission_gate.h"
+
+namespace bronzeroute {
+
+struct service_spec;
+struct upstream_announcement;
+
+/// Puts the admission system behind the interface that the owner uses.
+class admission_adapter final : public admission_gate, private queue_listener {
+ public:
+  admission_adapter() : system_(this) {}
+
+  /// Takes the limits of the document and of the announcement.
+  void Configure(const service_spec& spec, const upstream_announcement& upstream,
+                 time_point now);
+
+  void SetListener(admission_listener* listener) override { listener_ = listener; }
+  bool HasFreeSlot(std::string_view service, bool is_long, time_point now) override;
+  admission_result Offer(exchange_id exchange, const attempt_head& head,
+                         time_point now) override;
+  void Cancel(exchange_id exchange, time_point now) override;
+  void OnUpstreamEnded(exchange_id exchange, upstream_outcome outcome, time_point now) override;
+  load_hint Hint(time_point now) override { return system_.Hint(now); }
+
+  void Drain(time_point now);
+  void Tick(time_point now);
+  const admission_system& system() const { return system_; }
+
+ private:
+  void OnQueuedStarted(exchange_id exchange) override;
+  void OnQueuedRefused(exchange_id exchange, error_kind kind) override;
+
+  admission_listener* listener_ = nullptr;
+  admission_system system_;
+  std::string service_;
+  /// Start of the running work, from which service times are taken.
+  absl::flat_hash_map<exchange_id, time_point> started_;
+  /// Time of the event that is being handled.
+  time_point now_;
+};
+
+}  // namespace bronzeroute
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 
 #include "src/base/attempt_id.h"
@@ -101,6 +102,11 @@
     entry_.Tick(now);
   }
 
+  /// `on_end` sees every call of a caller once, when it ends.
+  void SetCallObserver(call_log::observer on_end) {
+    entry_.log().SetObserver(std::move(on_end));
+  }
+
   const basic_entry_system<Rules>& entry() const { return entry_; }
   const basic_owner_system<Rules>& owner() const { return owner_; }
 
--- /dev/null
+++ b/src/node/node_runtime.cc
@@ -0,0 +1,282 @@
+#include "src/node/node_runtime.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/base/concat.h"
+#include "src/base/error_answer.h"
+#include "src/calls/attempt_head.h"
+#include "src/calls/call_log_row.h"
+#include "src/configuration/document.h"
+#include "src/configuration/record_verdict.h"
+#include "src/measuring/request_class.h"
+#include "src/measuring/request_result.h"
+#include "src/node/peer_link_port.h"
+#include "src/node/runtime_ports.h"
+#include "src/node/runtime_settings.h"
+#include "src/platform/log_read.h"
+
+namespace bronzeroute {
+namespace {
+
+// Hints that came with probe messages reach routing at this period; hints on responses at once.
+constexpr auto kMembersPeriod = std::chrono::milliseconds(100);
+// Limits of the measuring budget until a document names them.
+constexpr std::uint64_t kInitialBytesPerSecond = 2000;
+constexpr auto kInitialUpstreamTime = std::chrono::milliseconds(6);
+
+bool IsLive(const member_row& row) {
+  return row.state == member_state::kAlive || row.state == member_state::kSuspect;
+}
+
+membership_settings MembershipSettings(const runtime_settings& settings) {
+  membership_settings result;
+  result.seeds = settings.seeds;
+  return result;
+}
+
+request_result ResultOf(const call_log_row& row, duration latency, duration limit) {
+  if (row.result == error_kind::kNone) {
+    return row.status >= 500 ? request_result::kFailed : ServedResult(latency, limit);
+  }
+  switch (AnswerFor(row.result).state) {
+    case execution::kNotRun:
+      return request_result::kRefused;
+    case execution::kUnknown:
+      return request_result::kUnknown;
+    case execution::kRan:
+      break;
+  }
+  return request_result::kFailed;
+}
+
+}  // namespace
+
+node_runtime::node_runtime(const member_row& self, const runtime_settings& settings,
+                           const runtime_ports& ports, time_point now)
+    : links_(ports.links),
+      identity_{self.id, self.run, now},
+      budget_(kInitialBytesPerSecond, kInitialUpstreamTime),
+      membership_(self, MembershipSettings(settings), ports.datagrams, ports.log, budget_,
+                  settings.seed, now),
+      configuration_(
+          {.environment = settings.environment, .self = self.id, .seed = settings.seed},
+          ports.log, ports.configuration_peers),
+      routing_(configuration_, settings.seed),
+      members_(membership_),
+      routes_(configuration_),
+      node_(identity_,
+            node_ports{.callers = ports.callers,
+                       .peers = ports.peers,
+                       .upstreams = ports.upstreams,
+                       .chooser = routing_,
+                       .gate = admission_,
+                       .members = members_,
+                       .routes = routes_},
+            settings.seed) {
+  node_.SetCallObserver([this](const call_log_row& row) { CountCall(row); });
+}
+
+void node_runtime::OnPeerReport(const answer_identity& from, std::int64_t config_version,
+                                time_point now) {
+  configuration_.OnPeerVersion(from.owner, config_version, now);
+}
+
+void node_runtime::CountCall(const call_log_row& row) {
+  const auto current = configuration_.current();
+  const service_spec* spec = current == nullptr ? nullptr : current->FindService(row.service);
+  // A caller that left got no response that could be in time or late.
+  if (spec == nullptr || row.caller_left) {
+    return;
+  }
+  const request_class of = row.is_protected ? request_class::kProtected
+                           : row.is_long    ? request_class::kLong
+                                            : request_class::kShort;
+  const duration latency = row.ended - row.received;
+  const duration limit = row.is_long ? row.deadline - row.received : spec->objective_latency;
+  metrics_.Record(row.service, of, ResultOf(row, latency, limit), latency, row.ended);
+}
+
+void node_runtime::OnDatagram(std::string_view from, std::string_view payload, time_point now) {
+  membership_.OnDatagram(from, payload, now);
+  ApplyMembers(now);
+}
+
+void node_runtime::OnLogRead(const log_read& read, time_point now) {
+  configuration_.OnLogRead(read, now);
+  membership_.OnLogRead(read, now);
+  ApplyConfiguration(now);
+  ApplyMembers(now);
+}
+
+void node_runtime::OnLogFailed(std::string_view stream, time_point now) {
+  configuration_.OnLogFailed(stream, now);
+  membership_.OnLogFailed(stream, now);
+}
+
+void node_runtime::OnAppendResult(std::uint64_t token, bool succeeded, time_point now) {
+  configuration_.OnAppendResult(token, succeeded, now);
+  membership_.OnAppendResult(token, succeeded, now);
+}
+
+void node_runtime::OnSnapshot(member_id peer, std::string_view record, time_point now) {
+  configuration_.OnSnapshot(peer, record, now);
+  ApplyConfiguration(now);
+}
+
+void node_runtime::OnSnapshotFailed(member_id peer, time_point now) {
+  configuration_.OnSnapshotFailed(peer, now);
+}
+
+void node_runtime::OnAnnouncement(std::string_view service, std::string_view address,
+                                  std::uint32_t slots, std::uint32_t connections,
+                                  time_point now) {
+  membership_.OnAnnouncement(service, address, slots, connections, now);
+  ApplyUpstream(now);
+  ApplyMembers(now);
+}
+
+void node_runtime::Drain(time_point now) {
+  node_.Drain(now);
+  admission_.Drain(now);
+  membership_.Drain(now);
+}
+
+void node_runtime::Stop(time_point now) {
+  stopping_ = true;
+  Drain(now);
+}
+
+bool node_runtime::MayExit() const {
+  return stopping_ && node_.IsIdle() &&
+         (membership_.leave_recorded() || !membership_.log_available());
+}
+
+void node_runtime::Tick(time_point now) {
+  node_.Tick(now);
+  admission_.Tick(now);
+  membership_.SetHint(admission_.Hint(now));
+  membership_.Tick(now);
+  configuration_.Tick(now);
+  ApplyConfiguration(now);
+  ApplyUpstream(now);
+  if (now >= next_members_) {
+    members_changed_ = true;
+    next_members_ = now + kMembersPeriod;
+  }
+  ApplyMembers(now);
+  if (stopping_ && !leaving_ && node_.IsIdle()) {
+    leaving_ = true;
+    membership_.Leave(now);
+  }
+}
+
+std::size_t node_runtime::ServingMembers() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(membership_.members(), [](const member_row& row) {
+        return row.state == member_state::kAlive && !row.service.empty();
+      }));
+}
+
+void node_runtime::ApplyConfiguration(time_point now) {
+  if (configuration_.version() == applied_version_) {
+    return;
+  }
+  applied_version_ = configuration_.version();
+  membership_.SetConfigVersion(applied_version_);
+  const auto current = configuration_.current();
+  if (current == nullptr) {
+    return;
+  }
+  SetObjectives(*current);
+  budget_.SetLimits(current->measuring_bytes_per_second,
+                    std::chrono::milliseconds(current->measuring_upstream_ms_per_second));
+  lines_.push_back(Concat("config: version ", applied_version_, " is in effect"));
+  // The limits of the service may have changed.
+  applied_service_.clear();
+  ApplyUpstream(now);
+}
+
+void node_runtime::SetObjectives(const document& current) {
+  std::vector<std::string> removed;
+  for (const auto& [name, row] : metrics_.services()) {
+    if (current.FindService(name) == nullptr) {
+      removed.push_back(name);
+    }
+  }
+  for (const std::string& name : removed) {
+    metrics_.Remove(name);
+  }
+  for (const service_spec& spec : current.services) {
+    metrics_.SetObjective(spec.name, spec.objective);
+  }
+}
+
+void node_runtime::ApplyUpstream(time_point now) {
+  const upstream_announcement* upstream = membership_.upstream();
+  const std::string address = upstream == nullptr ? "" : upstream->address;
+  if (address != applied_address_) {
+    applied_address_ = address;
+    links_.SetUpstream(address);
+  }
+  const auto current = configuration_.current();
+  if (upstream == nullptr || current == nullptr) {
+    return;
+  }
+  const bool is_applied = upstream->service == applied_service_ &&
+                          upstream->slots == applied_slots_ &&
+                          upstream->connections == applied_connections_;
+  const service_spec* spec = current->FindService(upstream->service);
+  if (is_applied || spec == nullptr) {
+    return;
+  }
+  applied_service_ = upstream->service;
+  applied_slots_ = upstream->slots;
+  applied_connections_ = upstream->connections;
+  admission_.Configure(*spec, *upstream, now);
+}
+
+void node_runtime::ApplyMembers(time_point now) {
+  CollectLines();
+  if (!members_changed_) {
+    return;
+  }
+  members_changed_ = false;
+  routing_.OnMembers(membership_.members(), membership_.self(), now);
+  std::vector<member_id> alive;
+  for (const member_row& row : membership_.members()) {
+    if (row.id == identity_.id) {
+      alive.push_back(row.id);
+      continue;
+    }
+    if (IsLive(row)) {
+      alive.push_back(row.id);
+      configuration_.OnPeerVersion(row.id, row.config_version, now);
+      std::string& linked = linked_[row.id];
+      if (linked != row.peer_address) {
+        linked = row.peer_address;
+        links_.OpenPeer(row.id, row.peer_address);
+      }
+    } else if (linked_.erase(row.id) > 0) {
+      links_.ClosePeer(row.id);
+    }
+  }
+  configuration_.OnMembers(alive);
+}
+
+void node_runtime::CollectLines() {
+  for (const membership_event& event : membership_.TakeEvents()) {
+    lines_.push_back(DescribeEvent(event));
+    members_changed_ = true;
+  }
+  for (const record_verdict& each : configuration_.TakeVerdicts()) {
+    lines_.push_back(Concat("config: record ", each.offset, " is ", VerdictName(each.value)));
+  }
+}
+
+std::vector<std::string> node_runtime::TakeLines() {
+  CollectLines();
+  return std::exchange(lines_, {});
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/node/node_runtime.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "src/base/call_id.h"
+#include "src/base/error_kind.h"
+#include "src/base/time.h"
+#include "src/calls/answer_identity.h"
+#include "src/calls/self_identity.h"
+#include "src/configuration/configuration_system.h"
+#include "src/measuring/budget_account.h"
+#include "src/measuring/service_metrics.h"
+#include "src/membership/member_row.h"
+#include "src/membership/membership_system.h"
+#include "src/node/admission_adapter.h"
+#include "src/node/member_directory_adapter.h"
+#include "src/node/node.h"
+#include "src/node/route_directory_adapter.h"
+#include "src/node/routing_adapter.h"
+
+namespace bronzeroute {
+
+class peer_link_port;
+struct attempt_head;
+struct call_log_row;
+struct caller_request;
+struct load_hint;
+struct log_read;
+struct runtime_ports;
+struct runtime_settings;
+
+/// All decision logic of one daemon: calls, routing, admission, membership, configuration and
+/// measuring, joined. Events go in through the functions below, effects go out through the
+/// ports. All functions are called on one thread with times that do not decrease.
+class node_runtime {
+ public:
+  /// The ports must outlive the runtime.
+  node_runtime(const member_row& self, const runtime_settings& settings,
+               const runtime_ports& ports, time_point now);
+
+  /// Events of callers, of other daemons and of the upstream client. After each of them the
+  /// systems that depend on its outcome are brought up to date.
+  node& calls() { return node_; }
+  const node& calls() const { return node_; }
+
+  /// What an owner reported beside its answer.
+  void OnPeerReport(const answer_identity& from, std::int64_t config_version, time_point now);
+
+  void OnDatagram(std::string_view from, std::string_view payload, time_point now);
+  void OnLogRead(const log_read& read, time_point now);
+  void OnLogFailed(std::string_view stream, time_point now);
+  void OnAppendResult(std::uint64_t token, bool succeeded, time_point now);
+  void OnSnapshot(member_id peer, std::string_view record, time_point now);
+  void OnSnapshotFailed(member_id peer, time_point now);
+
+  /// The upstream beside this daemon announced itself.
+  void OnAnnouncement(std::string_view service, std::string_view address, std::uint32_t slots,
+                      std::uint32_t connections, time_point now);
+
+  /// The upstream leaves: refuses new work for it and tells the peers.
+  void Drain(time_point now);
+  /// The process stops: drains, and leaves the membership.
+  void Stop(time_point now);
+  bool stopping() const { return stopping_; }
+  /// True once no call is open and the log has the leave record.
+  bool MayExit() const;
+
+  void Tick(time_point now);
+
+  const configuration_system& configuration() const { return configuration_; }
+  const membership_system& membership() const { return membership_; }
+  const admission_adapter& admission() const { return admission_; }
+  const routing_adapter& routing() const { return routing_; }
+  const budget_account& budget() const { return budget_; }
+  const service_metrics& metrics() const { return metrics_; }
+  /// Members that are alive and serve something, this one included.
+  std::size_t ServingMembers() const;
+  /// Log lines since the last call, oldest first, each with the prefix of its part.
+  std::vector<std::string> TakeLines();
+
+ private:
+  void ApplyConfiguration(time_point now);
+  void SetObjectives(const document& current);
+  void ApplyUpstream(time_point now);
+  void ApplyMembers(time_point now);
+  void CollectLines();
+  /// Counts an ended call for the service levels.
+  void CountCall(const call_log_row& row);
+
+  peer_link_port& links_;
+  self_identity identity_;
+  budget_account budget_;
+  service_metrics metrics_;
+  membership_system membership_;
+  configuration_system configuration_;
+  admission_adapter admission_;
+  routing_adapter routing_;
+  member_directory_adapter members_;
+  route_directory_adapter routes_;
+  node node_;
+  std::vector<std::string> lines_;
+  std::int64_t applied_version_ = -1;
+  /// Service and address of the upstream that admission and transport were told of.
+  std::string applied_service_;
+  std::string applied_address_;
+  std::uint32_t applied_slots_ = 0;
+  std::uint32_t applied_connections_ = 0;
+  /// Peers whose channels are open.
+  absl::flat_hash_map<member_id, std::string> linked_;
+  time_point next_members_;
+  bool members_changed_ = true;
+  bool stopping_ = false;
+  bool leaving_ = false;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/node/routing_adapter.cc
@@ -0,0 +1,77 @@
+#include "src/node/routing_adapter.h"
+
+#include <memory>
+#include <utility>
+
+#include "src/configuration/configuration_system.h"
+#include "src/membership/member_row.h"
+
+namespace bronzeroute {
+namespace {
+
+attempt_end EndOf(attempt_outcome outcome) {
+  switch (outcome) {
+    case attempt_outcome::kAnswered:
+      return attempt_end::kAnswered;
+    case attempt_outcome::kRefused:
+      return attempt_end::kRefused;
+    case attempt_outcome::kNotSent:
+    case attempt_outcome::kCancelled:
+      return attempt_end::kCancelled;
+    case attempt_outcome::kFailed:
+    case attempt_outcome::kLost:
+    case attempt_outcome::kCut:
+    case attempt_outcome::kTimedOut:
+      break;
+  }
+  return attempt_end::kFailed;
+}
+
+}  // namespace
+
+std::optional<member_target> routing_adapter::Choose(std::string_view service,
+                                                     const choice_request& request,
+                                                     std::span<const member_id> excluded,
+                                                     time_point now) {
+  chosen_trial_.reset();
+  const std::shared_ptr<const document> current = configuration_.current();
+  const service_spec* spec = current == nullptr ? nullptr : current->FindService(service);
+  if (spec == nullptr) {
+    return std::nullopt;
+  }
+  choice_result result = system_.Choose(*spec, request, excluded, now);
+  last_choice_ = std::move(result.explanation);
+  if (!result.member) {
+    return std::nullopt;
+  }
+  if (result.is_trial) {
+    chosen_trial_ = result.member;
+  }
+  return member_target{*result.member, result.run};
+}
+
+void routing_adapter::OnHint(member_target owner, const load_hint& hint, time_point now) {
+  system_.OnHint(owner.id, owner.run, hint, now);
+}
+
+void routing_adapter::OnAttemptSent(member_target owner, time_point now) {
+  const bool is_trial = chosen_trial_ == owner.id;
+  if (is_trial) {
+    trials_.insert(owner.id);
+    chosen_trial_.reset();
+  }
+  system_.OnAttemptSent(owner.id, is_trial, now);
+}
+
+void routing_adapter::OnAttemptEnded(member_target owner, attempt_outcome outcome,
+                                     time_point now) {
+  const bool is_trial = trials_.erase(owner.id) > 0;
+  system_.OnAttemptEnded(owner.id, EndOf(outcome), is_trial, now);
+}
+
+void routing_adapter::OnMembers(std::span<const member_row> members, const member_row& self,
+                                time_point now) {
+  system_.OnMembers(members, self.id, self.region, self.availability_zone, now);
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/node/routing_adapter.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+#include "absl/container/flat_hash_set.h"
+#include "src/calls/upstream_chooser.h"
+#include "src/routing/choice_explanation.h"
+#include "src/routing/policy_two_choices.h"
+#include "src/routing/routing_system.h"
+
+namespace bronzeroute {
+
+class configuration_system;
+
+/// Puts the routing system behind the interface that the entry uses.
+class routing_adapter final : public upstream_chooser {
+ public:
+  /// `configuration` must outlive the adapter.
+  routing_adapter(const configuration_system& configuration, std::uint64_t seed)
+      : configuration_(configuration), system_(seed) {}
+
+  std::optional<member_target> Choose(std::string_view service, const choice_request& request,
+                                      std::span<const member_id> excluded,
+                                      time_point now) override;
+  void OnHint(member_target owner, const load_hint& hint, time_point now) override;
+  void OnAttemptSent(member_target owner, time_point now) override;
+  void OnAttemptEnded(member_target owner, attempt_outcome outcome, time_point now) override;
+
+  void OnMembers(std::span<const member_row> members, const member_row& self, time_point now);
+  /// The last choice as an operator can follow it.
+  const choice_explanation& last_choice() const { return last_choice_; }
+
+ private:
+  const configuration_system& configuration_;
+  routing_system<policy_two_choices> system_;
+  /// Members whose open attempt is a trial call; there is at most one each.
+  absl::flat_hash_set<member_id> trials_;
+  std::optional<member_id> chosen_trial_;
+  choice_explanation last_choice_;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/node/runtime_ports.h
@@ -0,0 +1,24 @@
+#pragma once
+
+namespace bronzeroute {
+
+class caller_port;
+class configuration_peer_port;
+class datagram_port;
+class log_port;
+class peer_link_port;
+class peer_port;
+class upstream_port;
+
+/// Everything a `node_runtime` acts through.
+struct runtime_ports {
+  caller_port& callers;
+  peer_port& peers;
+  upstream_port& upstreams;
+  datagram_port& datagrams;
+  log_port& log;
+  configuration_peer_port& configuration_peers;
+  peer_link_port& links;
+};
+
+}  // namespace bronzeroute
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -101,7 +101,7 @@
       << "environment = \"production\"\nregion = \"" << region << "\"\navailability_zone = \""
       << zone << "\"\n[addresses]\ncallers = \"" << added.callers << "\"\npeers = \""
       << added.peers << "\"\nmembership = \"" << added.membership << "\"\nadmin = \""
-      << added.admin << "\"\n[log]\naddress = \"http://" << log_address_ << "\"\n";
+      << added.admin << "\"\n[log]\naddress = \"" << log_address_ << "\"\n";
   const std::vector<std::string> arguments = {
       "--listen", added.upstream, "--daemon",     added.admin, "--service", service,
       "--slots",  std::to_string(slots), "--service-us", std::to_string(service_us)};
@@ -120,7 +120,7 @@
 }
 
 int deployment::RunCtl(std::vector<std::string> arguments) {
-  arguments.insert(arguments.begin(), {"--log", "http://" + log_address_});
+  arguments.insert(arguments.begin(), {"--log", log_address_});
   const std::string output = folder_ + "/ctl-" + std::to_string(++ctl_runs_) + ".out";
   child_process ctl("brctl", arguments, output);
   return ctl.Wait();
--- a/tools/run_local.sh
+++ b/tools/run_local.sh
@@ -66,7 +66,7 @@
 membership = "127.0.0.1:$((base + 2))"
 admin = "127.0.0.1:$((base + 3))"
 [log]
-address = "http://$log"
+address = "$log"
 TOML
     "$bin/bronzerouted" --settings "$work/$index.toml" 2>"$work/daemon-$index.log" &
     pids+=($!)
@@ -79,14 +79,14 @@
   done
 done
 echo "== publish examples/$example.toml to trial, promote it to production"
-"$bin/brctl" --log "http://$log" publish "examples/$example.toml"
-"$bin/brctl" --log "http://$log" promote
+"$bin/brctl" --log "$log" publish "examples/$example.toml"
+"$bin/brctl" --log "$log" promote
 echo "== wait until every daemon has the configuration and knows its peers"
-"$bin/brctl" --log "http://$log" wait "${admins[@]}" --members "$index" --timeout-ms 30000
+"$bin/brctl" --log "$log" wait "${admins[@]}" --members "$index" --timeout-ms 30000
 echo "== send requests through all daemons"
 "$bin/brload" "${targets[@]}" --short-path $short --protected-path $protected --long-path $long \
   --short 60 --protected 20 --long 2 --long-bytes 1000000 --duration 3 --keys issued
-"$bin/brctl" --log "http://$log" status "${admins[@]}"
+"$bin/brctl" --log "$log" status "${admins[@]}"
 if $stay; then
   echo "== running; callers' addresses: ${targets[*]//--target/}; Ctrl-C stops it"
   wait
