--- /dev/null
+++ b/tests/configuration/configuration_system_test.cc
@@ -0,0 +1,267 @@
+#include "src/configuration/configuration_system.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/configuration/configuration_record.h"
+#include "tests/configuration/log_model.h"
+#include "tests/configuration/sample_document.h"
+
+namespace bronzeroute {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::_;
+using testing::NiceMock;
+
+constexpr std::string_view kStream = "config.trial";
+constexpr member_id kSelf{1};
+constexpr member_id kPeer{2};
+constexpr member_id kOtherPeer{3};
+
+class mock_log : public log_port {
+ public:
+  MOCK_METHOD(void, Append,
+              (std::string_view stream, std::string_view data, std::uint64_t token),
+              (override));
+  MOCK_METHOD(void, Read, (std::string_view stream, std::int64_t from), (override));
+};
+
+class mock_peers : public configuration_peer_port {
+ public:
+  MOCK_METHOD(void, FetchSnapshot, (member_id peer, std::int64_t known_version), (override));
+};
+
+class ConfigurationSystemTest : public testing::Test {
+ protected:
+  ConfigurationSystemTest() {
+    ON_CALL(log_, Read(_, _)).WillByDefault([this](std::string_view, std::int64_t from) {
+      ++reads_;
+      from_ = from;
+      reading_ = true;
+    });
+    ON_CALL(log_, Append(_, _, _))
+        .WillByDefault([this](std::string_view, std::string_view data, std::uint64_t token) {
+          appends_.emplace_back(data, token);
+        });
+    ON_CALL(peers_, FetchSnapshot(_, _)).WillByDefault([this](member_id peer, std::int64_t) {
+      fetched_.push_back(peer.value);
+    });
+    Start(kSelf);
+  }
+
+  void Start(member_id self) {
+    system_ = std::make_unique<configuration_system>(configuration_settings{"trial", self, 1},
+                                                     log_, peers_);
+  }
+
+  // Ticks every 10 ms; `log_answers` tells what the log does with reads meanwhile.
+  void Run(duration time, bool log_answers) {
+    const time_point end = now_ + time;
+    while (now_ < end) {
+      now_ += milliseconds(10);
+      system_->Tick(now_);
+      if (reading_) {
+        reading_ = false;
+        if (log_answers) {
+          log_read read = stream_.Read(from_);
+          for (log_record& record : read.records) record.age_ms = age_ms_;
+          system_->OnLogRead(read, now_);
+        } else {
+          system_->OnLogFailed(kStream, now_);
+        }
+      }
+    }
+  }
+
+  std::int64_t Publish(std::int64_t base, int number) {
+    return stream_.Append(EncodePublication("id" + std::to_string(number), base,
+                                            SampleDocument(number), std::nullopt));
+  }
+
+  // The snapshot record of a peer that has read the whole stream.
+  std::string PeerSnapshot() const {
+    configuration_fold fold("trial");
+    fold.Fold(stream_.Read(0));
+    return EncodeSnapshot(fold.head(), "trial");
+  }
+
+  NiceMock<mock_log> log_;
+  NiceMock<mock_peers> peers_;
+  log_model stream_;
+  std::unique_ptr<configuration_system> system_;
+  time_point now_{};
+  std::int64_t age_ms_ = 0;
+  int reads_ = 0;
+  std::int64_t from_ = 0;
+  bool reading_ = false;
+  std::vector<std::pair<std::string, std::uint64_t>> appends_;
+  std::vector<std::uint64_t> fetched_;
+};
+
+// Guards against a publication that a daemon with a working log does not put in effect.
+TEST_F(ConfigurationSystemTest, FollowsTheLog) {
+  EXPECT_EQ(system_->version(), -1);
+  EXPECT_EQ(system_->current(), nullptr);
+  Publish(-1, 1);
+  Run(milliseconds(200), true);
+  EXPECT_EQ(system_->version(), 0);
+  Publish(0, 2);
+  Run(milliseconds(200), true);
+  EXPECT_EQ(system_->current()->name, "sample-2");
+  EXPECT_EQ(system_->TakeVerdicts().size(), 2U);
+  EXPECT_EQ(system_->problem(), "");
+}
+
+// Guards against a storm of reads on a log that is down, and against giving up on it.
+TEST_F(ConfigurationSystemTest, BacksOffWhileTheLogIsUnavailable) {
+  Run(seconds(60), false);
+  EXPECT_GE(reads_, 60 / 4);
+  EXPECT_LE(reads_, 40);
+  EXPECT_EQ(system_->problem(), "the log is unavailable");
+  Publish(-1, 1);
+  Run(seconds(5), true);
+  EXPECT_EQ(system_->version(), 0);
+}
+
+// Guards against a daemon that waits for ever for a read whose result never comes.
+TEST_F(ConfigurationSystemTest, RepeatsAReadWithoutResult) {
+  system_->Tick(now_);
+  EXPECT_EQ(reads_, 1);
+  now_ += seconds(11);
+  system_->Tick(now_);
+  now_ += seconds(1);
+  system_->Tick(now_);
+  EXPECT_EQ(reads_, 2);
+}
+
+// Guards against a start during a log outage that does not ask the peers, and against a
+// change that takes more than 6 s by the second way.
+TEST_F(ConfigurationSystemTest, TakesAHigherVersionFromAPeerWithoutTheLog) {
+  Publish(-1, 1);
+  Run(milliseconds(100), false);
+  system_->OnPeerVersion(kPeer, 0, now_);
+  Run(milliseconds(600), false);
+  ASSERT_EQ(fetched_, std::vector<std::uint64_t>{kPeer.value});
+  system_->OnSnapshot(kPeer, PeerSnapshot(), now_);
+  EXPECT_EQ(system_->version(), 0);
+  EXPECT_EQ(system_->in_effect().bytes, SampleDocument(1));
+  // It passes the version on and continues after it once the log is back.
+  EXPECT_FALSE(system_->SnapshotFor(-1).empty());
+  EXPECT_TRUE(system_->SnapshotFor(0).empty());
+  Run(seconds(5), true);
+  EXPECT_EQ(from_, 1);
+}
+
+// Guards against two lost fetches making a change late: within 6 s the third peer is asked.
+TEST_F(ConfigurationSystemTest, AsksAnotherPeerAfterAFailedFetch) {
+  Publish(-1, 1);
+  Run(milliseconds(100), true);
+  Publish(0, 2);
+  const time_point heard = now_;
+  for (const member_id peer : {kPeer, kOtherPeer, member_id{4}}) {
+    system_->OnPeerVersion(peer, 1, now_);
+  }
+  while (fetched_.size() < 3 && now_ < heard + seconds(6)) Run(milliseconds(10), false);
+  ASSERT_EQ(fetched_.size(), 3U);
+  EXPECT_EQ(std::set<std::uint64_t>(fetched_.begin(), fetched_.end()).size(), 3U);
+}
+
+// Guards against a return to an older version from a peer that lags.
+TEST_F(ConfigurationSystemTest, NeverGoesToALowerVersion) {
+  Publish(-1, 1);
+  const std::string older = PeerSnapshot();
+  Publish(0, 2);
+  Run(milliseconds(200), true);
+  system_->OnPeerVersion(kPeer, 0, now_);
+  Run(seconds(3), true);
+  EXPECT_TRUE(fetched_.empty());
+  system_->OnSnapshot(kPeer, older, now_);
+  EXPECT_EQ(system_->version(), 1);
+  // The log lost its records: the daemon stays where it is.
+  stream_.history.clear();
+  Publish(-1, 3);
+  Run(seconds(3), true);
+  EXPECT_EQ(system_->version(), 1);
+  EXPECT_EQ(system_->problem(), "the log ends before the records read earlier");
+}
+
+// Guards against a daemon that fell behind the retention and loses the version in effect.
+TEST_F(ConfigurationSystemTest, KeepsTheVersionWhileNoSnapshotCoversTheHead) {
+  Publish(-1, 1);
+  Run(milliseconds(200), true);
+  Publish(0, 2);
+  const std::string snapshot = PeerSnapshot();
+  stream_.Append("junk");
+  stream_.first = 2;
+  Run(milliseconds(200), true);
+  EXPECT_EQ(system_->version(), 0);
+  EXPECT_EQ(system_->problem(), "no snapshot covers the beginning of the stream");
+  stream_.Append(snapshot);
+  Run(milliseconds(300), true);
+  EXPECT_EQ(system_->version(), 1);
+}
+
+// Guards against a stream whose head is cut before any snapshot was appended, also when
+// publications come so often that the newest one is always young.
+TEST_F(ConfigurationSystemTest, AppendsASnapshotBeforeRetentionPasses) {
+  std::int64_t base = -1;
+  for (int number = 1; number <= 40 && appends_.empty(); ++number) {
+    base = Publish(base, number);
+    // The retention of the model is one hour.
+    for (int second = 0; second < 60 && appends_.empty(); ++second) Run(seconds(1), true);
+  }
+  ASSERT_EQ(appends_.size(), 1U);
+  EXPECT_GE(now_.time_since_epoch(), seconds(1800));
+  EXPECT_LE(now_.time_since_epoch(), seconds(1900));
+  stream_.Append(appends_[0].first);
+  system_->OnAppendResult(appends_[0].second, true, now_);
+  stream_.first = 1;
+  Run(seconds(600), true);
+  EXPECT_EQ(appends_.size(), 1U);
+  Start(kPeer);
+  Run(milliseconds(200), true);
+  EXPECT_EQ(system_->version(), base);
+}
+
+// Guards against every daemon appending the same snapshot at the same moment.
+TEST_F(ConfigurationSystemTest, OneOfManyAppendsTheSnapshot) {
+  std::vector<member_id> members;
+  for (std::uint64_t value = 1; value <= 50; ++value) members.push_back({value});
+  Publish(-1, 1);
+  age_ms_ = 1'800'000;
+  int early = 0;
+  for (const member_id self : members) {
+    Start(self);
+    system_->OnMembers(members);
+    appends_.clear();
+    Run(milliseconds(1500), true);
+    early += static_cast<int>(appends_.size());
+  }
+  EXPECT_EQ(early, 1);
+  // The others append it if the first one fails to.
+  for (int second = 0; second < 100 && appends_.empty(); ++second) Run(seconds(1), true);
+  EXPECT_EQ(appends_.size(), 1U);
+}
+
+// Guards against a snapshot that is given up after a lost append.
+TEST_F(ConfigurationSystemTest, RepeatsASnapshotThatDoesNotAppear) {
+  Publish(-1, 1);
+  age_ms_ = 1'800'000;
+  Run(milliseconds(500), true);
+  ASSERT_EQ(appends_.size(), 1U);
+  system_->OnAppendResult(appends_[0].second, false, now_);
+  Run(seconds(11), true);
+  EXPECT_EQ(appends_.size(), 2U);
+}
+
+}  // namespace
+}  // namespace bronzeroute
