--- a/src/membership/membership_settings.h
+++ b/src/membership/membership_settings.h
@@ -40,6 +40,7 @@
   duration dead_probe_period = std::chrono::seconds(10);
 
   duration join_spread = std::chrono::seconds(5);
+  duration announcement_period = std::chrono::seconds(2);
   duration upstream_silence = std::chrono::seconds(10);
   /// Age from which a log record alone does not show that its member still runs.
   duration fresh_record = std::chrono::seconds(10);
--- a/src/membership/membership_system.cc
+++ b/src/membership/membership_system.cc
@@ -97,7 +97,8 @@
   next_probe_ = now + Jittered(duration::zero(), settings_.probe_period);
   forced_probe_ = now + settings_.longest_probe_period;
   MarkChanged(0, true, false);
-  next_append_ = now;
+  // An upstream announces itself every 2 s; waiting for it saves a second record.
+  next_append_ = upstream_ ? now : now + settings_.announcement_period;
 }
 
 void membership_system::RaiseRun(incarnation above, time_point now) {
@@ -141,7 +142,8 @@
   table_.Refresh(0);
   if (!joined_) return;
   MarkChanged(0, true, false);
-  // Later readers of the log find the upstream's service in the newest record.
+  // Later readers of the log find the upstream's service in the newest record. A join that is
+  // still to be appended is early enough.
   next_append_ =
       std::min(next_append_, now + Jittered(duration::zero(), settings_.join_spread));
 }
@@ -215,7 +217,7 @@
       FillSender(message, false);
       std::size_t size = message.ByteSizeLong();
       AddRecord(index, false, message, size);
-      Send(table_.row(index).membership_address, message, size,
+      Send(table_.row(index).id, table_.row(index).membership_address, message, size,
            charge_purpose::kMembershipProbe, urgency::kBudgeted, now);
     }
   }
@@ -240,8 +242,8 @@
   }
   // An empty account stretches the period, but only up to the floor.
   const urgency force = now >= forced_probe_ ? urgency::kForced : urgency::kBudgeted;
-  if (!Send(target.membership_address, message, size, charge_purpose::kMembershipProbe, force,
-            now)) {
+  if (!Send(target.id, target.membership_address, message, size,
+            charge_purpose::kMembershipProbe, force, now)) {
     return;
   }
   forced_probe_ = now + settings_.longest_probe_period;
@@ -272,8 +274,8 @@
     message.set_target_address(target_address);
     FillSender(message, false);
     // Sent on credit too: without it one lost datagram would cause a false suspicion.
-    Send(table_.row(Index(peer)).membership_address, message, message.ByteSizeLong(),
-         charge_purpose::kMembershipProbe, urgency::kForced, now);
+    Send(table_.row(Index(peer)).id, table_.row(Index(peer)).membership_address, message,
+         message.ByteSizeLong(), charge_purpose::kMembershipProbe, urgency::kForced, now);
   }
 }
 
@@ -301,8 +303,8 @@
   FillSender(message, true);
   std::size_t size = message.ByteSizeLong();
   AddRecord(index, false, message, size);
-  Send(table_.row(index).membership_address, message, size, charge_purpose::kMembershipProbe,
-       urgency::kBudgeted, now);
+  Send(table_.row(index).id, table_.row(index).membership_address, message, size,
+       charge_purpose::kMembershipProbe, urgency::kBudgeted, now);
 }
 
 void membership_system::TickSeeds(time_point now) {
@@ -315,8 +317,8 @@
   message.set_kind(MemberDatagram::PING);
   message.set_sequence(++sequence_);
   FillSender(message, true);
-  Send(settings_.seeds[Random(settings_.seeds.size())], message, message.ByteSizeLong(),
-       charge_purpose::kMembershipProbe, urgency::kBudgeted, now);
+  Send(member_id{}, settings_.seeds[Random(settings_.seeds.size())], message,
+       message.ByteSizeLong(), charge_purpose::kMembershipProbe, urgency::kBudgeted, now);
 }
 
 void membership_system::TickWants(time_point now) {
@@ -324,6 +326,7 @@
   next_want_ = now + milliseconds(200);
   MemberDatagram message;
   std::string address;
+  member_id asked;
   for (auto it = wants_.begin(); it != wants_.end();) {
     want& entry = it->second;
     const bool mine = entry.ask_at <= now && message.wanted_size() < kMostWanted &&
@@ -337,6 +340,7 @@
       continue;
     }
     address = entry.address;
+    asked = entry.from;
     ++entry.asked;
     entry.ask_at = now + seconds(1);
     message.add_wanted(it->first.value);
@@ -345,7 +349,7 @@
   if (message.wanted_size() == 0) return;
   message.set_kind(MemberDatagram::GOSSIP);
   FillSender(message, false);
-  Send(address, message, message.ByteSizeLong(), charge_purpose::kMembershipChange,
+  Send(asked, address, message, message.ByteSizeLong(), charge_purpose::kMembershipChange,
        urgency::kBudgeted, now);
 }
 
@@ -366,7 +370,7 @@
         AddRecord(Index(index), false, message, size);
       }
     }
-    Send(table_.row(Index(peer)).membership_address, message, size,
+    Send(table_.row(Index(peer)).id, table_.row(Index(peer)).membership_address, message, size,
          charge_purpose::kMembershipChange, urgency::kBudgeted, now);
   }
   for (const member_id id : changed_) {
@@ -422,7 +426,7 @@
   HearSender(from, message, now);
   for (const proto::MemberRecord& record : message.records()) {
     if (const std::optional<member_update> update = ReadMemberRecord(record)) {
-      ApplyRecord(*update, from, now);
+      ApplyRecord(*update, sender, from, now);
     }
   }
   switch (message.kind()) {
@@ -452,7 +456,8 @@
     std::size_t size = answer.ByteSizeLong();
     AnswerWanted(message, answer, size);
     if (answer.records_size() > 0) {
-      Send(from, answer, size, charge_purpose::kMembershipChange, urgency::kBudgeted, now);
+      Send(member_id{message.sender()}, from, answer, size, charge_purpose::kMembershipChange,
+           urgency::kBudgeted, now);
     }
   }
 }
@@ -462,7 +467,7 @@
   const member_id sender{message.sender()};
   const std::ptrdiff_t found = table_.IndexOf(sender);
   if (found < 0 || message.sender_incarnation() > table_.row(Index(found)).run.value) {
-    Want(sender, from, now);
+    Want(sender, sender, from, now);
     return;
   }
   const std::size_t index = Index(found);
@@ -507,7 +512,8 @@
     // the datagram is left to the changes.
     AddBucketRecords(CompareDigests(message, now), answer, size);
   }
-  Send(from, answer, size, charge_purpose::kMembershipProbe, urgency::kForced, now);
+  Send(member_id{message.sender()}, from, answer, size, charge_purpose::kMembershipProbe,
+       urgency::kForced, now);
 }
 
 void membership_system::OnPingRequest(std::string_view from, const MemberDatagram& message,
@@ -520,12 +526,13 @@
   ping.set_sequence(++sequence_);
   ping.set_target(message.target());
   FillSender(ping, false);
-  if (!Send(message.target_address(), ping, ping.ByteSizeLong(),
+  if (!Send(member_id{message.target()}, message.target_address(), ping, ping.ByteSizeLong(),
             charge_purpose::kMembershipProbe, urgency::kBudgeted, now)) {
     return;
   }
   relays_.push_back(relay{.sequence = sequence_,
                           .origin = std::string(from),
+                          .origin_id = member_id{message.sender()},
                           .origin_sequence = message.sequence(),
                           .until = now + seconds(1)});
 }
@@ -543,8 +550,8 @@
   answer.set_sequence(found->origin_sequence);
   answer.set_target(message.sender());
   FillSender(answer, false);
-  Send(found->origin, answer, answer.ByteSizeLong(), charge_purpose::kMembershipProbe,
-       urgency::kForced, now);
+  Send(found->origin_id, found->origin, answer, answer.ByteSizeLong(),
+       charge_purpose::kMembershipProbe, urgency::kForced, now);
   relays_.erase(found);
 }
 
@@ -597,8 +604,8 @@
 
 // --- records
 
-void membership_system::ApplyRecord(const member_update& update, std::string_view from,
-                                    time_point now) {
+void membership_system::ApplyRecord(const member_update& update, member_id sender,
+                                    std::string_view from, time_point now) {
   if (update.row.id == self().id) {
     ApplyOwnRecord(update, now);
     return;
@@ -606,7 +613,7 @@
   const merge_result result = table_.Merge(update);
   if (result.earlier_run) return;
   if (update.has_details) wants_.erase(update.row.id);
-  if (result.needs_details) Want(update.row.id, from, now);
+  if (result.needs_details) Want(update.row.id, sender, from, now);
   const std::ptrdiff_t found = table_.IndexOf(update.row.id);
   if (found < 0) return;
   const std::size_t index = Index(found);
@@ -717,9 +724,11 @@
   push_due_ = push_due_ || urgent;
 }
 
-void membership_system::Want(member_id id, std::string_view address, time_point now) {
+void membership_system::Want(member_id id, member_id from, std::string_view address,
+                             time_point now) {
   const auto [it, added] = wants_.try_emplace(id);
   if (!added) return;
+  it->second.from = from;
   it->second.address = address;
   // The log usually brings the record within its reading pause.
   it->second.ask_at = log_available() ? now + settings_.read_pause : now;
@@ -758,7 +767,7 @@
   return true;
 }
 
-bool membership_system::Send(std::string_view address, MemberDatagram& message,
+bool membership_system::Send(member_id peer, std::string_view address, MemberDatagram& message,
                              std::size_t size, charge_purpose purpose, urgency force,
                              time_point now) {
   const int own_records = message.records_size();
@@ -776,11 +785,9 @@
     }
     carried.push_back(Index(index));
   }
-  distance where = distance::kSameZone;
-  if (message.kind() != MemberDatagram::GOSSIP || message.target() != 0) {
-    const std::ptrdiff_t target = table_.IndexOf(member_id{message.target()});
-    if (target > 0) where = DistanceBetween(self(), table_.row(Index(target)));
-  }
+  const std::ptrdiff_t target = table_.IndexOf(peer);
+  const distance where =
+      target > 0 ? DistanceBetween(self(), table_.row(Index(target))) : distance::kSameZone;
   budget_charge charge{
       .bytes = message.ByteSizeLong() + kHeaderBytes, .purpose = purpose, .where = where};
   if (!budget_.TryCharge(charge, now)) {
--- a/src/membership/membership_system.h
+++ b/src/membership/membership_system.h
@@ -104,10 +104,13 @@
   struct relay {
     std::uint64_t sequence = 0;
     std::string origin;
+    member_id origin_id;
     std::uint64_t origin_sequence = 0;
     time_point until;
   };
   struct want {
+    /// Member that has the details, and its address.
+    member_id from;
     std::string address;
     time_point ask_at;
     std::uint32_t asked = 0;
@@ -141,7 +144,8 @@
   std::uint32_t CompareDigests(const proto::MemberDatagram& message, time_point now);
   void AddBucketRecords(std::uint32_t mask, proto::MemberDatagram& message, std::size_t& size);
 
-  void ApplyRecord(const member_update& update, std::string_view from, time_point now);
+  void ApplyRecord(const member_update& update, member_id sender, std::string_view from,
+                   time_point now);
   void ApplyOwnRecord(const member_update& update, time_point now);
   void AfterMerge(std::size_t index, const merge_result& result, bool from_log, time_point now);
   void AfterStateChange(std::size_t index, time_point now);
@@ -149,12 +153,12 @@
   void Confirm(std::size_t index);
   void MarkChanged(std::size_t index, bool with_details, bool urgent);
   void ChangeOwnDetails(time_point now);
-  void Want(member_id id, std::string_view address, time_point now);
+  void Want(member_id id, member_id from, std::string_view address, time_point now);
 
-  /// Fills in the sender, hint and piggybacked changes, charges the budget and sends. False if
-  /// the budget refused; a forced message is then sent without piggybacked changes.
-  bool Send(std::string_view address, proto::MemberDatagram& message, std::size_t size,
-            charge_purpose purpose, urgency force, time_point now);
+  /// Adds piggybacked changes, charges the budget and sends. False if the budget refused; a
+  /// forced message is then sent on credit with one record at most.
+  bool Send(member_id peer, std::string_view address, proto::MemberDatagram& message,
+            std::size_t size, charge_purpose purpose, urgency force, time_point now);
   void FillSender(proto::MemberDatagram& message, bool with_digests);
   bool AddRecord(std::size_t index, bool with_details, proto::MemberDatagram& message,
                  std::size_t& size) const;
