Add the transport: callers, upstream, peers, admin and UDP

Cause: the node needs sockets behind caller_port, peer_port, upstream_port and datagram_port, and an event sink.

Measured: one test carries a short POST caller -> entry -> gRPC -> owner -> upstream and back. Streaming limits, resends, cuts and cancellation are written but not yet tested.

--- /dev/null
+++ b/src/transport/answer_stream.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "src/base/attempt_id.h"
+#include "src/transport/byte_pipe.h"
+#include "src/transport/header_list.h"
+
+namespace bronzeroute {
+
+/// The answer to one attempt as it arrives: its head, and its body as a bounded stream.
+struct answer_stream {
+  attempt_id attempt;
+  int status = 0;
+  header_list headers;
+  std::shared_ptr<byte_pipe> body;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/attempt_reactor.cc
@@ -0,0 +1,221 @@
+#include "src/transport/attempt_reactor.h"
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "src/transport/event_loop.h"
+#include "src/transport/peer_codec.h"
+#include "src/transport/peer_server.h"
+
+namespace bronzeroute {
+
+void attempt_reactor::Start() {
+  self_ = shared_from_this();
+  StartRead(&incoming_);
+}
+
+void attempt_reactor::OnReadDone(bool ok) {
+  PostToLoop([this, ok] { HandleRead(ok); });
+}
+
+void attempt_reactor::OnWriteDone(bool ok) {
+  PostToLoop([this, ok] { HandleWritten(ok); });
+}
+
+void attempt_reactor::OnCancel() {
+  PostToLoop([this] { HandleCancel(); });
+}
+
+// gRPC calls this after all other reactions, so this task runs after theirs.
+void attempt_reactor::OnDone() {
+  PostToLoop([this] { HandleDone(); });
+}
+
+void attempt_reactor::HandleRead(bool ok) {
+  if (ended_) return;
+  if (!ok) {
+    // The entry closes its side only by cancelling; before a first frame nothing was asked.
+    if (row_ == nullptr) End(grpc::Status(grpc::StatusCode::CANCELLED, "no attempt was sent"));
+    return;
+  }
+  if (row_ == nullptr) {
+    if (!incoming_.has_head()) {
+      End(grpc::Status(grpc::StatusCode::INVALID_ARGUMENT, "the first frame has no head"));
+      return;
+    }
+    row_ = std::make_shared<exchange>();
+    row_->body = std::make_shared<byte_pipe>(kPipeBytes, kKeptBodyBytes);
+    row_->body->SetWriter([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->PassBody();
+    });
+    ReadHead(incoming_, MonotonicNow(), head_, *row_);
+    owner_.Add(shared_from_this(), row_);
+    passing_ = true;
+    PassBody();
+    owner_.Announce(*row_, head_);
+    return;
+  }
+  if (FromProto(incoming_.id()) != head_.id) {
+    owner_.CountMismatch();
+    StartRead(&incoming_);
+    return;
+  }
+  passing_ = true;
+  PassBody();
+}
+
+// Hands the frame's body to the request's pipe as room allows; the next frame is read after
+// that.
+void attempt_reactor::PassBody() {
+  if (!passing_ || ended_) return;
+  while (passed_ < incoming_.body().size()) {
+    const std::string_view rest = std::string_view{incoming_.body()}.substr(passed_);
+    const std::size_t count = std::min(rest.size(), row_->body->Room());
+    if (count == 0) return;
+    passed_ += count;
+    row_->body->Append(rest.substr(0, count));
+    // A reader that made room at once has called back and moved on already.
+    if (!passing_ || ended_) return;
+  }
+  passing_ = false;
+  passed_ = 0;
+  if (incoming_.last()) {
+    row_->body->End();
+  } else {
+    StartRead(&incoming_);
+  }
+}
+
+void attempt_reactor::Admit(const load_hint& hint) {
+  proto::AnswerFrame frame;
+  frame.set_admitted(true);
+  *frame.mutable_hint() = ToProto(hint);
+  Send(std::move(frame));
+}
+
+void attempt_reactor::Refuse(error_kind kind, int recorded_status, const load_hint& hint) {
+  if (last_queued_) return;
+  proto::AnswerFrame frame;
+  frame.mutable_refusal()->set_kind(static_cast<std::uint32_t>(kind));
+  frame.mutable_refusal()->set_recorded_status(recorded_status);
+  *frame.mutable_hint() = ToProto(hint);
+  over_ = true;
+  Send(std::move(frame));
+  last_queued_ = true;
+}
+
+void attempt_reactor::Relay(const attempt_id& attempt) {
+  const auto answer = row_->answer;
+  if (answer == nullptr || answer->attempt != attempt || attempt != head_.id) {
+    owner_.CountMismatch();
+    return;
+  }
+  if (relayed_ != nullptr || last_queued_) return;
+  relayed_ = answer;
+  proto::AnswerFrame frame;
+  frame.mutable_head()->set_status(answer->status);
+  WriteHeaders(answer->headers, *frame.mutable_head());
+  answer->body->SetReader([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->Write();
+  });
+  Send(std::move(frame));
+}
+
+void attempt_reactor::FinishAnswer(bool complete, const load_hint& hint) {
+  if (ending_.has_value() || last_queued_) return;
+  over_ = true;
+  ending_ = ending{complete && relayed_ != nullptr, hint};
+  Write();
+}
+
+void attempt_reactor::Send(proto::AnswerFrame frame) {
+  if (last_queued_ || ended_) return;
+  queued_.push_back(std::move(frame));
+  Write();
+}
+
+// Starts the next write: queued frames first, then the answer's body, then its end.
+void attempt_reactor::Write() {
+  if (writing_ || ended_) return;
+  if (!queued_.empty()) {
+    outgoing_ = std::move(queued_.front());
+    queued_.pop_front();
+  } else if (last_queued_) {
+    End(grpc::Status::OK);
+    return;
+  } else if (!FillAnswer()) {
+    return;
+  }
+  *outgoing_.mutable_id() = ToProto(head_.id);
+  outgoing_.set_owner_incarnation(head_.target_incarnation.value);
+  outgoing_.set_config_version(owner_.config_version());
+  writing_ = true;
+  StartWrite(&outgoing_);
+}
+
+// Fills `outgoing_` with the next part of the answer; false if there is none yet.
+bool attempt_reactor::FillAnswer() {
+  const byte_pipe* const body = relayed_ == nullptr ? nullptr : relayed_->body.get();
+  const bool has_bytes = body != nullptr && body->Available() > 0;
+  const bool is_over = ending_.has_value() && !has_bytes;
+  if (!has_bytes && !is_over) return false;
+  outgoing_.Clear();
+  if (has_bytes) {
+    std::string& bytes = *outgoing_.mutable_body();
+    bytes.resize(std::min(body->Available(), kFrameBytes));
+    // The pipe's writer may fill it again and call back; `writing_` keeps that call out.
+    writing_ = true;
+    relayed_->body->Take(bytes.data(), bytes.size());
+    writing_ = false;
+  }
+  if (ending_.has_value() && (body == nullptr || body->Available() == 0)) {
+    const bool complete = ending_->complete && body != nullptr && body->AtEnd();
+    outgoing_.set_last(complete);
+    outgoing_.set_cut(!complete);
+    *outgoing_.mutable_hint() = ToProto(ending_->hint);
+    last_queued_ = true;
+  }
+  return true;
+}
+
+void attempt_reactor::HandleWritten(bool ok) {
+  writing_ = false;
+  if (ok) Write();
+}
+
+void attempt_reactor::HandleCancel() {
+  Leave();
+  End(grpc::Status::CANCELLED);
+}
+
+void attempt_reactor::Abort() {
+  over_ = true;
+  Leave();
+  End(grpc::Status(grpc::StatusCode::UNAVAILABLE, "the process is stopping"));
+}
+
+void attempt_reactor::End(const grpc::Status& status) {
+  if (ended_) return;
+  ended_ = true;
+  Finish(status);
+}
+
+// The entry is gone: reports it, unless the entry was told the attempt's fate before.
+void attempt_reactor::Leave() {
+  if (row_ == nullptr) return;
+  row_->body->Fail();
+  if (relayed_ != nullptr) relayed_->body->Close();
+  if (over_) return;
+  over_ = true;
+  owner_.ReportGone(*row_, head_.id);
+}
+
+void attempt_reactor::HandleDone() {
+  const auto self = std::move(self_);
+  Leave();
+  owner_.Forget(row_ == nullptr ? exchange_id{} : row_->id);
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/attempt_reactor.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <grpcpp/support/server_callback.h>
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <optional>
+
+#include "proto/peer.grpc.pb.h"
+#include "src/base/error_kind.h"
+#include "src/calls/attempt_head.h"
+#include "src/routing/load_hint.h"
+#include "src/transport/exchange.h"
+
+namespace bronzeroute {
+
+class peer_server;
+
+/// Owner side of one attempt: a gRPC stream from the entry. gRPC's threads only post to the
+/// event loop; everything else happens there. It keeps itself alive until gRPC is done.
+class attempt_reactor : public grpc::ServerBidiReactor<proto::AttemptFrame, proto::AnswerFrame>,
+                        public std::enable_shared_from_this<attempt_reactor> {
+ public:
+  explicit attempt_reactor(peer_server& owner) : owner_(owner) {}
+
+  /// Starts to read. Any thread.
+  void Start();
+
+  void Admit(const load_hint& hint);
+  void Refuse(error_kind kind, int recorded_status, const load_hint& hint);
+  /// Passes on the answer of `attempt`; an answer of anything else is dropped and counted.
+  void Relay(const attempt_id& attempt);
+  void FinishAnswer(bool complete, const load_hint& hint);
+  /// Ends the stream without a last frame; no more events follow.
+  void Abort();
+
+  void OnReadDone(bool ok) override;
+  void OnWriteDone(bool ok) override;
+  void OnCancel() override;
+  void OnDone() override;
+
+ private:
+  void HandleRead(bool ok);
+  void HandleWritten(bool ok);
+  void HandleCancel();
+  void HandleDone();
+  void PassBody();
+  void Send(proto::AnswerFrame frame);
+  void Write();
+  bool FillAnswer();
+  void End(const grpc::Status& status);
+  void Leave();
+
+  peer_server& owner_;
+  std::shared_ptr<attempt_reactor> self_;
+  std::shared_ptr<exchange> row_;
+  attempt_head head_;
+
+  proto::AttemptFrame incoming_;
+  std::size_t passed_ = 0;
+  bool passing_ = false;
+
+  std::deque<proto::AnswerFrame> queued_;
+  proto::AnswerFrame outgoing_;
+  bool writing_ = false;
+  std::shared_ptr<answer_stream> relayed_;
+  // Set by `FinishAnswer`: the last frame goes out after the answer's body.
+  struct ending {
+    bool complete;
+    load_hint hint;
+  };
+  std::optional<ending> ending_;
+  bool last_queued_ = false;
+  bool ended_ = false;
+  // The entry was told the attempt's fate, or is gone.
+  bool over_ = false;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/attempt_stream.cc
@@ -0,0 +1,169 @@
+#include "src/transport/attempt_stream.h"
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "src/transport/event_loop.h"
+#include "src/transport/peer_client.h"
+#include "src/transport/peer_codec.h"
+#include "src/transport/transport_events.h"
+
+namespace bronzeroute {
+
+attempt_stream::attempt_stream(peer_client& owner, transport_events& events,
+                               peer_counters& counters, std::shared_ptr<exchange> row,
+                               const attempt_head& head)
+    : owner_(owner), events_(events), counters_(counters), row_(std::move(row)), head_(head) {}
+
+void attempt_stream::Start(proto::Peer::Stub& stub) {
+  self_ = shared_from_this();
+  stub.async()->Forward(&context_, this);
+  *outgoing_.mutable_id() = ToProto(head_.id);
+  WriteHead(head_, *row_, MonotonicNow(), *outgoing_.mutable_head());
+  if (!head_.is_long || row_->body->AtEnd()) FillBody();
+  writing_ = true;
+  StartWrite(&outgoing_);
+  StartRead(&incoming_);
+  StartCall();
+}
+
+void attempt_stream::Cancel() {
+  over_ = true;
+  if (answer_ != nullptr) answer_->body->Fail();
+  context_.TryCancel();
+}
+
+void attempt_stream::OnWriteDone(bool ok) {
+  PostToLoop([this, ok] { HandleWritten(ok); });
+}
+
+void attempt_stream::OnReadDone(bool ok) {
+  PostToLoop([this, ok] { HandleRead(ok); });
+}
+
+// gRPC calls this after all other reactions, so this task runs after theirs.
+void attempt_stream::OnDone(const grpc::Status& /*status*/) {
+  PostToLoop([this] { HandleDone(); });
+}
+
+// Moves body bytes of at most one frame into `outgoing_`.
+void attempt_stream::FillBody() {
+  std::string& body = *outgoing_.mutable_body();
+  body.resize(std::min(row_->body->Available(), kFrameBytes));
+  row_->body->Take(body.data(), body.size());
+  all_written_ = row_->body->AtEnd();
+  outgoing_.set_last(all_written_);
+}
+
+void attempt_stream::HandleWritten(bool ok) {
+  writing_ = false;
+  if (ok) WriteBody();
+}
+
+void attempt_stream::WriteBody() {
+  if (writing_ || all_written_ || over_ || !admitted_) return;
+  if (row_->body->AtFailure()) {
+    // The caller left; its exchange reports that.
+    context_.TryCancel();
+    return;
+  }
+  if (row_->body->Available() == 0 && !row_->body->ended()) return;
+  outgoing_.Clear();
+  *outgoing_.mutable_id() = ToProto(head_.id);
+  FillBody();
+  writing_ = true;
+  StartWrite(&outgoing_);
+}
+
+void attempt_stream::HandleRead(bool ok) {
+  if (!ok) return;
+  if (FromProto(incoming_.id()) != head_.id ||
+      incoming_.owner_incarnation() != head_.target_incarnation.value) {
+    ++counters_.mismatched_frames;
+  } else if (!over_) {
+    TakeFrame();
+    return;
+  }
+  StartRead(&incoming_);
+}
+
+void attempt_stream::TakeFrame() {
+  const owner_report report = ReportOf(incoming_);
+  if (incoming_.has_refusal()) {
+    over_ = true;
+    events_.OnAttemptRefused(row_->id, head_.id,
+                             ErrorKindFromNumber(incoming_.refusal().kind()),
+                             incoming_.refusal().recorded_status(), report, MonotonicNow());
+    StartRead(&incoming_);
+    return;
+  }
+  if (incoming_.admitted() && !admitted_) {
+    admitted_ = true;
+    events_.OnAttemptAdmitted(row_->id, head_.id, report, MonotonicNow());
+    if (over_) return;
+    row_->body->SetReader([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->WriteBody();
+    });
+    WriteBody();
+  }
+  if (incoming_.has_head() && answer_ == nullptr) {
+    answer_ = std::make_shared<answer_stream>();
+    answer_->attempt = head_.id;
+    answer_->status = incoming_.head().status();
+    answer_->headers = ReadHeaders(incoming_.head());
+    answer_->body = std::make_shared<byte_pipe>(kPipeBytes);
+    answer_->body->SetWriter([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->PassBody();
+    });
+    row_->answer = answer_;
+    events_.OnAnswerHead(row_->id, head_.id, answer_->status, report, MonotonicNow());
+    if (over_) return;
+  }
+  passed_ = 0;
+  passing_ = true;
+  PassBody();
+}
+
+// Hands the frame's body to the answer's pipe as room allows. The next frame is read only after
+// that, so that a slow caller slows the owner down.
+void attempt_stream::PassBody() {
+  if (!passing_ || over_) return;
+  if (answer_ != nullptr) {
+    while (passed_ < incoming_.body().size() && !answer_->body->closed()) {
+      const std::string_view rest = std::string_view{incoming_.body()}.substr(passed_);
+      const std::size_t count = std::min(rest.size(), answer_->body->Room());
+      if (count == 0) return;
+      passed_ += count;
+      answer_->body->Append(rest.substr(0, count));
+      // A reader that made room at once has called back and moved on already.
+      if (!passing_ || over_) return;
+    }
+  }
+  passing_ = false;
+  if (incoming_.last() || incoming_.cut()) EndAnswer(incoming_.last(), ReportOf(incoming_));
+  StartRead(&incoming_);
+}
+
+void attempt_stream::EndAnswer(bool complete, const owner_report& report) {
+  over_ = true;
+  if (answer_ == nullptr) {
+    events_.OnAttemptLost(row_->id, head_.id, MonotonicNow());
+    return;
+  }
+  if (complete) {
+    answer_->body->End();
+  } else {
+    answer_->body->Fail();
+  }
+  events_.OnAttemptFinished(row_->id, head_.id, complete, report, MonotonicNow());
+}
+
+void attempt_stream::HandleDone() {
+  const auto self = std::move(self_);
+  owner_.Forget(head_.id);
+  if (!over_) EndAnswer(false, {});
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/attempt_stream.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <grpcpp/client_context.h>
+#include <grpcpp/support/client_callback.h>
+
+#include <cstddef>
+#include <memory>
+
+#include "proto/peer.grpc.pb.h"
+#include "src/base/strong_id.h"
+#include "src/calls/attempt_head.h"
+#include "src/transport/exchange.h"
+#include "src/transport/owner_report.h"
+#include "src/transport/peer_counters.h"
+
+namespace bronzeroute {
+
+class peer_client;
+class transport_events;
+
+/// Entry side of one attempt: a gRPC stream to the owner. gRPC's threads only post to the event
+/// loop; everything else happens there. The stream keeps itself alive until gRPC is done.
+class attempt_stream : public grpc::ClientBidiReactor<proto::AttemptFrame, proto::AnswerFrame>,
+                       public std::enable_shared_from_this<attempt_stream> {
+ public:
+  attempt_stream(peer_client& owner, transport_events& events, peer_counters& counters,
+                 std::shared_ptr<exchange> row, const attempt_head& head);
+
+  /// Writes the head, with the body if it is short, and starts to read.
+  void Start(proto::Peer::Stub& stub);
+  /// Cancels the call; no more events follow.
+  void Cancel();
+
+  void OnWriteDone(bool ok) override;
+  void OnReadDone(bool ok) override;
+  void OnDone(const grpc::Status& status) override;
+
+ private:
+  void HandleWritten(bool ok);
+  void HandleRead(bool ok);
+  void HandleDone();
+  void FillBody();
+  void WriteBody();
+  void TakeFrame();
+  void PassBody();
+  void EndAnswer(bool complete, const owner_report& report);
+
+  peer_client& owner_;
+  transport_events& events_;
+  peer_counters& counters_;
+  std::shared_ptr<exchange> row_;
+  const attempt_head head_;
+  grpc::ClientContext context_;
+  std::shared_ptr<attempt_stream> self_;
+
+  proto::AttemptFrame outgoing_;
+  bool writing_ = false;
+  bool all_written_ = false;
+  bool admitted_ = false;
+
+  proto::AnswerFrame incoming_;
+  // Bytes of `incoming_` that the pipe has taken.
+  std::size_t passed_ = 0;
+  bool passing_ = false;
+  std::shared_ptr<answer_stream> answer_;
+  // The attempt's last event was reported, or nobody waits for it.
+  bool over_ = false;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/caller_headers.cc
@@ -0,0 +1,74 @@
+#include "src/transport/caller_headers.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+#include <string_view>
+
+#include "src/calls/caller_request.h"
+#include "src/transport/absl_text.h"
+#include "src/transport/exchange.h"
+
+namespace bronzeroute {
+namespace {
+
+// Digits only: signs, blanks and lists made from repeated fields are malformed.
+bool ParseNumber(std::string_view text, std::uint64_t min, std::uint64_t max,
+                 std::uint64_t& value) {
+  const bool digits = !text.empty() && std::all_of(text.begin(), text.end(), [](char letter) {
+    return letter >= '0' && letter <= '9';
+  });
+  return digits && absl::SimpleAtoi(AbslText(text), &value) && value >= min && value <= max;
+}
+
+// Printable ASCII without blanks, so that a key can be logged and used in an id.
+bool IsKey(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char letter) {
+    return letter > ' ' && letter < '\x7f';
+  });
+}
+
+}  // namespace
+
+error_kind ParseCallerHeaders(const exchange& from, time_point now, caller_request& request) {
+  constexpr std::uint64_t kMaxCount = std::numeric_limits<std::uint32_t>::max();
+  request.exchange = from.id;
+  request.method = from.method;
+  request.path = from.path;
+  request.content_length = from.content_length;
+  std::size_t head_bytes = from.path.size() + from.method.size();
+  if (from.path.size() > kMaxPathBytes) return error_kind::kFieldTooLarge;
+  for (const auto& [name, value] : from.headers) {
+    head_bytes += name.size() + value.size();
+    if (name.size() + value.size() > kMaxFieldBytes || head_bytes > kMaxHeadBytes) {
+      return error_kind::kFieldTooLarge;
+    }
+  }
+  for (const auto& [name, value] : from.headers) {
+    std::uint64_t number = 0;
+    if (absl::EqualsIgnoreCase(name, "Bronzeroute-Deadline-Ms")) {
+      if (!ParseNumber(value, 0, kMaxDeadlineMs, number)) return error_kind::kBadHeader;
+      request.deadline = now + std::chrono::milliseconds(number);
+    } else if (absl::EqualsIgnoreCase(name, "Bronzeroute-Try")) {
+      if (!ParseNumber(value, 1, kMaxCount, number)) return error_kind::kBadHeader;
+      request.caller_try = static_cast<std::uint32_t>(number);
+    } else if (absl::EqualsIgnoreCase(name, "Bronzeroute-Depth")) {
+      if (!ParseNumber(value, 0, kMaxCount, number)) return error_kind::kBadHeader;
+      request.depth = static_cast<std::uint32_t>(number);
+    } else if (absl::EqualsIgnoreCase(name, "Idempotency-Key")) {
+      if (value.size() > kMaxKeyBytes) return error_kind::kFieldTooLarge;
+      if (!IsKey(value)) return error_kind::kBadHeader;
+      request.key = value;
+    } else if (absl::EqualsIgnoreCase(name, "Content-Length")) {
+      if (!ParseNumber(value, 0, std::numeric_limits<std::uint64_t>::max(), number)) {
+        return error_kind::kBadHeader;
+      }
+    }
+  }
+  return error_kind::kNone;
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/error_body.cc
@@ -0,0 +1,23 @@
+#include "src/transport/error_body.h"
+
+#include <absl/strings/str_cat.h>
+
+#include "src/base/error_answer.h"
+#include "src/transport/absl_text.h"
+#include "src/transport/call_id_text.h"
+
+namespace bronzeroute {
+
+// All values are names and texts from the table, numbers and hexadecimal ids: nothing to
+// escape.
+std::string ErrorBody(error_kind kind, const call_id& call, int recorded_status) {
+  const error_answer& row = AnswerFor(kind);
+  std::string body = absl::StrCat("{\"error\":\"", AbslText(row.name), "\",\"execution\":\"",
+                                  AbslText(ExecutionName(row.state)), "\"");
+  if (call != call_id{}) absl::StrAppend(&body, ",\"call\":\"", FormatCallId(call), "\"");
+  if (recorded_status != 0) absl::StrAppend(&body, ",\"recorded_status\":", recorded_status);
+  absl::StrAppend(&body, ",\"text\":\"", AbslText(row.text), "\"}\n");
+  return body;
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/error_body.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+#include "src/base/call_id.h"
+#include "src/base/error_kind.h"
+
+namespace bronzeroute {
+
+/// The JSON body of an error answer. A default `call` and a `recorded_status` of 0 are left
+/// out.
+std::string ErrorBody(error_kind kind, const call_id& call, int recorded_status);
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/exchange.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "src/base/strong_id.h"
+#include "src/transport/answer_stream.h"
+#include "src/transport/byte_pipe.h"
+#include "src/transport/header_list.h"
+
+namespace bronzeroute {
+
+/// Body bytes that are kept so that a further attempt can send them again, and that travel with
+/// the first frame of a short attempt.
+inline constexpr std::size_t kKeptBodyBytes = std::size_t{64} * 1024;
+/// Body bytes of one frame between daemons.
+inline constexpr std::size_t kFrameBytes = std::size_t{64} * 1024;
+/// Unread bytes that one direction of a stream holds before its writer has to wait.
+inline constexpr std::size_t kPipeBytes = std::size_t{128} * 1024;
+
+/// A request with its answer: a caller's HTTP exchange at the entry, or an attempt's gRPC
+/// stream at the owner.
+struct exchange {
+  exchange_id id;
+  std::string method;
+  std::string path;
+  header_list headers;
+  std::optional<std::uint64_t> content_length;
+  std::uint32_t depth = 0;
+  std::shared_ptr<byte_pipe> body;
+  /// The answer that arrived last; a relay checks that it belongs to the attempt it names.
+  std::shared_ptr<answer_stream> answer;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/header_list.cc
@@ -0,0 +1,63 @@
+#include "src/transport/header_list.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <array>
+
+#include "src/transport/absl_text.h"
+
+namespace bronzeroute {
+namespace {
+
+template <std::size_t N>
+bool Contains(const std::array<std::string_view, N>& names, std::string_view name) {
+  return std::any_of(names.begin(), names.end(), [name](std::string_view known) {
+    return absl::EqualsIgnoreCase(AbslText(known), AbslText(name));
+  });
+}
+
+}  // namespace
+
+bool IsHopByHop(std::string_view name) {
+  // Expect counts too: the HTTP client takes an interim answer for the final one.
+  static constexpr std::array<std::string_view, 10> kNames = {
+      "Connection",          "Expect", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate",
+      "Proxy-Authorization", "TE",     "Trailer",    "Transfer-Encoding", "Upgrade"};
+  return Contains(kNames, name);
+}
+
+header_list EndToEndFields(const header_list& from) {
+  std::vector<std::string> named;
+  for (const auto& [name, value] : from) {
+    if (!absl::EqualsIgnoreCase(name, "Connection")) continue;
+    for (const absl::string_view part : absl::StrSplit(value, ',')) {
+      named.emplace_back(absl::StripAsciiWhitespace(part));
+    }
+  }
+  header_list result;
+  for (const auto& field : from) {
+    const bool is_named = std::any_of(named.begin(), named.end(), [&](const std::string& name) {
+      return absl::EqualsIgnoreCase(name, field.first);
+    });
+    if (!is_named && !IsHopByHop(field.first)) result.push_back(field);
+  }
+  return result;
+}
+
+bool IsDaemonRequestField(std::string_view name) {
+  static constexpr std::array<std::string_view, 3> kNames = {
+      "Bronzeroute-Deadline-Ms", "Bronzeroute-Depth", "Bronzeroute-Call"};
+  return Contains(kNames, name);
+}
+
+bool IsDaemonAnswerField(std::string_view name) {
+  static constexpr std::array<std::string_view, 4> kNames = {
+      "Bronzeroute-Execution", "Bronzeroute-Error", "Bronzeroute-Call",
+      "Bronzeroute-Recorded-Status"};
+  return Contains(kNames, name);
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/http_listener_factory.cc
@@ -0,0 +1,31 @@
+#include "src/transport/http_listener_factory.h"
+
+#include <absl/status/status.h>
+#include <absl/strings/str_cat.h>
+
+#include <exception>
+#include <string>
+#include <utility>
+
+#include "src/transport/absl_text.h"
+#include "src/transport/http_address.h"
+
+namespace bronzeroute {
+
+absl::StatusOr<std::unique_ptr<web::http::experimental::listener::http_listener>> OpenListener(
+    std::string_view address, const std::function<void(web::http::http_request)>& handler) {
+  const auto parsed = ParseAddress(address);
+  if (!parsed.ok()) return parsed.status();
+  try {
+    auto listener = std::make_unique<web::http::experimental::listener::http_listener>(
+        web::uri(absl::StrCat("http://", AbslText(address), "/")));
+    listener->support(handler);
+    listener->open().wait();
+    return listener;
+  } catch (const std::exception& error) {
+    return absl::UnavailableError(
+        absl::StrCat("cannot listen on ", AbslText(address), ": ", error.what()));
+  }
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/local_answer.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+namespace bronzeroute {
+
+/// The daemon's own answer to a `local_request`.
+struct local_answer {
+  int status = 200;
+  std::string content_type = "application/json";
+  std::string body;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/peer_client.cc
@@ -0,0 +1,198 @@
+#include "src/transport/peer_client.h"
+
+#include <absl/status/status.h>
+#include <grpcpp/channel.h>
+#include <grpcpp/create_channel.h>
+#include <grpcpp/security/credentials.h>
+#include <grpcpp/support/channel_arguments.h>
+
+#include <array>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <utility>
+
+#include "proto/peer.grpc.pb.h"
+#include "src/calls/attempt_head.h"
+#include "src/transport/attempt_stream.h"
+#include "src/transport/event_loop.h"
+#include "src/transport/exchange_table.h"
+
+namespace bronzeroute {
+namespace {
+
+// An idle or broken channel is told to connect again this often.
+constexpr std::chrono::milliseconds kConnectPeriod(100);
+// Bounds of the wait between two connection attempts to an unreachable peer.
+constexpr int kMinBackoffMs = 100;
+constexpr int kMaxBackoffMs = 2000;
+// A peer that answers no ping during a call is taken as lost. Channels without calls are not
+// pinged, since membership watches the peers.
+constexpr int kKeepaliveMs = 5000;
+constexpr int kKeepaliveTimeoutMs = 3000;
+
+std::shared_ptr<grpc::Channel> OpenChannel(const std::string& address) {
+  grpc::ChannelArguments arguments;
+  // The library must never send an attempt twice.
+  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  // Channels with equal arguments would share one TCP connection otherwise, and a long body
+  // would hold up short work.
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kMinBackoffMs);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMinBackoffMs);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxBackoffMs);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepaliveMs);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kKeepaliveTimeoutMs);
+  arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  return grpc::CreateCustomChannel("ipv4:" + address, grpc::InsecureChannelCredentials(),
+                                   arguments);
+}
+
+}  // namespace
+
+struct peer_client::peer_channels {
+  explicit peer_channels(std::string_view to) : address(to) {
+    for (std::size_t index = 0; index < channels.size(); ++index) {
+      channels[index] = OpenChannel(address);
+      stubs[index] = proto::Peer::NewStub(channels[index]);
+      channels[index]->GetState(true);
+    }
+  }
+
+  std::string address;
+  // First for short work, second for long work.
+  std::array<std::shared_ptr<grpc::Channel>, 2> channels;
+  std::array<std::unique_ptr<proto::Peer::Stub>, 2> stubs;
+};
+
+// A timer that makes channels connect again after they broke or became idle. gRPC reconnects by
+// itself only when a call is made, and no attempt is made on a channel that is not open.
+struct peer_client::keeper : std::enable_shared_from_this<peer_client::keeper> {
+  explicit keeper(peer_client& client) : owner(&client), timer(LoopService()) {}
+
+  void Arm() {
+    timer.expires_after(kConnectPeriod);
+    timer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+      if (error || self->owner == nullptr) return;
+      for (const auto& [peer, row] : self->owner->peers_) {
+        for (const auto& channel : row->channels) channel->GetState(true);
+      }
+      self->Arm();
+    });
+  }
+
+  peer_client* owner;
+  boost::asio::steady_timer timer;
+};
+
+peer_client::peer_client(exchange_table& exchanges, transport_events& events,
+                         peer_counters& counters)
+    : exchanges_(exchanges), events_(events), counters_(counters) {}
+
+peer_client::~peer_client() { Stop(); }
+
+void peer_client::Start() {
+  keeper_ = std::make_shared<keeper>(*this);
+  RunOnLoop([this] { keeper_->Arm(); });
+}
+
+void peer_client::Stop() {
+  if (stopped_) return;
+  std::promise<void> drained;
+  RunOnLoop([this, &drained] {
+    stopped_ = true;
+    drained_ = &drained;
+    if (keeper_ != nullptr) {
+      keeper_->owner = nullptr;
+      keeper_->timer.cancel();
+    }
+    for (const auto& [id, stream] : attempts_) stream->Cancel();
+    ReportDrained();
+  });
+  drained.get_future().wait();
+  RunOnLoop([this] { peers_.clear(); });
+}
+
+void peer_client::ReportDrained() {
+  if (drained_ == nullptr || !attempts_.empty() || open_fetches_ > 0) return;
+  std::exchange(drained_, nullptr)->set_value();
+}
+
+void peer_client::OpenPeer(member_id peer, std::string_view address) {
+  if (stopped_) return;
+  auto& row = peers_[peer];
+  if (row == nullptr || row->address != address) {
+    row = std::make_shared<peer_channels>(address);
+  }
+}
+
+void peer_client::ClosePeer(member_id peer) { peers_.erase(peer); }
+
+bool peer_client::IsReady(member_id peer, bool is_long) const {
+  const auto found = peers_.find(peer);
+  return found != peers_.end() &&
+         found->second->channels[is_long ? 1 : 0]->GetState(false) == GRPC_CHANNEL_READY;
+}
+
+bool peer_client::SendAttempt(exchange_id exchange, const attempt_head& head) {
+  const auto row = exchanges_.Find(exchange);
+  if (stopped_ || row == nullptr || !IsReady(head.target, head.is_long) ||
+      attempts_.contains(head.id) || !row->body->Rewind()) {
+    return false;
+  }
+  auto stream = std::make_shared<attempt_stream>(*this, events_, counters_, row, head);
+  attempts_.emplace(head.id, stream);
+  ++counters_.attempts_sent;
+  stream->Start(*peers_[head.target]->stubs[head.is_long ? 1 : 0]);
+  return true;
+}
+
+void peer_client::CancelAttempt(exchange_id /*exchange*/, const attempt_id& attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found != attempts_.end()) found->second->Cancel();
+}
+
+void peer_client::Forget(const attempt_id& attempt) {
+  attempts_.erase(attempt);
+  ReportDrained();
+}
+
+void peer_client::FetchConfiguration(member_id peer, std::int64_t known_version,
+                                     fetch_done done) {
+  struct fetch {
+    grpc::ClientContext context;
+    proto::ConfigurationRequest request;
+    proto::ConfigurationReply reply;
+    std::shared_ptr<peer_channels> channels;
+    fetch_done done;
+  };
+  const auto found = peers_.find(peer);
+  if (stopped_ || found == peers_.end()) {
+    PostToLoop([done = std::move(done)] { done(absl::UnavailableError("unknown peer")); });
+    return;
+  }
+  // A late answer is useless: the next peer is asked by then.
+  constexpr std::chrono::seconds kFetchTimeout(2);
+  auto call = std::make_shared<fetch>();
+  call->context.set_deadline(std::chrono::system_clock::now() + kFetchTimeout);
+  call->request.set_known_version(known_version);
+  call->channels = found->second;
+  call->done = std::move(done);
+  ++open_fetches_;
+  call->channels->stubs[1]->async()->FetchConfiguration(
+      &call->context, &call->request, &call->reply, [this, call](const grpc::Status& status) {
+        PostToLoop([this, call, status] {
+          --open_fetches_;
+          if (!stopped_) {
+            if (status.ok()) {
+              call->done(call->reply.snapshot());
+            } else {
+              call->done(absl::UnavailableError(status.error_message()));
+            }
+          }
+          ReportDrained();
+        });
+      });
+}
+
+}  // namespace bronzeroute
--- a/src/transport/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace bronzeroute {}
--- /dev/null
+++ b/src/transport/transport.cc
@@ -0,0 +1,31 @@
+#include "src/transport/transport.h"
+
+namespace bronzeroute {
+
+transport::transport(transport_events& events)
+    : callers_(exchanges_, events, caller_endpoints_),
+      upstream_(exchanges_, events),
+      peers_(exchanges_, events),
+      datagrams_(events),
+      admin_(admin_endpoints_) {}
+
+absl::Status transport::Start(const listen_addresses& addresses) {
+  absl::Status status = peers_.server().Start(addresses.peers);
+  if (status.ok()) status = datagrams_.Start(addresses.membership);
+  if (status.ok()) status = admin_.Start(addresses.admin);
+  if (status.ok()) status = callers_.Start(addresses.callers);
+  if (status.ok()) peers_.client().Start();
+  return status;
+}
+
+// The servers go first, so that nothing new arrives while the rest ends.
+void transport::Stop() {
+  callers_.Stop();
+  admin_.Stop();
+  peers_.client().Stop();
+  peers_.server().Stop();
+  upstream_.Stop();
+  datagrams_.Stop();
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/transport.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <string>
+
+#include "src/transport/admin_server.h"
+#include "src/transport/caller_server.h"
+#include "src/transport/exchange_table.h"
+#include "src/transport/http_router.h"
+#include "src/transport/peer_transport.h"
+#include "src/transport/udp_socket.h"
+#include "src/transport/upstream_client.h"
+
+namespace bronzeroute {
+
+class transport_events;
+
+/// Addresses a daemon listens on, each "ip:port".
+struct listen_addresses {
+  std::string callers;
+  std::string peers;
+  std::string membership;
+  std::string admin;
+};
+
+/// All sockets of a daemon. Create it and call `Start` and `Stop` from the main thread, after
+/// `StartEventLoop`; use the ports on the event loop only.
+class transport {
+ public:
+  /// `events` must outlive the transport.
+  explicit transport(transport_events& events);
+  ~transport() { Stop(); }
+  transport(const transport&) = delete;
+  transport& operator=(const transport&) = delete;
+
+  /// Opens all four addresses. The error names the address that failed; `Stop` closes the rest.
+  absl::Status Start(const listen_addresses& addresses);
+  /// Closes everything and waits until no event can follow. Open exchanges are cut.
+  void Stop();
+
+  /// Number of exchanges that are not over; a daemon that leaves waits for 0.
+  std::size_t open_exchanges() const { return exchanges_.size(); }
+
+  exchange_table& exchanges() { return exchanges_; }
+  caller_server& callers() { return callers_; }
+  upstream_client& upstream() { return upstream_; }
+  peer_transport& peers() { return peers_; }
+  udp_socket& datagrams() { return datagrams_; }
+  /// Endpoints of the admin address; add them before `Start`.
+  http_router& admin_endpoints() { return admin_endpoints_; }
+  /// Endpoints below "/.bronzeroute/" of the callers' address; add them before `Start`.
+  http_router& caller_endpoints() { return caller_endpoints_; }
+
+ private:
+  exchange_table exchanges_;
+  http_router admin_endpoints_;
+  http_router caller_endpoints_;
+  caller_server callers_;
+  upstream_client upstream_;
+  peer_transport peers_;
+  udp_socket datagrams_;
+  admin_server admin_;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/tests/transport/call_path_test.cc
@@ -0,0 +1,52 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "tests/transport/raw_socket.h"
+#include "tests/transport/raw_upstream.h"
+#include "tests/transport/test_daemon.h"
+
+namespace bronzeroute {
+namespace {
+
+constexpr char kPost[] =
+    "POST /orders/1?a=b%20c&d=%2F HTTP/1.1\r\nHost: shop\r\nContent-Length: 5\r\n"
+    "Content-Type: application/x-odd\r\nX-Kept: yes\r\nConnection: close, X-Own\r\n"
+    "X-Own: no\r\nBronzeroute-Depth: 3\r\n\r\nh\0llo";
+const std::string kPostBytes(kPost, sizeof kPost - 1);
+
+// Records one request of 5 body bytes and answers it.
+struct simple_upstream {
+  std::string head;
+  std::string body;
+  raw_upstream server{[this](raw_socket& peer) {
+    head = peer.ReceiveUntil("\r\n\r\n");
+    body = peer.ReceiveExactly(5);
+    peer.Send(
+        "HTTP/1.1 201 Created\r\nContent-Length: 3\r\nX-From: up\r\n"
+        "Bronzeroute-Execution: not-run\r\nKeep-Alive: max=1\r\n\r\n");
+    peer.Send(std::string("a\0b", 3));
+    peer.ReceiveAll();
+  }};
+};
+
+// Guards against a call that does not get through the entry, gRPC and the owner unchanged.
+TEST(CallPath, ShortRequestGoesThroughEntryAndOwner) {
+  simple_upstream upstream;
+  test_daemon owner(2);
+  test_daemon entry(1);
+  ASSERT_TRUE(owner.start_status.ok()) << owner.start_status;
+  ASSERT_TRUE(entry.start_status.ok()) << entry.start_status;
+  owner.UseUpstream(upstream.server.address());
+  entry.UsePeer(owner);
+  const raw_socket caller = raw_socket::Connect(entry.callers_port());
+  ASSERT_TRUE(caller.Send(kPostBytes));
+  const std::string head = caller.ReceiveUntil("\r\n\r\n");
+  EXPECT_TRUE(head.starts_with("HTTP/1.1 201")) << head;
+  EXPECT_EQ(caller.ReceiveExactly(3), std::string("a\0b", 3));
+  EXPECT_EQ(upstream.body, std::string("h\0llo", 5));
+  EXPECT_EQ(owner.Count("upstream_ended"), 1);
+}
+
+}  // namespace
+}  // namespace bronzeroute
--- /dev/null
+++ b/tests/transport/raw_upstream.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "tests/transport/raw_socket.h"
+
+namespace bronzeroute {
+
+/// An upstream whose handler has the raw connection to itself, each on its own thread.
+class raw_upstream {
+ public:
+  explicit raw_upstream(std::function<void(raw_socket&)> serve)
+      : listener_(raw_socket::Listen(port_)), serve_(std::move(serve)), accepting_([this] {
+          for (raw_socket peer = listener_.Accept(); peer.valid(); peer = listener_.Accept()) {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            serving_.emplace_back([this, held = std::move(peer)]() mutable { serve_(held); });
+          }
+        }) {}
+  ~raw_upstream() {
+    listener_.Shutdown();
+    accepting_.join();
+    for (std::thread& thread : serving_) thread.join();
+  }
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+ private:
+  std::uint16_t port_ = 0;
+  raw_socket listener_;
+  std::function<void(raw_socket&)> serve_;
+  std::mutex mutex_;
+  std::vector<std::thread> serving_;
+  std::thread accepting_;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/tests/transport/test_daemon.h
@@ -0,0 +1,224 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/base/error_kind.h"
+#include "src/calls/attempt_head.h"
+#include "src/calls/caller_request.h"
+#include "src/transport/event_loop.h"
+#include "src/transport/owner_report.h"
+#include "src/transport/transport.h"
+#include "src/transport/transport_events.h"
+#include "tests/transport/raw_socket.h"
+
+namespace bronzeroute {
+
+/// A transport with the simplest decisions in place of the node: each call gets one attempt, at
+/// its own upstream or at `target`, and each attempt is admitted. It records its events.
+class test_daemon : public transport_events {
+ public:
+  explicit test_daemon(std::uint64_t id) : id_{id} {
+    StartEventLoop();
+    transport_ = std::make_unique<transport>(*this);
+    callers_port_ = FreePort();
+    peers_port_ = FreePort();
+    addresses_ = {Address(callers_port_), Address(peers_port_), Address(FreePort()),
+                  Address(FreePort())};
+    start_status = transport_->Start(addresses_);
+  }
+  ~test_daemon() override { transport_->Stop(); }
+
+  static std::string Address(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+  transport& sockets() { return *transport_; }
+  const listen_addresses& addresses() const { return addresses_; }
+  std::uint16_t callers_port() const { return callers_port_; }
+  member_id id() const { return id_; }
+
+  /// Sends calls to `owner` from now on.
+  void UsePeer(test_daemon& owner) {
+    target = owner.id_;
+    RunOnLoop(
+        [&] { transport_->peers().client().OpenPeer(owner.id_, owner.addresses_.peers); });
+    for (bool ready = false; !ready;) {
+      RunOnLoop([&] {
+        ready = transport_->peers().IsReady(target, false) &&
+                transport_->peers().IsReady(target, true);
+      });
+    }
+  }
+  void UseUpstream(const std::string& address) {
+    RunOnLoop([&] { transport_->upstream().SetUpstream(address); });
+  }
+
+  /// Waits until `count` events named `name` were recorded; the test's own limit ends it.
+  void Await(std::string_view name, int count = 1) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait(lock, [&] { return CountLocked(name) >= count; });
+  }
+  int Count(std::string_view name) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return CountLocked(name);
+  }
+
+  // Behaviour, set before calls are made.
+  member_id target;
+  bool is_protected = false;
+  bool is_long = false;
+  bool relay = true;
+  /// Called instead of the default on an attempt at the owner, if set.
+  std::function<void(exchange_id, const attempt_head&)> on_attempt;
+  std::function<void(const caller_request&)> on_request;
+  absl::Status start_status;
+  // Written on the event loop.
+  attempt_id last_attempt;
+  exchange_id last_exchange;
+
+  attempt_head HeadFor(const caller_request& request) {
+    attempt_head head;
+    head.id = {{id_, incarnation{7}, ++sequence_}, 1};
+    head.target = target;
+    head.target_incarnation = incarnation{7};
+    head.service = "orders";
+    head.method = request.method;
+    head.path = request.path;
+    head.depth = request.depth;
+    head.is_protected = is_protected;
+    head.is_long = is_long;
+    head.content_length = request.content_length;
+    head.deadline = MonotonicNow() + std::chrono::seconds(60);
+    return head;
+  }
+
+  void OnCallerRequest(const caller_request& request, time_point /*now*/) override {
+    Record("request");
+    last_exchange = request.exchange;
+    if (on_request) {
+      on_request(request);
+      return;
+    }
+    const attempt_head head = HeadFor(request);
+    last_attempt = head.id;
+    if (target == member_id{}) {
+      transport_->upstream().StartUpstream(request.exchange, head.id, head.deadline,
+                                           is_protected);
+    } else if (!transport_->peers().SendAttempt(request.exchange, head)) {
+      transport_->callers().AnswerError(request.exchange, head.id.call,
+                                        error_kind::kPeerUnreachable, 0);
+    }
+  }
+  void OnCallerGone(exchange_id exchange, time_point /*now*/) override {
+    transport_->peers().CancelAttempt(exchange, last_attempt);
+    transport_->upstream().CancelUpstream(exchange, last_attempt);
+    Record("caller_gone");
+  }
+  void OnPeerAttempt(exchange_id exchange, const attempt_head& head,
+                     time_point /*now*/) override {
+    Record("attempt");
+    last_attempt = head.id;
+    last_exchange = exchange;
+    if (on_attempt) {
+      on_attempt(exchange, head);
+      return;
+    }
+    transport_->peers().AdmitAttempt(exchange, {});
+    transport_->upstream().StartUpstream(exchange, head.id, head.deadline, head.is_protected);
+  }
+  void OnPeerGone(exchange_id exchange, const attempt_id& attempt,
+                  time_point /*now*/) override {
+    transport_->upstream().CancelUpstream(exchange, attempt);
+    Record("peer_gone");
+  }
+  void OnAttemptAdmitted(exchange_id /*exchange*/, const attempt_id& /*attempt*/,
+                         const owner_report& /*report*/, time_point /*now*/) override {
+    Record("admitted");
+  }
+  void OnAttemptRefused(exchange_id exchange, const attempt_id& attempt, error_kind kind,
+                        int recorded_status, const owner_report& report,
+                        time_point /*now*/) override {
+    last_report = report;
+    Record("refused");
+    transport_->callers().AnswerError(exchange, attempt.call, kind, recorded_status);
+  }
+  void OnAnswerHead(exchange_id exchange, const attempt_id& attempt, int /*status*/,
+                    const owner_report& /*report*/, time_point /*now*/) override {
+    if (relay) transport_->callers().RelayAnswer(exchange, attempt);
+    Record("answer_head");
+  }
+  void OnAttemptFinished(exchange_id exchange, const attempt_id& /*attempt*/, bool complete,
+                         const owner_report& report, time_point /*now*/) override {
+    last_report = report;
+    if (!complete) transport_->callers().CutAnswer(exchange);
+    Record(complete ? "finished" : "finished_cut");
+  }
+  void OnAttemptLost(exchange_id exchange, const attempt_id& attempt,
+                     time_point /*now*/) override {
+    transport_->callers().AnswerError(exchange, attempt.call, error_kind::kAnswerLost, 0);
+    Record("attempt_lost");
+  }
+  void OnUpstreamConnectFailed(exchange_id exchange, const attempt_id& attempt,
+                               time_point /*now*/) override {
+    EndAtOwner(exchange, attempt, error_kind::kUpstreamConnectFailed);
+    Record("connect_failed");
+  }
+  void OnUpstreamAnswerHead(exchange_id exchange, const attempt_id& attempt, int /*status*/,
+                            time_point /*now*/) override {
+    if (relay) {
+      transport_->peers().RelayToEntry(exchange, attempt);
+      transport_->callers().RelayAnswer(exchange, attempt);
+    }
+    Record("upstream_head");
+  }
+  void OnUpstreamEnded(exchange_id exchange, const attempt_id& /*attempt*/, bool complete,
+                       time_point /*now*/) override {
+    transport_->peers().FinishAttempt(exchange, complete, {});
+    if (!complete) transport_->callers().CutAnswer(exchange);
+    Record(complete ? "upstream_ended" : "upstream_cut");
+  }
+  void OnUpstreamLost(exchange_id exchange, const attempt_id& attempt,
+                      time_point /*now*/) override {
+    EndAtOwner(exchange, attempt, error_kind::kAnswerLost);
+    Record("upstream_lost");
+  }
+  void OnDatagram(std::string_view from, std::string_view payload,
+                  time_point /*now*/) override {
+    Record("datagram " + std::string(from) + " " + std::string(payload));
+  }
+
+  owner_report last_report;
+
+ private:
+  void EndAtOwner(exchange_id exchange, const attempt_id& attempt, error_kind kind) {
+    transport_->peers().RefuseAttempt(exchange, kind, 0, {});
+    transport_->callers().AnswerError(exchange, attempt.call, kind, 0);
+  }
+  void Record(std::string name) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    events_.push_back(std::move(name));
+    changed_.notify_all();
+  }
+  int CountLocked(std::string_view name) const {
+    return static_cast<int>(std::count(events_.begin(), events_.end(), name));
+  }
+
+  member_id id_;
+  std::uint64_t sequence_ = 0;
+  std::uint16_t callers_port_ = 0;
+  std::uint16_t peers_port_ = 0;
+  listen_addresses addresses_;
+  std::unique_ptr<transport> transport_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<std::string> events_;
+};
+
+}  // namespace bronzeroute
