Link the daemon with the transport

Cause: the daemon was a skeleton without sockets. Ruled out: an identity lookup beside the transport; the run that a frame was checked against now travels in owner_report. Change: merge the transport, one copy of the call id text, owner and run in owner_report.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -99,7 +99,7 @@
       return kExitBadSettings;
     }
     return parsed.count("check") != 0 ? kExitOk : Run(*settings.value);
-  } catch (const cxxopts::OptionException& error) {
+  } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << "bronzerouted: " << error.what() << "; see --help\n";
     return kExitUsage;
   } catch (const std::exception& error) {
--- a/src/transport/attempt_stream.cc
+++ b/src/transport/attempt_stream.cc
@@ -89,8 +89,15 @@
   StartRead(&incoming_);
 }
 
+owner_report attempt_stream::Report() const {
+  owner_report report = ReportOf(incoming_);
+  report.owner = head_.target;
+  report.owner_run = head_.target_incarnation;
+  return report;
+}
+
 void attempt_stream::TakeFrame() {
-  const owner_report report = ReportOf(incoming_);
+  const owner_report report = Report();
   if (incoming_.has_refusal()) {
     over_ = true;
     events_.OnAttemptRefused(row_->id, head_.id,
@@ -142,7 +149,7 @@
     }
   }
   passing_ = false;
-  if (incoming_.last() || incoming_.cut()) EndAnswer(incoming_.last(), ReportOf(incoming_));
+  if (incoming_.last() || incoming_.cut()) EndAnswer(incoming_.last(), Report());
   StartRead(&incoming_);
 }
 
--- a/src/transport/attempt_stream.h
+++ b/src/transport/attempt_stream.h
@@ -11,6 +11,7 @@
 #include "src/calls/attempt_head.h"
 #include "src/transport/exchange.h"
 #include "src/transport/owner_report.h"
+#include "src/transport/owner_report.h"
 #include "src/transport/peer_counters.h"
 
 namespace bronzeroute {
@@ -42,6 +43,8 @@
   void FillBody();
   void WriteBody();
   void TakeFrame();
+  /// What the last frame says about the owner.
+  owner_report Report() const;
   void PassBody();
   void EndAnswer(bool complete, const owner_report& report);
 
--- a/src/transport/error_body.cc
+++ b/src/transport/error_body.cc
@@ -4,7 +4,7 @@
 
 #include "src/base/error_answer.h"
 #include "src/transport/absl_text.h"
-#include "src/transport/call_id_text.h"
+#include "src/calls/call_id_text.h"
 
 namespace bronzeroute {
 
--- a/src/transport/owner_report.h
+++ b/src/transport/owner_report.h
@@ -3,12 +3,16 @@
 #include <cstdint>
 #include <optional>
 
+#include "src/base/strong_id.h"
 #include "src/routing/load_hint.h"
 
 namespace bronzeroute {
 
 /// What an owner says about itself on a frame.
 struct owner_report {
+  /// The run that the attempt was sent to; checked on every frame.
+  member_id owner;
+  incarnation owner_run;
   std::optional<load_hint> hint;
   /// Version of the owner's configuration, -1 if it has none.
   std::int64_t config_version = -1;
