Add brctl and tests of the log client

Cause: operators had no way to check, publish, promote or look at a configuration. Ruled out: reporting a failed append as a failed publication; the append may have taken effect. brctl reads the stream for its publication id and appends the same record again only if the read did not show it, so at most one copy is accepted. Ruled out: reusing a connection for appends, since the HTTP library may resend on it silently. Change: brctl with check, publish, promote, status, guarantees, explain, drain, members and documented exit codes; tests run the program against a small log service on loopback with lost responses, refused appends and a racing operator. Conclusion: the way from a file to production works against the test's log service; it was not yet run against the stand-in or a daemon.

--- a/src/configuration/guarantees_text.cc
+++ b/src/configuration/guarantees_text.cc
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr std::size_t kColumns = 96;
-constexpr std::size_t kIndent = 15;
+constexpr std::size_t kIndent = 17;
 
 std::string Time(duration time) {
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -25,7 +25,7 @@
 
 // Appends `label` and `text` as a paragraph with a hanging indent.
 void Paragraph(std::string& out, std::string_view label, std::string_view text) {
-  std::string line = absl::StrFormat("  %-13s", std::string(label));
+  std::string line = absl::StrFormat("  %-15s", std::string(label));
   bool first = true;
   for (const std::string& word :
        std::vector<std::string>(absl::StrSplit(std::string(text), ' '))) {
@@ -200,7 +200,7 @@
   Promise(out,
           "Each caller gets the whole response to its own request or sees that it is cut, and "
           "never another caller's response.",
-          "About 40 bytes of identity on each message between processes.",
+          "A few bytes of identity on each message between processes.",
           "Every message names its call, attempt and target; one that matches no open attempt "
           "is dropped and counted.",
           "That a response arrives if the process that received the request is lost.");
--- /dev/null
+++ b/src/ctl/commands.cc
@@ -0,0 +1,310 @@
+#include "src/ctl/commands.h"
+
+#include <cpprest/base_uri.h>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <random>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "src/base/concat.h"
+#include "src/configuration/configuration_record.h"
+#include "src/configuration/guarantees_text.h"
+#include "src/configuration/parse_document.h"
+#include "src/ctl/admin_client.h"
+#include "src/ctl/json_text.h"
+#include "src/ctl/operator_log.h"
+
+namespace bronzeroute {
+namespace {
+
+constexpr std::size_t kShownVerdicts = 5;
+
+exit_code Fail(exit_code code, std::string_view message) {
+  std::cerr << "brctl: " << message << "\n";
+  return code;
+}
+
+exit_code Fail(const absl::Status& status) {
+  const std::string message(status.message());
+  if (absl::IsUnknown(status)) return Fail(exit_code::kUnknown, message);
+  if (absl::IsFailedPrecondition(status)) return Fail(exit_code::kRefused, message);
+  return Fail(exit_code::kUnavailable, message);
+}
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::stringstream bytes;
+  bytes << file.rdbuf();
+  if (!file || bytes.fail()) {
+    Fail(exit_code::kUsage, Concat("cannot read ", path));
+    return std::nullopt;
+  }
+  return bytes.str();
+}
+
+std::string NewPublicationId() {
+  std::random_device random;
+  std::string id;
+  for (int word = 0; word < 4; ++word) id += absl::StrCat(absl::Hex(random(), absl::kZeroPad8));
+  return id;
+}
+
+void PrintErrors(const std::vector<document_error>& errors) {
+  for (const document_error& error : errors) std::cerr << DescribeError(error) << "\n";
+}
+
+// Publishes `bytes` and reports the outcome.
+exit_code Publish(operator_log& log, stream_state& state, std::int64_t base,
+                  std::string_view bytes, std::optional<std::int64_t> trial_version) {
+  const std::string id = NewPublicationId();
+  const absl::StatusOr<record_verdict> outcome =
+      log.Publish(state, id, base, bytes, trial_version);
+  if (!outcome.ok()) {
+    const std::string reason(outcome.status().message());
+    if (absl::IsUnknown(outcome.status())) {
+      return Fail(exit_code::kUnknown, Concat("unknown whether publication ", id, " to ",
+                                              state.environment, " took effect: ", reason));
+    }
+    return Fail(outcome.status());
+  }
+  if (outcome->value == verdict::kAccepted) {
+    std::cout << state.environment << ": accepted as version " << outcome->offset << ", digest "
+              << DigestText(DocumentDigest(bytes)) << ", publication " << id << "\n";
+    return exit_code::kOk;
+  }
+  PrintErrors(outcome->errors);
+  return Fail(exit_code::kRefused,
+              Concat(state.environment, ": refused as ", VerdictName(outcome->value),
+                     ": publication ", id, " builds on version ", outcome->base_version,
+                     ", version ", outcome->version_before, " was in force"));
+}
+
+exit_code Check(const arguments& options) {
+  const std::optional<std::string> bytes = ReadFile(options.operands[0]);
+  if (!bytes) return exit_code::kUsage;
+  const parse_result parsed = ParseDocument(*bytes, options.operands[0]);
+  if (!parsed.value) {
+    PrintErrors(parsed.errors);
+    return exit_code::kInvalidDocument;
+  }
+  std::cout << options.operands[0] << ": valid, " << parsed.value->services.size()
+            << " services, digest " << DigestText(DocumentDigest(*bytes)) << "\n";
+  return exit_code::kOk;
+}
+
+exit_code PublishFile(const arguments& options) {
+  const std::optional<std::string> bytes = ReadFile(options.operands[0]);
+  if (!bytes) return exit_code::kUsage;
+  const parse_result parsed = ParseDocument(*bytes, options.operands[0]);
+  if (!parsed.value) {
+    PrintErrors(parsed.errors);
+    return exit_code::kInvalidDocument;
+  }
+  operator_log log(options.log, options.timeout);
+  stream_state trial("trial");
+  if (const absl::Status status = log.ReadToEnd(trial); !status.ok()) return Fail(status);
+  const configuration_snapshot& head = trial.fold.head();
+  if (options.base && *options.base != head.version) {
+    return Fail(exit_code::kRefused,
+                Concat("trial: version ", head.version, " is in force, not ", *options.base));
+  }
+  if (head.version >= 0 && head.bytes == *bytes) {
+    std::cout << "trial: in force already as version " << head.version << ", digest "
+              << DigestText(head.digest) << "\n";
+    return exit_code::kOk;
+  }
+  return Publish(log, trial, head.version, *bytes, std::nullopt);
+}
+
+exit_code Promote(const arguments& options) {
+  operator_log log(options.log, options.timeout);
+  stream_state trial("trial");
+  stream_state production("production");
+  if (const absl::Status status = log.ReadToEnd(trial); !status.ok()) return Fail(status);
+  const configuration_snapshot tried = trial.fold.head();
+  if (tried.version < 0) return Fail(exit_code::kRefused, "trial: nothing was accepted yet");
+  if (tried.parsed == nullptr) {
+    return Fail(exit_code::kRefused,
+                "trial: the document has a format that this build cannot "
+                "read");
+  }
+  if (!options.digest.empty() && options.digest != DigestText(tried.digest)) {
+    return Fail(exit_code::kRefused,
+                Concat("trial: version ", tried.version, " has digest ",
+                       DigestText(tried.digest), ", not ", options.digest));
+  }
+  if (const absl::Status status = log.ReadToEnd(production); !status.ok()) {
+    return Fail(status);
+  }
+  const configuration_snapshot& head = production.fold.head();
+  if (head.version >= 0 && head.bytes == tried.bytes) {
+    std::cout << "production: in force already as version " << head.version << ", digest "
+              << DigestText(head.digest) << "\n";
+    return exit_code::kOk;
+  }
+  // Another publication to trial may have been accepted while production was read.
+  if (const absl::Status status = log.ReadToEnd(trial); !status.ok()) return Fail(status);
+  if (trial.fold.head().digest != tried.digest) {
+    return Fail(exit_code::kRefused,
+                Concat("trial: the accepted document changed from digest ",
+                       DigestText(tried.digest), " to ", DigestText(trial.fold.head().digest)));
+  }
+  return Publish(log, production, head.version, tried.bytes, tried.version);
+}
+
+void PrintStream(const stream_state& state) {
+  const configuration_snapshot& head = state.fold.head();
+  if (head.version < 0) {
+    std::cout << state.environment << ": nothing accepted yet\n";
+  } else {
+    std::cout << state.environment << ": version " << head.version << ", digest "
+              << DigestText(head.digest) << ", "
+              << (head.parsed != nullptr ? Concat("document ", head.parsed->name)
+                                         : Concat("unsupported format ", head.format))
+              << "\n";
+  }
+  std::vector<const record_verdict*> rows;
+  for (const record_verdict& row : state.verdicts) {
+    if (!row.publication_id.empty()) rows.push_back(&row);
+  }
+  const std::size_t skipped = rows.size() - std::min(rows.size(), kShownVerdicts);
+  for (std::size_t i = skipped; i < rows.size(); ++i) {
+    std::cout << "  offset " << rows[i]->offset << ": " << VerdictName(rows[i]->value)
+              << ", base " << rows[i]->base_version;
+    if (rows[i]->trial_version) std::cout << ", trial version " << *rows[i]->trial_version;
+    std::cout << ", publication " << rows[i]->publication_id << "\n";
+  }
+}
+
+exit_code PublicationStatus(const arguments& options) {
+  operator_log log(options.log, options.timeout);
+  for (const std::string environment : {"trial", "production"}) {
+    stream_state state(environment);
+    if (const absl::Status status = log.ReadToEnd(state); !status.ok()) return Fail(status);
+    if (const record_verdict* found = state.Find(options.publication)) {
+      std::cout << environment << ": publication " << options.publication << " at offset "
+                << found->offset << ": " << VerdictName(found->value) << "\n";
+      return exit_code::kOk;
+    }
+  }
+  return Fail(exit_code::kRefused,
+              Concat("publication ", options.publication, " is not in the kept records"));
+}
+
+// The version in a daemon's JSON, under any of the names it may have; "?" without one.
+std::string VersionIn(const web::json::value& object) {
+  if (object.is_object()) {
+    for (const char* key : {"config_version", "configuration_version", "version"}) {
+      if (object.has_field(key) && !object.at(key).is_object()) {
+        return ScalarText(object.at(key));
+      }
+    }
+    for (const char* key : {"configuration", "config"}) {
+      if (object.has_field(key)) return VersionIn(object.at(key));
+    }
+  }
+  return "?";
+}
+
+exit_code Status(const arguments& options) {
+  if (!options.publication.empty()) return PublicationStatus(options);
+  exit_code result = exit_code::kOk;
+  if (!options.log.empty()) {
+    operator_log log(options.log, options.timeout);
+    for (const std::string environment : {"trial", "production"}) {
+      if (!options.environment.empty() && options.environment != environment) continue;
+      stream_state state(environment);
+      if (const absl::Status status = log.ReadToEnd(state); !status.ok()) {
+        result = Fail(status);
+      } else {
+        PrintStream(state);
+      }
+    }
+  }
+  for (const std::string& address : options.admin) {
+    const admin_client daemon(address, options.timeout);
+    const absl::StatusOr<web::json::value> status = daemon.Get("status");
+    if (!status.ok()) {
+      result = Fail(status.status());
+      continue;
+    }
+    std::cout << address << ": version " << VersionIn(*status) << "\n" << JsonText(*status, 2);
+  }
+  return result;
+}
+
+exit_code Guarantees(const arguments& options) {
+  if (options.operands.empty()) {
+    operator_log log(options.log, options.timeout);
+    stream_state state(options.environment);
+    if (const absl::Status status = log.ReadToEnd(state); !status.ok()) return Fail(status);
+    const configuration_snapshot& head = state.fold.head();
+    if (head.parsed == nullptr) {
+      return Fail(exit_code::kRefused,
+                  Concat(options.environment, ": no document that this build can read"));
+    }
+    std::cout << options.environment << ", version " << head.version << ", digest "
+              << DigestText(head.digest) << "\n\n"
+              << GuaranteesText(*head.parsed);
+    return exit_code::kOk;
+  }
+  const std::optional<std::string> bytes = ReadFile(options.operands[0]);
+  if (!bytes) return exit_code::kUsage;
+  const parse_result parsed = ParseDocument(*bytes, options.operands[0]);
+  if (!parsed.value) {
+    PrintErrors(parsed.errors);
+    return exit_code::kInvalidDocument;
+  }
+  std::cout << GuaranteesText(*parsed.value);
+  return exit_code::kOk;
+}
+
+exit_code Print(const absl::StatusOr<web::json::value>& response) {
+  if (!response.ok()) return Fail(response.status());
+  std::cout << JsonText(*response);
+  return exit_code::kOk;
+}
+
+exit_code Explain(const arguments& options) {
+  const std::string call = web::uri::encode_data_string(options.operands[0]);
+  return Print(admin_client(options.admin[0], options.timeout).Get("explain?call=" + call));
+}
+
+exit_code Drain(const arguments& options) {
+  return Print(admin_client(options.admin[0], options.timeout).Post("drain"));
+}
+
+exit_code Members(const arguments& options) {
+  return Print(admin_client(options.admin[0], options.timeout).Get("members"));
+}
+
+}  // namespace
+
+exit_code RunCommand(const arguments& options) {
+  using handler = exit_code (*)(const arguments&);
+  constexpr auto kHandlers = std::to_array<std::pair<std::string_view, handler>>({
+      {"check", Check},
+      {"publish", PublishFile},
+      {"promote", Promote},
+      {"status", Status},
+      {"guarantees", Guarantees},
+      {"explain", Explain},
+      {"drain", Drain},
+      {"members", Members},
+  });
+  for (const auto& [name, run] : kHandlers) {
+    if (name == options.command) return run(options);
+  }
+  return Fail(exit_code::kUsage, Concat("unknown command ", options.command));
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/ctl/exit_code.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+
+namespace bronzeroute {
+
+/// Exit codes of `brctl`; `brctl --help` lists them.
+enum class exit_code : std::uint8_t {
+  kOk = 0,
+  kInvalidDocument = 1,
+  kUsage = 2,
+  /// Refused, nothing changed: stale base, changed digest, nothing to promote, or a daemon's
+  /// refusal.
+  kRefused = 3,
+  /// The log or a daemon did not answer; nothing changed.
+  kUnavailable = 4,
+  /// A publication may or may not have taken effect.
+  kUnknown = 5,
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/ctl/stream_state.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "src/configuration/configuration_fold.h"
+#include "src/configuration/record_verdict.h"
+
+namespace bronzeroute {
+
+/// A configuration stream as read so far.
+struct stream_state {
+  explicit stream_state(std::string name) : environment(name), fold(std::move(name)) {}
+
+  /// The verdict on the first record of a publication, or null.
+  const record_verdict* Find(std::string_view publication_id) const;
+
+  std::string environment;
+  configuration_fold fold;
+  std::vector<record_verdict> verdicts;
+};
+
+}  // namespace bronzeroute
