Make format and linter clean

Ruled out: switching the check off. Change: format, two locals without const, one note on a C macro.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -36,7 +36,7 @@
   // All threads inherit the mask, so that the signals are left to sigwait below.
   const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGPIPE, SIG_IGN);  // NOLINT(google-readability-casting): macro of the C library
   bronzeroute::StartEventLoop();
   auto daemon = std::make_unique<bronzeroute::daemon>(options);
   const absl::Status status = daemon->Start();
--- a/src/daemon/parse_settings.cc
+++ b/src/daemon/parse_settings.cc
@@ -66,7 +66,7 @@
   std::string OneOf(const toml::table& table, std::string_view path, std::string_view key,
                     bool required, std::span<const std::string_view> allowed) {
     const std::string rule = Concat("one of ", Join(allowed));
-    const std::string text = Text(table, path, key, required, rule);
+    std::string text = Text(table, path, key, required, rule);
     const toml::node* node = table.get(key);
     if (node != nullptr && node->is_string() &&
         std::ranges::find(allowed, text) == allowed.end()) {
@@ -76,7 +76,7 @@
   }
 
   std::string Address(const toml::table& table, std::string_view path, std::string_view key) {
-    const std::string text = Text(table, path, key, true, kAddressRule);
+    std::string text = Text(table, path, key, true, kAddressRule);
     const toml::node* node = table.get(key);
     if (node != nullptr && node->is_string() && !ParseAddress(text).ok()) {
       AddAt(*node, Concat(path, key), Describe(*node), std::string(kAddressRule));
--- a/src/transport/attempt_stream.h
+++ b/src/transport/attempt_stream.h
@@ -11,7 +11,6 @@
 #include "src/calls/attempt_head.h"
 #include "src/transport/exchange.h"
 #include "src/transport/owner_report.h"
-#include "src/transport/owner_report.h"
 #include "src/transport/peer_counters.h"
 
 namespace bronzeroute {
--- a/src/transport/caller_server.cc
+++ b/src/transport/caller_server.cc
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "src/base/error_answer.h"
+#include "src/calls/call_id_text.h"
 #include "src/calls/caller_request.h"
 #include "src/transport/bounded_buffer.h"
-#include "src/calls/call_id_text.h"
 #include "src/transport/caller_headers.h"
 #include "src/transport/error_body.h"
 #include "src/transport/event_loop.h"
--- a/src/transport/error_body.cc
+++ b/src/transport/error_body.cc
@@ -3,8 +3,8 @@
 #include <absl/strings/str_cat.h>
 
 #include "src/base/error_answer.h"
-#include "src/transport/absl_text.h"
 #include "src/calls/call_id_text.h"
+#include "src/transport/absl_text.h"
 
 namespace bronzeroute {
 
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -9,9 +9,9 @@
 #include <exception>
 #include <vector>
 
+#include "src/calls/call_id_text.h"
 #include "src/transport/answer_stream.h"
 #include "src/transport/bounded_buffer.h"
-#include "src/calls/call_id_text.h"
 #include "src/transport/event_loop.h"
 #include "src/transport/exchange.h"
 #include "src/transport/exchange_table.h"
