--- a/src/configuration/configuration_fold.cc
+++ b/src/configuration/configuration_fold.cc
@@ -48,6 +48,14 @@
   return true;
 }
 
+configuration_snapshot configuration_fold::Recover(const configuration_snapshot& state) const {
+  configuration_fold copy = *this;
+  copy.head_ = state;
+  for (const log_record& record : pending_) copy.Apply(record);
+  copy.head_.as_of = position_ - 1;
+  return copy.head_;
+}
+
 void configuration_fold::Unanchor(std::int64_t first) {
   anchored_ = false;
   position_ = first;
--- a/src/configuration/configuration_fold.h
+++ b/src/configuration/configuration_fold.h
@@ -36,6 +36,11 @@
   /// lie before what an anchored fold has read.
   bool Restore(const configuration_snapshot& snapshot);
 
+  /// For a fold that is not anchored and met the end of its stream: the snapshot that anchors
+  /// it if nothing but `state` is left of what was accepted before the first kept record. It
+  /// takes effect only through the stream, where the earliest one counts for every reader.
+  configuration_snapshot Recover(const configuration_snapshot& state) const;
+
   /// True if the state up to `position()` is known.
   bool anchored() const { return anchored_; }
   /// Offset of the next record wanted.
--- a/src/configuration/configuration_system.cc
+++ b/src/configuration/configuration_system.cc
@@ -58,6 +58,11 @@
   retention_ = milliseconds(read.retention_ms);
   log_behind_ = read.next < fold_.position();
   std::ranges::move(fold_.Fold(read), std::back_inserter(verdicts_));
+  if (fold_.anchored() || fold_.position() < read.next) {
+    unanchored_since_.reset();
+  } else if (!unanchored_since_) {
+    unanchored_since_ = now;
+  }
   NoteRecords(read, now);
   AdoptHead();
 }
@@ -178,6 +183,9 @@
       std::min(kMaxRetry, kFirstRetry * (1 << std::min(read_failures_, 8)));
   ++read_failures_;
   next_read_ = now + Jitter(backoff / 2, backoff);
+  // After an outage the daemons must not all append at once.
+  ranked_anchor_ = kNotRanked;
+  unanchored_since_.reset();
 }
 
 void configuration_system::FailFetch(time_point now) {
@@ -213,21 +221,33 @@
 
 void configuration_system::TickSnapshot(time_point now) {
   if (append_open_ && now >= append_deadline_) OnAppendResult(append_token_, false, now);
-  if (append_open_ || !fold_.anchored() || read_failures_ > 0 || retention_ == duration(0)) {
-    return;
-  }
-  if (!restored_at_ && appended_.empty()) return;
-  const time_point due =
-      restored_at_ ? *restored_at_ : appended_.front().second + retention_ / 2;
-  if (now < due) return;
-  if (ranked_anchor_ != fold_.newest_anchor()) {
-    ranked_anchor_ = fold_.newest_anchor();
-    snapshot_at_ = due + RankDelay();
+  if (append_open_ || read_failures_ > 0 || log_behind_ || retention_ <= duration(0)) return;
+  const std::optional<time_point> due = SnapshotDue();
+  if (!due || now < *due) return;
+  const std::int64_t anchor = fold_.anchored() ? fold_.newest_anchor() : kNoAnchor;
+  if (ranked_anchor_ != anchor) {
+    ranked_anchor_ = anchor;
+    snapshot_at_ = now + RankDelay();
   }
   if (now < snapshot_at_) return;
   append_open_ = true;
   append_deadline_ = now + kAppendDeadline;
-  log_.Append(stream_, EncodeSnapshot(fold_.head(), settings_.environment), ++append_token_);
+  const configuration_snapshot snapshot =
+      fold_.anchored() ? fold_.head() : fold_.Recover(in_effect_);
+  log_.Append(stream_, EncodeSnapshot(snapshot, settings_.environment), ++append_token_);
+}
+
+std::optional<time_point> configuration_system::SnapshotDue() const {
+  if (!fold_.anchored()) {
+    // Records were lost that no daemon may have read. A daemon that knows them appends its
+    // snapshot within three eighths of the retention; without one the stream would stay
+    // unreadable for ever, so that then the version in effect here takes their place.
+    if (!unanchored_since_) return std::nullopt;
+    return *unanchored_since_ + retention_ / 2;
+  }
+  if (restored_at_) return restored_at_;
+  if (appended_.empty()) return std::nullopt;
+  return appended_.front().second + retention_ / 2;
 }
 
 duration configuration_system::RankDelay() {
--- a/src/configuration/configuration_system.h
+++ b/src/configuration/configuration_system.h
@@ -63,6 +63,7 @@
 
  private:
   static constexpr std::int64_t kNotRanked = -2;
+  static constexpr std::int64_t kNoAnchor = -3;
 
   void NoteRecords(const log_read& read, time_point now);
   void AdoptHead();
@@ -72,6 +73,7 @@
   void TickRead(time_point now);
   void TickFetch(time_point now);
   void TickSnapshot(time_point now);
+  std::optional<time_point> SnapshotDue() const;
   duration RankDelay();
   duration Jitter(duration low, duration high);
 
@@ -107,6 +109,9 @@
   /// Set while the fold continues from a peer's snapshot and no record tells the age of the
   /// newest snapshot in the stream.
   std::optional<time_point> restored_at_;
+  /// Set while reads reach the end of the stream without a snapshot to begin with.
+  std::optional<time_point> unanchored_since_;
+  /// Newest anchor for which `snapshot_at_` was computed.
   std::int64_t ranked_anchor_ = kNotRanked;
   time_point snapshot_at_{};
   std::uint64_t append_token_;
--- a/src/configuration/parse_document.cc
+++ b/src/configuration/parse_document.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/escaping.h"
 #include "src/base/concat.h"
 
 namespace bronzeroute {
@@ -19,6 +20,7 @@
 namespace {
 
 constexpr std::size_t kMaxNameLength = 63;
+constexpr std::size_t kMaxQuoted = 80;
 constexpr std::int64_t kMaxDeadlineMs = 24LL * 3600 * 1000;
 constexpr std::int64_t kMaxWarmupMs = 600'000;
 constexpr std::int64_t kMaxSlots = 10'000;
@@ -59,8 +61,15 @@
   return joined;
 }
 
+// Quotes a part of the document so that an error stays on one readable line.
+std::string Quote(std::string_view text) {
+  const bool cut = text.size() > kMaxQuoted;
+  return Concat("\"", absl::Utf8SafeCEscape(std::string(text.substr(0, kMaxQuoted))),
+                cut ? "...\"" : "\"");
+}
+
 std::string Describe(const toml::node& node) {
-  if (const auto* text = node.as_string()) return Concat("\"", text->get(), "\"");
+  if (const auto* text = node.as_string()) return Quote(text->get());
   if (const auto* number = node.as_integer()) return Concat(number->get());
   if (const auto* number = node.as_floating_point()) return Concat(number->get());
   if (const auto* flag = node.as_boolean()) return flag->get() ? "true" : "false";
@@ -121,7 +130,7 @@
                  std::span<const std::string_view> allowed) {
     for (const auto& [key, value] : table) {
       if (std::ranges::find(allowed, key.str()) == allowed.end()) {
-        AddAt(value, Concat(path, key.str()), "an unknown key",
+        AddAt(value, Concat(path, key.str().substr(0, kMaxQuoted)), "an unknown key",
               Concat("one of ", Join(allowed)));
       }
     }
--- a/tests/configuration/configuration_system_test.cc
+++ b/tests/configuration/configuration_system_test.cc
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "proto/configuration.pb.h"
 #include "src/configuration/configuration_record.h"
 #include "tests/configuration/log_model.h"
 #include "tests/configuration/sample_document.h"
@@ -210,6 +211,23 @@
   EXPECT_EQ(system_->version(), 1);
 }
 
+// Guards against a fall to the older version of a snapshot by a daemon that had read less.
+TEST_F(ConfigurationSystemTest, KeepsAVersionAboveTheSnapshotThatAnchorsTheStream) {
+  Publish(-1, 1);
+  const std::string older = PeerSnapshot();
+  Publish(0, 2);
+  Run(milliseconds(200), true);
+  stream_.Append("junk");
+  stream_.first = 3;
+  proto::ConfigurationRecord record;
+  record.ParseFromString(older);
+  record.mutable_snapshot()->set_as_of(2);
+  stream_.Append(record.SerializeAsString());
+  Run(milliseconds(300), true);
+  EXPECT_EQ(system_->problem(), "");
+  EXPECT_EQ(system_->version(), 1);
+}
+
 // Guards against a stream whose head is cut before any snapshot was appended, also when
 // publications come so often that the newest one is always young.
 TEST_F(ConfigurationSystemTest, AppendsASnapshotBeforeRetentionPasses) {
--- a/tests/configuration/parse_document_test.cc
+++ b/tests/configuration/parse_document_test.cc
@@ -1,6 +1,7 @@
 #include "src/configuration/parse_document.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
 
 #include <chrono>
 #include <fstream>
@@ -147,6 +148,26 @@
   EXPECT_EQ(Errors(std::string(kMaxDocumentBytes + 1, '#')).size(), 1U);
 }
 
+// Guards against a crash, a silent refusal or an error without its line on damaged documents.
+TEST(ParseDocumentProperty, DamagedDocumentsGiveADocumentOrErrors) {
+  EXPECT_TRUE(rc::check([] {
+    std::string text = WithRoute("method = \"POST\"\nprefix = \"/media\"\nprotected = true\n");
+    const int edits = *rc::gen::inRange(1, 6);
+    for (int edit = 0; edit < edits; ++edit) {
+      const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+      const auto size = *rc::gen::inRange<std::size_t>(0, 8);
+      text.replace(at, size, *rc::gen::container<std::string>(rc::gen::arbitrary<char>()));
+      if (text.empty()) text = "x";
+    }
+    const parse_result result = ParseDocument(text, "damaged.toml");
+    RC_ASSERT(result.value.has_value() == result.errors.empty());
+    for (const document_error& error : result.errors) {
+      RC_ASSERT(error.line >= 1U);
+      RC_ASSERT(DescribeError(error).find('\n') == std::string::npos);
+    }
+  }));
+}
+
 // Guards against fewer connections than slots, which would leave slots that never fill.
 TEST(ParseDocument, RefusesFewerConnectionsThanSlots) {
   std::string text = SampleDocument(1);
