Let brctl report an unreadable stream at once

Ruled out: publishing on a guessed base. Change: only other errors are retried; wording; a test of the refusal.

--- a/src/configuration/guarantees_text.cc
+++ b/src/configuration/guarantees_text.cc
@@ -55,7 +55,8 @@
                 route.is_long ? "long" : "short", " work, deadline ", Time(route.time_limit));
 }
 
-// Slots that long work may hold, as admission computes it.
+// Slots that long work may hold: the share rounded down, at least 1, and 1 is left for short
+// work where there is more than 1.
 std::uint32_t LongSlots(const service_spec& service) {
   if (service.max_slots <= 1) return 1;
   const auto share = static_cast<std::uint32_t>(
@@ -122,16 +123,18 @@
           "connections and queue exactly.",
           "Room for every request at a peak. Load that reaches an upstream by another way is "
           "not counted.");
-  Promise(out,
-          Concat("Long work holds at most ", LongSlots(service), " of ", service.max_slots,
-                 " slots of an upstream, so that short work does not "
-                 "wait behind it."),
-          "Long work waits or is refused while slots for short work are free.",
-          "Separate slots, queues, connections and peer channels for long work. A request is "
-          "long by its route, by a body above 1 MiB or of unknown length, or by observed cost.",
-          service.max_slots <= 1
-              ? "With 1 slot, short work does wait behind long work that is running."
-              : "Short work that itself runs for a long time is found only by its mean cost.");
+  Promise(
+      out,
+      Concat("Long work holds at most ", LongSlots(service), " of ", service.max_slots,
+             " slots of an upstream, so that short work does not "
+             "wait behind it."),
+      "Long work waits or is refused while slots for short work are free.",
+      "Separate slots, queues, connections and peer channels for long work. A request is "
+      "long by its route, by a body above 1 MiB or of unknown length, or by observed cost.",
+      service.max_slots <= 1
+          ? "With 1 slot, short work does wait behind long work that is running."
+          : "That short work which itself runs for a long time is kept apart: it is found only "
+            "by its mean cost.");
   if (service.warmup > duration(0)) {
     Promise(out,
             Concat("A cold upstream gets its full load only after ", Time(service.warmup), "."),
--- a/src/ctl/operator_log.cc
+++ b/src/ctl/operator_log.cc
@@ -45,7 +45,9 @@
 absl::Status operator_log::ReadToEnd(stream_state& state) {
   const auto deadline = steady_clock::now() + timeout_;
   absl::Status status = ReadOnce(state);
-  while (!status.ok() && steady_clock::now() + kPause < deadline) {
+  // A missing snapshot takes longer than an operator waits, so only other errors are retried.
+  while (!status.ok() && !absl::IsFailedPrecondition(status) &&
+         steady_clock::now() + kPause < deadline) {
     std::this_thread::sleep_for(kPause);
     status = ReadOnce(state);
   }
--- a/src/ctl/stream_state.h
+++ b/src/ctl/stream_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "src/configuration/configuration_fold.h"
--- a/tests/configuration/brctl_test.cc
+++ b/tests/configuration/brctl_test.cc
@@ -116,6 +116,17 @@
   EXPECT_THAT(unknown.text, HasSubstr("unknown whether publication"));
 }
 
+// Guards against a publication on a guessed base while the beginning of the stream is unknown.
+TEST_F(BrctlTest, RefusesToPublishOnAnUnreadableStream) {
+  log_model& stream = server_.stream("config.trial");
+  stream.Append("expired");
+  stream.first = 1;
+  const outcome published = RunOnLog("publish " + file_);
+  EXPECT_EQ(published.code, 3);
+  EXPECT_THAT(published.text, HasSubstr("no snapshot stands in for it yet"));
+  EXPECT_EQ(stream.history.size(), 1U);
+}
+
 // Guards against a faulty document that reaches the log, and against errors after the first
 // being hidden.
 TEST_F(BrctlTest, RefusesAFaultyDocument) {
