--- a/src/configuration/toml_reader.cc
+++ b/src/configuration/toml_reader.cc
@@ -4,16 +4,25 @@
 #include <utility>
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/escaping.h"
 
 namespace bronzeroute::internal {
 namespace {
 
 constexpr std::size_t kMaxNameLength = 63;
+constexpr std::size_t kMaxQuoted = 80;
 
 std::uint32_t LineOf(const toml::node& node) {
   return std::max<std::uint32_t>(1, node.source().begin.line);
 }
 
+// Quotes a part of the file so that an error stays on one readable line.
+std::string Quote(std::string_view text) {
+  const bool cut = text.size() > kMaxQuoted;
+  return Concat("\"", absl::Utf8SafeCEscape(std::string(text.substr(0, kMaxQuoted))),
+                cut ? "...\"" : "\"");
+}
+
 }  // namespace
 
 bool IsName(std::string_view text) {
@@ -30,7 +39,7 @@
 }
 
 std::string Describe(const toml::node& node) {
-  if (const auto* text = node.as_string()) return Concat("\"", text->get(), "\"");
+  if (const auto* text = node.as_string()) return Quote(text->get());
   if (const auto* number = node.as_integer()) return Concat(number->get());
   if (const auto* number = node.as_floating_point()) return Concat(number->get());
   if (const auto* flag = node.as_boolean()) return flag->get() ? "true" : "false";
@@ -58,7 +67,7 @@
                             std::span<const std::string_view> allowed) {
   for (const auto& [key, value] : table) {
     if (std::ranges::find(allowed, key.str()) == allowed.end()) {
-      AddAt(value, Concat(path, key.str()), "an unknown key", Concat("one of ", Join(allowed)));
+      AddAt(value, Concat(path, key.str().substr(0, kMaxQuoted)), "an unknown key", Concat("one of ", Join(allowed)));
     }
   }
 }
