Let members meet through seeds alone, and on an empty budget

With a budget of 0 a false suspicion was never refuted. Ruled out: larger budgets for seeds, since no instance is set aside. Change: seeds introduce starters to some members within the budget, members that know far fewer than a peer pull pages from random peers, joins beyond 48 pending are left to digests, credit for acknowledgements is limited to 8 a second; messages on credit carry two changes, and indirect probes go on credit.

--- a/src/membership/membership_settings.h
+++ b/src/membership/membership_settings.h
@@ -35,6 +35,17 @@
   /// Gap between ticks from which deadlines on other members move by the gap.
   duration tick_slack = std::chrono::milliseconds(200);
 
+  /// Members that a peer may know more of before their records are pulled from peers; one
+  /// datagram holds about 12.
+  std::size_t pull_above = 12;
+  /// Every member answers as many pulls as it sends: 2.5 pages a second are 3 KB/s.
+  duration pull_period = std::chrono::milliseconds(400);
+  /// Changes passed on at once; in a larger storm members compare digests and pull instead.
+  std::size_t most_changes = 48;
+  /// Pause between acknowledgements sent on credit. A member is probed once a second on
+  /// average, but a seed may be probed by all at a mass restart.
+  duration forced_ack_pause = std::chrono::milliseconds(125);
+
   /// Time for which dead and left members are remembered.
   duration remember_dead = std::chrono::hours(2);
   duration dead_probe_period = std::chrono::seconds(10);
--- a/src/membership/membership_system.cc
+++ b/src/membership/membership_system.cc
@@ -27,6 +27,9 @@
 constexpr std::size_t kMostRelays = 64;
 // 12 records with details fill a datagram.
 constexpr int kMostWanted = 12;
+// Suspicions and refutations must travel even on an empty account; without them a false
+// suspicion ends in a false verdict.
+constexpr std::size_t kChangesOnCredit = 2;
 constexpr std::uint32_t kMostAsks = 5;
 constexpr duration kReadTimeout = seconds(30);
 
@@ -53,6 +56,9 @@
       join_at_(now + Jittered(duration::zero(), settings_.join_spread)),
       next_dead_probe_(now + Jittered(duration::zero(), settings_.dead_probe_period)),
       next_seed_(now),
+      seed_backoff_(seconds(1)),
+      next_pull_(now),
+      forced_acks_(now),
       next_want_(now),
       next_push_(now),
       unconfirmed_until_(now),
@@ -190,6 +196,7 @@
   if (!leaving_) TickSeeds(now);
   TickWants(now);
   TickPush(now);
+  if (behind_ && now >= next_pull_) TickPull(now);
   if (now >= next_expiry_) TickExpiry(now);
   TickLog(now);
   TickAppend(now);
@@ -218,7 +225,7 @@
       std::size_t size = message.ByteSizeLong();
       AddRecord(index, false, message, size);
       Send(table_.row(index).id, table_.row(index).membership_address, message, size,
-           charge_purpose::kMembershipProbe, urgency::kBudgeted, now);
+           charge_purpose::kMembershipProbe, urgency::kForced, now);
     }
   }
   if (now >= next_probe_) StartProbe(now);
@@ -309,16 +316,22 @@
 
 void membership_system::TickSeeds(time_point now) {
   if (now < next_seed_ || settings_.seeds.empty()) return;
-  const bool alone = table_.live() <= 1;
-  next_seed_ = now + (alone ? Jittered(milliseconds(800), milliseconds(1200))
-                            : Jittered(seconds(8), seconds(10)));
-  if (!alone && !log_out_) return;
+  if (table_.live() <= 1) {
+    next_seed_ = now + Jittered(seed_backoff_ / 2, seed_backoff_);
+    seed_backoff_ = std::min<duration>(seed_backoff_ * 2, seconds(8));
+  } else {
+    seed_backoff_ = seconds(1);
+    next_seed_ = now + Jittered(seconds(8), seconds(10));
+    if (!log_out_) return;
+  }
   MemberDatagram message;
   message.set_kind(MemberDatagram::PING);
   message.set_sequence(++sequence_);
   FillSender(message, true);
-  Send(member_id{}, settings_.seeds[Random(settings_.seeds.size())], message,
-       message.ByteSizeLong(), charge_purpose::kMembershipProbe, urgency::kBudgeted, now);
+  std::size_t size = message.ByteSizeLong();
+  AddRecord(0, true, message, size);
+  Send(member_id{}, settings_.seeds[Random(settings_.seeds.size())], message, size,
+       charge_purpose::kMembershipProbe, urgency::kPlain, now);
 }
 
 void membership_system::TickWants(time_point now) {
@@ -379,6 +392,17 @@
   }
 }
 
+void membership_system::TickPull(time_point now) {
+  next_pull_ = now + Jittered(settings_.pull_period * 3 / 4, settings_.pull_period * 5 / 4);
+  const std::ptrdiff_t peer = RandomPeer(member_id{});
+  if (peer < 0) return;
+  MemberDatagram message;
+  message.set_kind(MemberDatagram::PULL);
+  FillSender(message, true);
+  Send(table_.row(Index(peer)).id, table_.row(Index(peer)).membership_address, message,
+       message.ByteSizeLong(), charge_purpose::kMembershipChange, urgency::kPlain, now);
+}
+
 void membership_system::TickExpiry(time_point now) {
   next_expiry_ = time_point::max();
   for (std::size_t i = table_.size() - 1; i > 0; --i) {
@@ -424,11 +448,13 @@
     return;
   }
   HearSender(from, message, now);
+  const bool pass_on = message.kind() != MemberDatagram::PAGE;
   for (const proto::MemberRecord& record : message.records()) {
     if (const std::optional<member_update> update = ReadMemberRecord(record)) {
-      ApplyRecord(*update, sender, from, now);
+      ApplyRecord(*update, sender, from, pass_on, now);
     }
   }
+  if (message.live() > 0) behind_ = message.live() > table_.live() + settings_.pull_above;
   switch (message.kind()) {
     case MemberDatagram::PING:
       OnPing(from, message, now);
@@ -436,6 +462,9 @@
     case MemberDatagram::PING_REQUEST:
       OnPingRequest(from, message, now);
       break;
+    case MemberDatagram::PULL:
+      OnPull(from, message, now);
+      break;
     case MemberDatagram::ACK:
       OnAck(message, now);
       CompareDigests(message, now);
@@ -479,7 +508,7 @@
   update.row.refutation = message.sender_refutation();
   update.row.draining = update.row.draining || message.hint().draining();
   const merge_result result = table_.Merge(update);
-  AfterMerge(index, result, false, now);
+  AfterMerge(index, result, true, now);
   if (table_.track(index).unconfirmed) Confirm(index);
   row.config_version = std::max(row.config_version, message.config_version());
   if (row.config_version > highest_version_) {
@@ -507,13 +536,46 @@
     AddRecord(Index(sender), false, answer, size);
   }
   AnswerWanted(message, answer, size);
+  if (message.target() == 0) {
+    // A starter asks a seed. It asks again if the budget refuses the answer.
+    AddIntroduction(answer, size);
+    Send(member_id{message.sender()}, from, answer, size, charge_purpose::kMembershipProbe,
+         urgency::kPlain, now);
+    return;
+  }
   if (with_digests) {
-    // Differences come after the sender's own record and before piggybacked changes; half of
-    // the datagram is left to the changes.
-    AddBucketRecords(CompareDigests(message, now), answer, size);
+    // Half of the datagram is left to piggybacked changes.
+    AddBucketRecords(CompareDigests(message, now), false, kDatagramLimit / 2, answer, size);
   }
+  const bool on_credit = forced_acks_ <= now + seconds(1);
+  forced_acks_ =
+      std::max(forced_acks_, now) + (on_credit ? settings_.forced_ack_pause : duration::zero());
   Send(member_id{message.sender()}, from, answer, size, charge_purpose::kMembershipProbe,
-       urgency::kForced, now);
+       on_credit ? urgency::kForced : urgency::kBudgeted, now);
+}
+
+void membership_system::OnPull(std::string_view from, const MemberDatagram& message,
+                               time_point now) {
+  MemberDatagram answer;
+  answer.set_kind(MemberDatagram::PAGE);
+  FillSender(answer, false);
+  answer.set_live(static_cast<std::uint32_t>(table_.live()));
+  std::size_t size = answer.ByteSizeLong();
+  AddBucketRecords(CompareDigests(message, now), true, kDatagramLimit, answer, size);
+  if (answer.records_size() == 0) return;
+  Send(member_id{message.sender()}, from, answer, size, charge_purpose::kMembershipChange,
+       urgency::kPlain, now);
+}
+
+void membership_system::AddIntroduction(MemberDatagram& message, std::size_t& size) {
+  constexpr int kIntroduced = 4;
+  AddRecord(0, true, message, size);
+  for (int i = 0; i < kIntroduced; ++i) {
+    const std::ptrdiff_t peer = RandomPeer(member_id{});
+    if (peer > 0 && !table_.track(Index(peer)).unconfirmed) {
+      AddRecord(Index(peer), true, message, size);
+    }
+  }
 }
 
 void membership_system::OnPingRequest(std::string_view from, const MemberDatagram& message,
@@ -527,7 +589,7 @@
   ping.set_target(message.target());
   FillSender(ping, false);
   if (!Send(member_id{message.target()}, message.target_address(), ping, ping.ByteSizeLong(),
-            charge_purpose::kMembershipProbe, urgency::kBudgeted, now)) {
+            charge_purpose::kMembershipProbe, urgency::kForced, now)) {
     return;
   }
   relays_.push_back(relay{.sequence = sequence_,
@@ -586,7 +648,8 @@
   return differ;
 }
 
-void membership_system::AddBucketRecords(std::uint32_t mask, MemberDatagram& message,
+void membership_system::AddBucketRecords(std::uint32_t mask, bool with_details,
+                                         std::size_t limit, MemberDatagram& message,
                                          std::size_t& size) {
   if (mask == 0) return;
   const std::size_t start = Random(table_.size());
@@ -598,14 +661,14 @@
         (mask >> member_table::BucketOf(table_.row(i).id) & 1U) == 0) {
       continue;
     }
-    if (size > kDatagramLimit / 2 || !AddRecord(i, false, message, size)) return;
+    if (size > limit || !AddRecord(i, with_details, message, size)) return;
   }
 }
 
 // --- records
 
 void membership_system::ApplyRecord(const member_update& update, member_id sender,
-                                    std::string_view from, time_point now) {
+                                    std::string_view from, bool pass_on, time_point now) {
   if (update.row.id == self().id) {
     ApplyOwnRecord(update, now);
     return;
@@ -631,7 +694,7 @@
     next_dead_probe_ =
         std::min(next_dead_probe_, now + Jittered(duration::zero(), milliseconds(500)));
   }
-  AfterMerge(index, result, false, now);
+  AfterMerge(index, result, pass_on, now);
 }
 
 void membership_system::ApplyOwnRecord(const member_update& update, time_point now) {
@@ -650,7 +713,7 @@
   Report(membership_event_kind::kRefuted, 0, static_cast<std::int64_t>(self.refutation));
 }
 
-void membership_system::AfterMerge(std::size_t index, const merge_result& result, bool from_log,
+void membership_system::AfterMerge(std::size_t index, const merge_result& result, bool pass_on,
                                    time_point now) {
   if (!result.changed()) return;
   const member_state state = table_.row(index).state;
@@ -669,8 +732,8 @@
   }
   if (result.draining_changed) Report(membership_event_kind::kDraining, index);
   if (result.details_changed) Report(membership_event_kind::kDetailsChanged, index);
-  // Every daemon reads the log, so what came from there need not be passed on.
-  if (from_log) return;
+  // Every daemon reads the log and pulls pages, so what came from there is not passed on.
+  if (!pass_on) return;
   const bool urgent = result.draining_changed || state == member_state::kLeft;
   MarkChanged(index, result.added || result.new_run || result.details_changed, urgent);
 }
@@ -715,6 +778,8 @@
 void membership_system::MarkChanged(std::size_t index, bool with_details, bool urgent) {
   member_track& track = table_.track(index);
   if (track.transmits_left == 0) {
+    // In a join storm peers find the rest by comparing digests.
+    if (with_details && index != 0 && changed_.size() >= settings_.most_changes) return;
     changed_.push_back(table_.row(index).id);
     track.transmit_details = false;
   }
@@ -745,6 +810,7 @@
   WriteLoadHint(hint_, message.mutable_hint());
   message.mutable_hint()->set_draining(hint_.draining || self.draining);
   if (!with_digests) return;
+  message.set_live(static_cast<std::uint32_t>(table_.live()));
   for (const std::uint32_t digest : table_.digests()) message.add_bucket_digests(digest);
   if (last_active_ >= unconfirmed_until_) return;
   std::uint32_t mask = 0;
@@ -778,6 +844,7 @@
   });
   std::vector<std::size_t> carried;
   for (const member_id id : changed_) {
+    if (force == urgency::kPlain) break;
     const std::ptrdiff_t index = table_.IndexOf(id);
     if (index < 0) continue;
     if (!AddRecord(Index(index), table_.track(Index(index)).transmit_details, message, size)) {
@@ -791,11 +858,13 @@
   budget_charge charge{
       .bytes = message.ByteSizeLong() + kHeaderBytes, .purpose = purpose, .where = where};
   if (!budget_.TryCharge(charge, now)) {
-    if (force == urgency::kBudgeted) return false;
-    while (message.records_size() > std::min(own_records, 1)) {
+    if (force != urgency::kForced) return false;
+    if (own_records > 1) message.mutable_records()->DeleteSubrange(1, own_records - 1);
+    carried.resize(std::min(carried.size(), kChangesOnCredit));
+    while (message.records_size() >
+           std::min(own_records, 1) + static_cast<int>(carried.size())) {
       message.mutable_records()->RemoveLast();
     }
-    carried.clear();
     charge.bytes = message.ByteSizeLong() + kHeaderBytes;
     budget_.ChargeAlways(charge, now);
   }
@@ -854,7 +923,7 @@
     if (result.earlier_run || found < 0) continue;
     const std::size_t index = Index(found);
     wants_.erase(update->row.id);
-    AfterMerge(index, result, true, now);
+    AfterMerge(index, result, false, now);
     if ((result.added || result.new_run) && IsLive(update->row.state) &&
         milliseconds(record.age_ms) > settings_.fresh_record) {
       // An old join alone does not show that its run still lives.
--- a/src/membership/membership_system.h
+++ b/src/membership/membership_system.h
@@ -115,7 +115,8 @@
     time_point ask_at;
     std::uint32_t asked = 0;
   };
-  enum class urgency : std::uint8_t { kForced, kBudgeted };
+  /// kForced is sent on credit if need be; kPlain carries no piggybacked changes.
+  enum class urgency : std::uint8_t { kForced, kBudgeted, kPlain };
 
   void Observe(time_point now);
   void Wake(duration slept);
@@ -129,6 +130,7 @@
   void TickSeeds(time_point now);
   void TickWants(time_point now);
   void TickPush(time_point now);
+  void TickPull(time_point now);
   void TickExpiry(time_point now);
   void TickLog(time_point now);
   void TickAppend(time_point now);
@@ -137,17 +139,21 @@
   void OnPing(std::string_view from, const proto::MemberDatagram& message, time_point now);
   void OnPingRequest(std::string_view from, const proto::MemberDatagram& message,
                      time_point now);
+  void OnPull(std::string_view from, const proto::MemberDatagram& message, time_point now);
   void OnAck(const proto::MemberDatagram& message, time_point now);
   void AnswerWanted(const proto::MemberDatagram& message, proto::MemberDatagram& answer,
                     std::size_t& size) const;
+  /// The own record and some random live ones, with details, for a starter that knows nobody.
+  void AddIntroduction(proto::MemberDatagram& message, std::size_t& size);
   /// Confirms rows of buckets that agree; returns the buckets that differ as a bit mask.
   std::uint32_t CompareDigests(const proto::MemberDatagram& message, time_point now);
-  void AddBucketRecords(std::uint32_t mask, proto::MemberDatagram& message, std::size_t& size);
+  void AddBucketRecords(std::uint32_t mask, bool with_details, std::size_t limit,
+                        proto::MemberDatagram& message, std::size_t& size);
 
   void ApplyRecord(const member_update& update, member_id sender, std::string_view from,
-                   time_point now);
+                   bool pass_on, time_point now);
   void ApplyOwnRecord(const member_update& update, time_point now);
-  void AfterMerge(std::size_t index, const merge_result& result, bool from_log, time_point now);
+  void AfterMerge(std::size_t index, const merge_result& result, bool pass_on, time_point now);
   void AfterStateChange(std::size_t index, time_point now);
   void ExpireAt(std::size_t index, time_point deadline);
   void Confirm(std::size_t index);
@@ -156,7 +162,7 @@
   void Want(member_id id, member_id from, std::string_view address, time_point now);
 
   /// Adds piggybacked changes, charges the budget and sends. False if the budget refused; a
-  /// forced message is then sent on credit with one record at most.
+  /// forced message is then sent on credit with three records at most.
   bool Send(member_id peer, std::string_view address, proto::MemberDatagram& message,
             std::size_t size, charge_purpose purpose, urgency force, time_point now);
   void FillSender(proto::MemberDatagram& message, bool with_digests);
@@ -190,6 +196,12 @@
   time_point forced_probe_;
   time_point next_dead_probe_;
   time_point next_seed_;
+  duration seed_backoff_{};
+  time_point next_pull_;
+  /// A peer lately knew many more members.
+  bool behind_ = false;
+  /// Time at which the acknowledgements sent on credit so far are due.
+  time_point forced_acks_;
   time_point next_want_;
   time_point next_push_;
   time_point next_expiry_ = time_point::max();
--- a/tests/membership/membership_system_test.cc
+++ b/tests/membership/membership_system_test.cc
@@ -240,6 +240,22 @@
   EXPECT_EQ(net.records.size(), 30U);  // the joins reach the log once it is back
 }
 
+// Guards against a mass restart during a log outage in which seeds are asked by all at once:
+// members that never meet, and bytes far above the budget.
+TEST(Membership, ManyStartersShareFewSeedsWithinBudget) {
+  member_net net({.seed = 4,
+                  .loss = 0.01,
+                  .seeds = {member_net::Address(0, 7001), member_net::Address(1, 7001)}});
+  net.log_down = true;
+  net.StartAll(200);
+  net.RunFor(seconds(10));
+  std::vector<std::uint64_t> before;
+  for (std::size_t i = 0; i < 200; ++i) before.push_back(net.SentBytes(i));
+  net.RunFor(seconds(10));
+  for (std::size_t i = 0; i < 200; ++i) EXPECT_LE(net.SentBytes(i) - before[i], 55'000U) << i;
+  EXPECT_TRUE(net.RunUntil(seconds(60), [&] { return net.Converged(); }));
+}
+
 // Guards against a lost append response that loses the join or repeats it without end.
 TEST(Membership, LostAppendResponsesAreRetried) {
   member_net net({});
@@ -392,6 +408,23 @@
   EXPECT_LE(net.LargestDatagram(), 1200U);
 }
 
+// Guards against a document without a measuring budget that makes members look dead.
+TEST(Membership, WithoutBudgetMembersStayAliveAtTheFloor) {
+  member_net net({.seed = 6, .loss = 0.02, .bytes_per_second = 0});
+  net.StartAll(10);
+  net.RunFor(seconds(30));
+  std::vector<std::uint64_t> before;
+  for (std::size_t i = 0; i < 10; ++i) before.push_back(net.SentBytes(i));
+  net.RunFor(seconds(300));
+  EXPECT_TRUE(net.Converged());
+  for (std::size_t i = 0; i < 10; ++i) {
+    EXPECT_LE((net.SentBytes(i) - before[i]) / 300, 200U) << i;
+  }
+  net.Kill(4);
+  EXPECT_TRUE(
+      net.RunUntil(seconds(90), [&] { return KnownEverywhere(net, 4, member_state::kDead); }));
+}
+
 // Guards against an empty account that ends failure detection, or that is overdrawn for long.
 TEST(Membership, SmallBudgetStretchesProbesAndStillDetects) {
   member_net net({.bytes_per_second = 300});
