Bound every stream and keep protected requests from being resent

Cause: the HTTP library reads request bodies into an unbounded buffer, gRPC's window grows to several MB, and the library repeats a request when a pooled connection closes after the request was written.

Ruled out: replacing the callers' server; the buffer swap in the handler works. A "Connection: close" field on fresh requests: the library adds its own Keep-Alive next to it.

Change: streams of 512 KiB between daemons, without probing. A read hold keeps gRPC from reporting the end of a call while the last frame waits for room; before, the last 64 KiB of an answer could be lost. A write flag is set before body bytes are taken; before, a second write could start and abort.

--- a/src/transport/attempt_stream.cc
+++ b/src/transport/attempt_stream.cc
@@ -22,17 +22,29 @@
   stub.async()->Forward(&context_, this);
   *outgoing_.mutable_id() = ToProto(head_.id);
   WriteHead(head_, *row_, MonotonicNow(), *outgoing_.mutable_head());
-  if (!head_.is_long || row_->body->AtEnd()) FillBody();
   writing_ = true;
+  if (!head_.is_long || row_->body->AtEnd()) FillBody();
   StartWrite(&outgoing_);
-  StartRead(&incoming_);
+  // gRPC would report the end of the call while the last frame still waits for room.
+  AddHold();
+  held_ = true;
+  Read();
   StartCall();
 }
 
+void attempt_stream::Read() {
+  if (held_) StartRead(&incoming_);
+}
+
+void attempt_stream::Release() {
+  if (std::exchange(held_, false)) RemoveHold();
+}
+
 void attempt_stream::Cancel() {
   over_ = true;
   if (answer_ != nullptr) answer_->body->Fail();
   context_.TryCancel();
+  Release();
 }
 
 void attempt_stream::OnWriteDone(bool ok) {
@@ -72,13 +84,17 @@
   if (row_->body->Available() == 0 && !row_->body->ended()) return;
   outgoing_.Clear();
   *outgoing_.mutable_id() = ToProto(head_.id);
-  FillBody();
+  // Taking bytes makes room, and the body's writer may call back at once.
   writing_ = true;
+  FillBody();
   StartWrite(&outgoing_);
 }
 
 void attempt_stream::HandleRead(bool ok) {
-  if (!ok) return;
+  if (!ok) {
+    Release();
+    return;
+  }
   if (FromProto(incoming_.id()) != head_.id ||
       incoming_.owner_incarnation() != head_.target_incarnation.value) {
     ++counters_.mismatched_frames;
@@ -86,7 +102,7 @@
     TakeFrame();
     return;
   }
-  StartRead(&incoming_);
+  Read();
 }
 
 void attempt_stream::TakeFrame() {
@@ -96,7 +112,7 @@
     events_.OnAttemptRefused(row_->id, head_.id,
                              ErrorKindFromNumber(incoming_.refusal().kind()),
                              incoming_.refusal().recorded_status(), report, MonotonicNow());
-    StartRead(&incoming_);
+    Read();
     return;
   }
   if (incoming_.admitted() && !admitted_) {
@@ -143,7 +159,7 @@
   }
   passing_ = false;
   if (incoming_.last() || incoming_.cut()) EndAnswer(incoming_.last(), ReportOf(incoming_));
-  StartRead(&incoming_);
+  Read();
 }
 
 void attempt_stream::EndAnswer(bool complete, const owner_report& report) {
--- a/src/transport/attempt_stream.h
+++ b/src/transport/attempt_stream.h
@@ -36,6 +36,8 @@
   void OnDone(const grpc::Status& status) override;
 
  private:
+  void Read();
+  void Release();
   void HandleWritten(bool ok);
   void HandleRead(bool ok);
   void HandleDone();
@@ -62,6 +64,8 @@
   // Bytes of `incoming_` that the pipe has taken.
   std::size_t passed_ = 0;
   bool passing_ = false;
+  // Reads may still be started; gRPC reports no end before this is given up.
+  bool held_ = false;
   std::shared_ptr<answer_stream> answer_;
   // The attempt's last event was reported, or nobody waits for it.
   bool over_ = false;
--- a/src/transport/peer_client.cc
+++ b/src/transport/peer_client.cc
@@ -16,6 +16,7 @@
 #include "src/transport/attempt_stream.h"
 #include "src/transport/event_loop.h"
 #include "src/transport/exchange_table.h"
+#include "src/transport/peer_window.h"
 
 namespace bronzeroute {
 namespace {
@@ -44,6 +45,8 @@
   arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kKeepaliveTimeoutMs);
   arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
   arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+  arguments.SetInt(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES, kWindowBytes);
   return grpc::CreateCustomChannel("ipv4:" + address, grpc::InsecureChannelCredentials(),
                                    arguments);
 }
--- a/src/transport/peer_server.cc
+++ b/src/transport/peer_server.cc
@@ -14,6 +14,7 @@
 #include "src/transport/event_loop.h"
 #include "src/transport/exchange_table.h"
 #include "src/transport/http_address.h"
+#include "src/transport/peer_window.h"
 #include "src/transport/transport_events.h"
 
 namespace bronzeroute {
@@ -73,6 +74,8 @@
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
                              kMinPingIntervalMs);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES, kWindowBytes);
   builder.SetMaxReceiveMessageSize(kMaxFrameBytes);
   builder.RegisterService(service_.get());
   server_ = builder.BuildAndStart();
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -111,7 +111,6 @@
   headers.add("Bronzeroute-Deadline-Ms", RemainingMs(deadline));
   headers.add("Bronzeroute-Depth", row->depth + 1);
   headers.add("Bronzeroute-Call", FormatCallId(attempt.call));
-  if (fresh_connection) headers.add("Connection", "close");
   if (row->content_length != 0) {
     running->body = std::make_shared<bounded_buffer>(row->body, std::ios_base::in);
     request._get_impl()->set_instream(bounded_buffer::Stream(running->body));
