--- a/src/transport/attempt_stream.cc
+++ b/src/transport/attempt_stream.cc
@@ -25,14 +25,26 @@
   writing_ = true;
   if (!head_.is_long || row_->body->AtEnd()) FillBody();
   StartWrite(&outgoing_);
-  StartRead(&incoming_);
+  // gRPC would report the end of the call while the last frame still waits for room.
+  AddHold();
+  held_ = true;
+  Read();
   StartCall();
 }
 
+void attempt_stream::Read() {
+  if (held_) StartRead(&incoming_);
+}
+
+void attempt_stream::Release() {
+  if (std::exchange(held_, false)) RemoveHold();
+}
+
 void attempt_stream::Cancel() {
   over_ = true;
   if (answer_ != nullptr) answer_->body->Fail();
   context_.TryCancel();
+  Release();
 }
 
 void attempt_stream::OnWriteDone(bool ok) {
@@ -79,7 +91,10 @@
 }
 
 void attempt_stream::HandleRead(bool ok) {
-  if (!ok) return;
+  if (!ok) {
+    Release();
+    return;
+  }
   if (FromProto(incoming_.id()) != head_.id ||
       incoming_.owner_incarnation() != head_.target_incarnation.value) {
     ++counters_.mismatched_frames;
@@ -87,7 +102,7 @@
     TakeFrame();
     return;
   }
-  StartRead(&incoming_);
+  Read();
 }
 
 owner_report attempt_stream::Report() const {
@@ -104,7 +119,7 @@
     events_.OnAttemptRefused(row_->id, head_.id,
                              ErrorKindFromNumber(incoming_.refusal().kind()),
                              incoming_.refusal().recorded_status(), report, MonotonicNow());
-    StartRead(&incoming_);
+    Read();
     return;
   }
   if (incoming_.admitted() && !admitted_) {
@@ -151,7 +166,7 @@
   }
   passing_ = false;
   if (incoming_.last() || incoming_.cut()) EndAnswer(incoming_.last(), Report());
-  StartRead(&incoming_);
+  Read();
 }
 
 void attempt_stream::EndAnswer(bool complete, const owner_report& report) {
