--- a/src/calls/call_log_row.h
+++ b/src/calls/call_log_row.h
@@ -18,8 +18,8 @@
   struct attempt {
     member_target target;
     target_reason reason = target_reason::kChosen;
-    time_point sent;
-    time_point ended;
+    time_point sent{};
+    time_point ended{};
     /// kNone if a response was passed on.
     error_kind result = error_kind::kNone;
   };
@@ -32,9 +32,9 @@
   bool has_key = false;
   std::uint32_t caller_try = 1;
   std::int64_t config_version = -1;
-  time_point received;
-  time_point deadline;
-  time_point ended;
+  time_point received{};
+  time_point deadline{};
+  time_point ended{};
   std::vector<attempt> attempts;
   /// What the caller was told; kNone for a complete response.
   error_kind result = error_kind::kNone;
--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -413,7 +413,7 @@
   const bool says_not_run = AnswerFor(kind).state == execution::kNotRun;
   if (!says_not_run) return kind;
   if (!Rules::MayReportNotRun(row.may_have_run)) return error_kind::kAnswerLost;
-  if (row.key.empty() || from_home) return kind;
+  if (row.key.empty() || (from_home && kind != error_kind::kKeyTableFull)) return kind;
   // Only the home knows the fate of the key. A caller that reads "not run" after a later try
   // would take it as a statement on all its tries.
   if (kind == error_kind::kWrongIncarnation && IsIssuedKey(row.key)) {
--- a/src/calls/key_table.cc
+++ b/src/calls/key_table.cc
@@ -37,7 +37,8 @@
     // try with a caller's own key may have had another home.
     if (!issued_ms && caller_try > 1) return {error_kind::kKeyUnknown};
     if (rows_.size() >= capacity_) return {error_kind::kKeyTableFull};
-    rows_.emplace(key, row{.attempt = attempt, .issued_ms = issued_ms});
+    rows_.emplace(key,
+                  row{.attempt = attempt, .caller_try = caller_try, .issued_ms = issued_ms});
     return {};
   }
   row& known = found->second;
@@ -51,7 +52,9 @@
     case key_state::kNotRun:
       break;
   }
-  known = row{.attempt = attempt, .issued_ms = issued_ms};
+  // A caller that was told "not run" on a later try relies on it for its earlier ones too.
+  if (caller_try < known.caller_try) return {error_kind::kCancelled};
+  known = row{.attempt = attempt, .caller_try = caller_try, .issued_ms = issued_ms};
   return {};
 }
 
--- a/src/calls/key_table.h
+++ b/src/calls/key_table.h
@@ -42,6 +42,7 @@
     key_state state = key_state::kRunning;
     int status = 0;
     attempt_id attempt;
+    std::uint32_t caller_try = 1;
     /// Unix time of issue in milliseconds; nothing for a caller's own key.
     std::optional<std::int64_t> issued_ms;
     time_point expires = time_point::max();
--- a/src/calls/owner_system_impl.h
+++ b/src/calls/owner_system_impl.h
@@ -48,7 +48,7 @@
                                        bool is_local, time_point now) {
   ++counters_.attempts;
   const attempt_id id = head.id;
-  if (Rules::IsDuplicate(!record_.Insert(id, now))) {
+  if (Rules::IsDuplicate(!record_.Insert(id, now)) || rows_.contains(id)) {
     ++counters_.duplicates;
     SendRefusal(exchange, id, is_local, error_kind::kDuplicateAttempt, 0, now);
     return;
--- /dev/null
+++ b/tests/calls/attempt_record_test.cc
@@ -0,0 +1,38 @@
+#include "src/calls/attempt_record.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+namespace bronzeroute {
+namespace {
+
+constexpr time_point kStart{};
+
+attempt_id Id(std::uint64_t run, std::uint64_t sequence, std::uint32_t number = 1) {
+  return {{member_id{3}, incarnation{run}, sequence}, number};
+}
+
+// Guards against a duplicate that runs because its identity was forgotten.
+TEST(AttemptRecord, ForgottenIdentitiesStayRefused) {
+  attempt_record record(2);
+  EXPECT_TRUE(record.Insert(Id(1, 1), kStart));
+  EXPECT_FALSE(record.Insert(Id(1, 1), kStart));
+  EXPECT_TRUE(record.Insert(Id(1, 1, 2), kStart));
+  EXPECT_TRUE(record.Insert(Id(1, 5), kStart));
+  EXPECT_FALSE(record.Insert(Id(1, 1), kStart)) << "forgotten for lack of room";
+  record.Tick(kStart + std::chrono::minutes(3));
+  EXPECT_FALSE(record.Insert(Id(1, 5), kStart)) << "forgotten with time";
+  EXPECT_TRUE(record.Insert(Id(1, 6), kStart));
+}
+
+// Guards against work for a run of the entry that is over, and against refusing a new run.
+TEST(AttemptRecord, NewRunStartsAfresh) {
+  attempt_record record;
+  EXPECT_TRUE(record.Insert(Id(1, 9), kStart));
+  EXPECT_TRUE(record.Insert(Id(2, 1), kStart));
+  EXPECT_FALSE(record.Insert(Id(1, 10), kStart));
+}
+
+}  // namespace
+}  // namespace bronzeroute
--- /dev/null
+++ b/tests/calls/call_fuzz_test.cc
@@ -0,0 +1,266 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "tests/calls/call_world.h"
+
+namespace bronzeroute::tests {
+namespace {
+
+constexpr std::size_t kNodes = 4;
+
+enum class step_kind : std::uint8_t {
+  kRequest,
+  kProtected,
+  kOwnKey,
+  kIssuedKey,
+  kLaterTry,
+  kCallerLeaves,
+  kAdvance,
+  kKill,
+  kRestart,
+  kFreeze,
+  kCut,
+  kLink,
+  kDrain,
+  kUpstream,
+};
+
+/// One step of a script; `a` and `b` choose among what exists.
+struct step {
+  step_kind kind = step_kind::kAdvance;
+  std::uint32_t a = 0;
+  std::uint32_t b = 0;
+  std::uint32_t time_ms = 0;
+};
+
+std::ostream& operator<<(std::ostream& os, const step& one) {
+  return os << "{kind " << static_cast<int>(one.kind) << ", " << one.a << ", " << one.b << ", "
+            << one.time_ms << " ms}";
+}
+
+rc::Gen<step> AnyStep() {
+  using enum step_kind;
+  const auto kind = rc::gen::weightedElement<step_kind>({{6, kRequest},
+                                                         {6, kProtected},
+                                                         {4, kOwnKey},
+                                                         {4, kIssuedKey},
+                                                         {8, kLaterTry},
+                                                         {1, kCallerLeaves},
+                                                         {10, kAdvance},
+                                                         {1, kKill},
+                                                         {3, kRestart},
+                                                         {2, kFreeze},
+                                                         {2, kCut},
+                                                         {1, kLink},
+                                                         {1, kDrain},
+                                                         {4, kUpstream}});
+  return rc::gen::build<step>(rc::gen::set(&step::kind, kind),
+                              rc::gen::set(&step::a, rc::gen::inRange(0U, 60U)),
+                              rc::gen::set(&step::b, rc::gen::inRange(0U, 60U)),
+                              rc::gen::set(&step::time_ms, rc::gen::inRange(1U, 1000U)));
+}
+
+/// A key in use and the number of tries made with it.
+struct key_use {
+  std::string key;
+  std::uint32_t tries = 1;
+};
+
+template <typename Rules>
+void Apply(call_world<Rules>& world, std::vector<key_use>& keys, const step& one) {
+  using enum step_kind;
+  const std::size_t node = one.a % kNodes;
+  const std::size_t other = one.b % kNodes;
+  const milliseconds time(one.time_ms);
+  switch (one.kind) {
+    case kRequest:
+    case kProtected:
+      world.Request(node, one.kind == kProtected, "", 1, time);
+      break;
+    case kOwnKey:
+    case kIssuedKey: {
+      const std::string key =
+          one.kind == kOwnKey ? "own-" + std::to_string(keys.size()) : world.IssueKey(node);
+      if (!key.empty() && world.Request(other, true, key, 1, time)) keys.push_back({key});
+      break;
+    }
+    case kLaterTry: {
+      if (keys.empty()) break;
+      // Mostly the newest keys, whose earlier tries may still be on the way.
+      key_use& use = keys[keys.size() - 1 - one.b % std::min<std::size_t>(keys.size(), 4)];
+      if (world.Request(node, true, use.key, use.tries + 1, time)) ++use.tries;
+      break;
+    }
+    case kCallerLeaves:
+      if (world.oracle.size() > 0) world.CallerLeaves(world.oracle.size() - 1);
+      break;
+    case kAdvance:
+      world.Advance(time / (one.b % 2 == 0 ? 1 : 20));
+      break;
+    case kKill:
+      world.Kill(node);
+      break;
+    case kRestart:
+      for (std::size_t i = 0; i < kNodes; ++i) world.Restart(i);
+      break;
+    case kFreeze:
+      world.Freeze(node, time * (one.b % 8 + 1));
+      break;
+    case kCut:
+      world.Cut(node, other);
+      break;
+    case kLink:
+      world.SetLink(node, other, one.time_ms % 3 != 0);
+      break;
+    case kDrain:
+      world.Drain(node);
+      break;
+    case kUpstream:
+      world.SetUpstream(node, static_cast<upstream_mode>(one.b % 6));
+      break;
+  }
+}
+
+std::string Violations(const call_oracle& oracle) {
+  std::ostringstream text;
+  for (const std::string& line : oracle.violations()) text << line << '\n';
+  return text.str();
+}
+
+struct coverage {
+  std::map<std::string, int> told;
+  int requests = 0;
+  int runs = 0;
+};
+
+template <typename Rules>
+std::string RunScript(const world_options& options, const std::vector<step>& script,
+                      coverage* seen = nullptr) {
+  call_world<Rules> world(kNodes, options);
+  std::vector<key_use> keys;
+  for (const step& one : script) Apply(world, keys, one);
+  world.Settle();
+  for (std::size_t i = 0; seen != nullptr && i < world.oracle.size(); ++i) {
+    const auto& row = world.oracle.at(i);
+    ++seen->requests;
+    seen->runs += row.runs;
+    std::string name(AnswerFor(row.told).name);
+    if (row.now != call_oracle::state::kTold) {
+      name = row.now == call_oracle::state::kCut    ? "cut"
+             : row.now == call_oracle::state::kGone ? "gone"
+                                                    : "complete";
+    }
+    ++seen->told[name];
+  }
+  return Violations(world.oracle);
+}
+
+int Cases(int by_default) {
+  const char* text = std::getenv("BRONZEROUTE_FUZZ_CASES");
+  return text == nullptr ? by_default : std::atoi(text);
+}
+
+/// Runs random scripts; returns the report of the first one with a violation that contains
+/// `violation`, or nothing.
+template <typename Rules>
+std::string Fuzz(std::uint64_t seed, int cases, const std::string& violation,
+                 bool reuse_incarnation, coverage* seen = nullptr) {
+  const auto property = [&] {
+    world_options options;
+    options.seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000).as("seed of the world");
+    options.max_delay =
+        milliseconds(*rc::gen::element(1, 5, 60, 400).as("longest delay in ms"));
+    options.duplicate_percent = *rc::gen::element(0, 20);
+    options.lose_percent = *rc::gen::element(0, 0, 5);
+    options.key_capacity = *rc::gen::element<std::size_t>(1000, 4).as("capacity for keys");
+    options.reuse_incarnation = reuse_incarnation;
+    const auto script =
+        *rc::gen::scale(3.0, rc::gen::container<std::vector<step>>(AnyStep())).as("script");
+    const std::string violations = RunScript<Rules>(options, script, seen);
+    const bool is_wanted = violations.find(violation) != std::string::npos;
+    if (!violations.empty() && is_wanted) RC_FAIL(violations);
+  };
+  rc::detail::TestParams params;
+  params.seed = seed;
+  params.maxSuccess = cases;
+  // A build that is broken on purpose only has to fail.
+  params.disableShrinking = seen == nullptr;
+  const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata(), params);
+  if (result.template is<rc::detail::SuccessResult>()) return "";
+  std::ostringstream text;
+  rc::detail::printResultMessage(result, text);
+  return text.str();
+}
+
+// Guards against any sequence of faults that breaks a promise: a protected request or a key
+// that runs twice, a false "not run", a response to the wrong caller, a cut body that looks
+// complete, a caller left without an answer, and rows that stay.
+TEST(CallFuzz, PromisesHoldUnderFaults) {
+  coverage seen;
+  EXPECT_EQ(Fuzz<call_rules>(20'261'204, Cases(2000), "", false, &seen), "");
+  std::ostringstream text;
+  for (const auto& [name, count] : seen.told) text << ' ' << name << ' ' << count;
+  std::cout << "requests " << seen.requests << ", runs " << seen.runs << ':' << text.str()
+            << '\n';
+  // Guards against a script generator that no longer reaches the outcomes that matter.
+  for (const char* name :
+       {"complete", "cut", "gone", "answer_lost", "deadline_exceeded", "overloaded",
+        "duplicate_key", "key_home_lost", "key_unknown", "key_in_progress", "key_table_full",
+        "draining", "upstream_connect_failed"}) {
+    EXPECT_GT(seen.told[name], 0) << name;
+  }
+}
+
+struct repeats_lost_protected : call_rules {
+  static constexpr bool MayRepeatAfterLoss(bool /*is_protected*/) { return true; }
+};
+struct reports_not_run_after_loss : call_rules {
+  static constexpr bool MayReportNotRun(bool /*may_have_run*/) { return true; }
+};
+struct passes_cut_bodies : call_rules {
+  static constexpr bool CutsPartialAnswer() { return false; }
+};
+struct forgets_attempts : call_rules {
+  static constexpr bool IsDuplicate(bool /*on_record*/) { return false; }
+};
+struct skips_deadline_check : call_rules {
+  static constexpr bool IsLate(time_point /*deadline*/, time_point /*now*/) { return false; }
+};
+struct ignores_key_rows : call_rules {
+  static constexpr bool ObeysKeyRow() { return false; }
+};
+
+template <typename Rules>
+void ExpectCaught(const std::string& violation, bool reuse_incarnation = false) {
+  EXPECT_NE(Fuzz<Rules>(7, 4000, violation, reuse_incarnation), "");
+}
+
+// Each of these guards against an oracle that would not notice the loss of one rule.
+TEST(CallOracle, CatchesRepeatOfLostProtectedCall) {
+  ExpectCaught<repeats_lost_protected>("protected request ran twice");
+}
+TEST(CallOracle, CatchesNotRunAfterLoss) {
+  ExpectCaught<reports_not_run_after_loss>("told not run, but ran");
+}
+TEST(CallOracle, CatchesCutBodyShownAsComplete) {
+  ExpectCaught<passes_cut_bodies>("a cut body looks complete");
+}
+TEST(CallOracle, CatchesForgottenAttempts) {
+  ExpectCaught<forgets_attempts>("protected request ran twice");
+}
+TEST(CallOracle, CatchesMissingDeadlineCheck) {
+  ExpectCaught<skips_deadline_check>("handed to the upstream after its deadline");
+}
+TEST(CallOracle, CatchesIgnoredKeyRows) { ExpectCaught<ignores_key_rows>("key ran twice"); }
+TEST(CallOracle, CatchesReusedIncarnation) {
+  ExpectCaught<call_rules>("got the response to request", true);
+}
+
+}  // namespace
+}  // namespace bronzeroute::tests
--- /dev/null
+++ b/tests/calls/call_oracle.cc
@@ -0,0 +1,84 @@
+#include "tests/calls/call_oracle.h"
+
+#include "src/base/error_answer.h"
+
+namespace bronzeroute::tests {
+
+void call_oracle::Expect(bool holds, std::size_t index, const std::string& text) {
+  if (!holds) violations_.push_back("request " + std::to_string(index) + ": " + text);
+}
+
+std::size_t call_oracle::OnRequest(const std::string& key, std::uint32_t caller_try,
+                                   bool is_protected) {
+  requests_.push_back({.key = key, .caller_try = caller_try, .is_protected = is_protected});
+  return requests_.size() - 1;
+}
+
+void call_oracle::OnRun(std::size_t index, bool is_fresh_connection, time_point deadline,
+                        time_point now) {
+  request& row = requests_[index];
+  ++row.runs;
+  Expect(!row.is_protected || row.runs == 1, index, "protected request ran twice");
+  Expect(!row.is_protected || is_fresh_connection, index, "protected run on a used connection");
+  Expect(now < deadline, index, "handed to the upstream after its deadline");
+  int runs_of_key = 0;
+  for (std::size_t i = 0; i < requests_.size(); ++i) {
+    if (!row.key.empty() && requests_[i].key == row.key) runs_of_key += requests_[i].runs;
+    CheckNotRun(i);
+  }
+  Expect(runs_of_key <= 1, index, "key ran twice");
+}
+
+void call_oracle::CheckNotRun(std::size_t index) {
+  const request& row = requests_[index];
+  if (row.now != state::kTold || AnswerFor(row.told).state != execution::kNotRun) return;
+  Expect(row.runs == 0, index, "told not run, but ran");
+  // A caller relies on "not run" for the earlier tries with its key too.
+  for (const request& other : requests_) {
+    const bool is_earlier =
+        !row.key.empty() && other.key == row.key && other.caller_try <= row.caller_try;
+    Expect(!is_earlier || other.runs == 0, index, "told not run, but an earlier try ran");
+  }
+}
+
+void call_oracle::End(std::size_t index, state ended, time_point now) {
+  request& row = requests_[index];
+  if (row.now == state::kGone) return;
+  Expect(row.now == state::kOpen, index, "answered twice");
+  Expect(now <= row.answer_by, index, "answered too late");
+  row.now = ended;
+}
+
+void call_oracle::OnError(std::size_t index, error_kind kind, time_point now) {
+  End(index, state::kTold, now);
+  requests_[index].told = kind;
+  CheckNotRun(index);
+  if (AnswerFor(kind).state != execution::kRan) return;
+  int runs = 0;
+  for (const request& other : requests_) {
+    if (other.key == requests_[index].key) runs += other.runs;
+  }
+  Expect(runs > 0, index, "told ran, but nothing ran");
+}
+
+void call_oracle::OnComplete(std::size_t index, std::size_t body_of, bool body_is_whole,
+                             time_point now) {
+  End(index, state::kComplete, now);
+  Expect(body_of == index, index, "got the response to request " + std::to_string(body_of));
+  Expect(body_is_whole, index, "a cut body looks complete");
+}
+
+void call_oracle::OnCut(std::size_t index, time_point now) { End(index, state::kCut, now); }
+
+void call_oracle::OnGone(std::size_t index) {
+  if (requests_[index].now == state::kOpen) requests_[index].now = state::kGone;
+}
+
+void call_oracle::OnEnd(std::size_t open_rows) {
+  for (std::size_t i = 0; i < requests_.size(); ++i) {
+    Expect(requests_[i].now != state::kOpen, i, "never answered");
+  }
+  if (open_rows > 0) violations_.push_back(std::to_string(open_rows) + " rows left over");
+}
+
+}  // namespace bronzeroute::tests
