Add fault matrix and tests of both systems; ignore refusals of copies

Cause: a duplicated attempt was answered to the caller as "unknown" although its first copy ran and answered: the entry took the refusal of the copy for the end of the attempt. The matrix showed it (messages duplicated, before send: answer_lost with one run; repeatable work ran twice). Ruled out: refusing copies silently at the owner, since its stream must end; a wrong answer, since "unknown" was honest. Change: the entry drops kDuplicateAttempt and waits for the first copy, its loss or the deadline. One table holds 11 faults at 7 steps of a call with the expected response and number of runs of a protected and a repeatable call; 10 cells say why they cannot happen. Unit tests of entry and owner.

--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -232,15 +232,14 @@
   chooser_.OnHint({from.owner, from.owner_run}, hint, now);
   const std::uint64_t sequence = from.attempt.call.sequence;
   call_row& row = calls_.find(sequence)->second;
-  if (row.is_answering) {
-    // A response began, so a refusal cannot state the truth about this attempt.
+  if (row.is_answering || kind == error_kind::kDuplicateAttempt) {
+    // After the begin of a response, a refusal cannot state the truth about this attempt. The
+    // refusal of a copy says nothing about the first one, whose own end is still to come.
     ++counters_.dropped_answers;
     return;
   }
   const bool is_lost = kind == error_kind::kNone || kind == error_kind::kAnswerLost ||
-                       kind == error_kind::kAnswerCut ||
-                       kind == error_kind::kDuplicateAttempt ||
-                       kind == error_kind::kDeadlineExceeded;
+                       kind == error_kind::kAnswerCut || kind == error_kind::kDeadlineExceeded;
   if (is_lost) {
     CloseAttempt(from.attempt, attempt_outcome::kLost, error_kind::kAnswerLost, now);
     row.excluded.push_back(from.owner);
--- a/tests/calls/call_world.h
+++ b/tests/calls/call_world.h
@@ -51,6 +51,8 @@
   milliseconds max_delay{1};
   int duplicate_percent = 0;
   int lose_percent = 0;
+  /// How often a transport knows that an attempt that it lost had not left.
+  int unsent_known_percent = 50;
   std::size_t key_capacity = 1000;
   /// Test of the oracle: a restarted process takes the incarnation of its last run.
   bool reuse_incarnation = false;
@@ -77,6 +79,21 @@
   const basic_node<Rules>& node(std::size_t index) const { return *nodes_[index]->core; }
   bool IsAlive(std::size_t index) const { return nodes_[index]->core != nullptr; }
   void SetUpstream(std::size_t index, upstream_mode mode) { nodes_[index]->mode = mode; }
+  /// Running work makes no progress for `time`.
+  void StallUpstream(std::size_t index, duration time) {
+    nodes_[index]->stalled_until = now_ + time;
+  }
+  /// The upstream closes the connections of running work.
+  void FailRunningWork(std::size_t index) {
+    slot& at = *nodes_[index];
+    const std::set<attempt_id> running = at.at_upstream;
+    for (const attempt_id& id : running) Run(at, at.run, [&at, id] { at.EndWork(id, false); });
+  }
+  /// The process has no upstream and serves as an entry only.
+  void RemoveUpstream(std::size_t index) {
+    nodes_[index]->gate.slots = 0;
+    for (auto& one : nodes_) RefreshView(*one);
+  }
 
   /// Runs all events up to `time` later.
   void Advance(duration time) {
@@ -243,6 +260,7 @@
     incarnation run;
     bool frozen = false;
     upstream_mode mode = upstream_mode::kNormal;
+    time_point stalled_until;
     std::vector<member_target> view;
     std::vector<std::function<void()>> inbox;
     std::map<attempt_id, answer> answers;
@@ -473,7 +491,8 @@
     slot& entry = *nodes_[on.entry];
     // A transport may know that a request never left; often it does not. What was copied on the
     // way has left.
-    const bool was_sent = on.is_delivered || on.has_copies || Chance(50);
+    const bool was_sent =
+        on.is_delivered || on.has_copies || !Chance(options.unsent_known_percent);
     Post(Delay(), [this, &on, &entry, was_sent] {
       Run(entry, on.entry_run,
           [this, &on, &entry, was_sent] { entry.core->OnAttemptLost(on.id, was_sent, now_); });
@@ -481,6 +500,16 @@
     NotifyOwnerGone(on);
   }
 
+  /// An event of running work, later if the upstream stalls.
+  void PostWork(duration delay, slot& at, std::function<void()> event) {
+    Post(delay, at, [this, &at, event = std::move(event)] {
+      if (now_ < at.stalled_until) {
+        PostWork(at.stalled_until - now_, at, event);
+      } else {
+        event();
+      }
+    });
+  }
   void StartWork(slot& at, exchange_id exchange, const attempt_id& id, time_point deadline,
                  bool fresh) {
     const std::size_t request = request_of_.at(exchange);
@@ -500,14 +529,14 @@
     milliseconds head(10);
     if (mode == upstream_mode::kSlow) head = milliseconds(1500);
     if (mode == upstream_mode::kFailingFast) head = milliseconds(1);
-    Post(head, at, [this, &at, id, request, mode] {
+    PostWork(head, at, [this, &at, id, request, mode] {
       if (!at.at_upstream.contains(id)) return;
       const int status = mode == upstream_mode::kFailingFast ? 500 : 200;
       at.answers[id] = answer{.body_of = request, .status = status};
       at.core->OnUpstreamAnswerHead(id, status, now_);
     });
-    Post(head + milliseconds(10), at,
-         [&at, id, mode] { at.EndWork(id, mode != upstream_mode::kCutsBody); });
+    PostWork(head + milliseconds(10), at,
+             [&at, id, mode] { at.EndWork(id, mode != upstream_mode::kCutsBody); });
   }
 
   std::mt19937_64 random_;
--- /dev/null
+++ b/tests/calls/entry_system_test.cc
@@ -0,0 +1,263 @@
+#include "src/calls/entry_system.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <vector>
+
+#include "src/calls/answer_identity.h"
+#include "src/calls/caller_port.h"
+#include "src/calls/issued_key.h"
+#include "src/calls/local_owner.h"
+#include "src/calls/member_directory.h"
+#include "src/calls/peer_port.h"
+#include "src/calls/route_directory.h"
+#include "src/calls/upstream_chooser.h"
+#include "src/routing/load_hint.h"
+
+namespace bronzeroute {
+namespace {
+
+using testing::_;
+using testing::Field;
+using testing::NiceMock;
+using testing::Return;
+
+struct mock_callers : caller_port {
+  MOCK_METHOD(void, AnswerError, (exchange_id, const call_id&, error_kind, int), (override));
+  MOCK_METHOD(void, RelayAnswer, (exchange_id, const attempt_id&), (override));
+  MOCK_METHOD(void, CutAnswer, (exchange_id), (override));
+};
+struct mock_peers : peer_port {
+  MOCK_METHOD(bool, IsReady, (member_id, bool), (override));
+  MOCK_METHOD(bool, SendAttempt, (exchange_id, const attempt_head&), (override));
+  MOCK_METHOD(void, CancelAttempt, (exchange_id, const attempt_id&), (override));
+  MOCK_METHOD(void, AdmitAttempt, (exchange_id, const load_hint&), (override));
+  MOCK_METHOD(void, RefuseAttempt, (exchange_id, error_kind, int, const load_hint&),
+              (override));
+  MOCK_METHOD(void, RelayToEntry, (exchange_id, const attempt_id&), (override));
+  MOCK_METHOD(void, FinishAttempt, (exchange_id, bool, const load_hint&), (override));
+};
+struct mock_local : local_owner {
+  MOCK_METHOD(bool, HasFreeSlot, (std::string_view, bool, time_point), (override));
+  MOCK_METHOD(void, OnLocalAttempt, (exchange_id, const attempt_head&, time_point), (override));
+  MOCK_METHOD(void, OnLocalCancel, (exchange_id, time_point), (override));
+};
+/// Members 2 to 9 in order, and a service "orders".
+struct fake_surroundings : upstream_chooser, member_directory, route_directory {
+  std::optional<member_target> Choose(std::string_view, std::span<const member_id> excluded,
+                                      bool, time_point) override {
+    return excluded.size() < 8 ? std::optional(Member(2 + excluded.size())) : std::nullopt;
+  }
+  void OnHint(member_target, const load_hint&, time_point) override {}
+  void OnAttemptSent(member_target, time_point) override { ++open; }
+  void OnAttemptEnded(member_target, attempt_outcome, time_point) override { --open; }
+  std::vector<member_target> LiveMembers(std::string_view) override { return {Member(2)}; }
+  route_decision Find(std::string_view service, std::string_view,
+                      std::string_view path) override {
+    if (service != "orders") return {.error = error_kind::kUnknownService};
+    return {.is_protected = path == "/orders/new",
+            .is_marked_short = path == "/orders/new",
+            .time_limit = std::chrono::seconds(1)};
+  }
+  static member_target Member(std::uint64_t id) {
+    return {member_id{id}, incarnation{10 * id}};
+  }
+  int open = 0;
+};
+
+class EntrySystemTest : public testing::Test {
+ protected:
+  EntrySystemTest() {
+    ON_CALL(peers_, SendAttempt).WillByDefault([this](exchange_id, const attempt_head& head) {
+      sent_.push_back(head);
+      return true;
+    });
+  }
+  ~EntrySystemTest() override {
+    EXPECT_EQ(surroundings_.open, static_cast<int>(entry_.open_attempts()));
+  }
+
+  static caller_request Request(const char* path = "/orders/new") {
+    caller_request request;
+    request.exchange = exchange_id{5};
+    request.method = "POST";
+    request.path = path;
+    request.content_length = 10;
+    return request;
+  }
+  answer_identity Last() const {
+    const attempt_head& head = sent_.back();
+    return {head.id, head.target, head.target_incarnation};
+  }
+  void ExpectError(error_kind kind) {
+    EXPECT_CALL(callers_, AnswerError(exchange_id{5}, _, kind, _)).RetiresOnSaturation();
+  }
+  void Refuse(error_kind kind) { entry_.OnAttemptRefused(Last(), kind, 0, {}, kNow); }
+
+  static constexpr time_point kNow = time_point{} + std::chrono::hours(1);
+  NiceMock<mock_callers> callers_;
+  NiceMock<mock_peers> peers_;
+  NiceMock<mock_local> local_;
+  fake_surroundings surroundings_;
+  std::vector<attempt_head> sent_;
+  entry_system entry_{{member_id{1}, incarnation{10}, kNow},
+                      callers_,
+                      peers_,
+                      local_,
+                      surroundings_,
+                      surroundings_,
+                      surroundings_,
+                      1};
+};
+
+// Guards against a bad request that reaches an owner or gets an unclear error.
+TEST_F(EntrySystemTest, RefusesBadRequestsByKind) {
+  EXPECT_CALL(peers_, SendAttempt).Times(0);
+  auto expect = [&](error_kind kind, auto change) {
+    caller_request request = Request();
+    change(request);
+    ExpectError(kind);
+    entry_.OnCallerRequest(request, kNow);
+  };
+  expect(error_kind::kTooDeep, [](auto& request) { request.depth = 10; });
+  expect(error_kind::kBadHeader, [](auto& request) { request.caller_try = 0; });
+  expect(error_kind::kFieldTooLarge, [](auto& request) { request.key.assign(256, 'k'); });
+  expect(error_kind::kBadKey, [](auto& request) { request.key = "br1.mine"; });
+  expect(error_kind::kUnknownService, [](auto& request) { request.path = "/nothing?a"; });
+  expect(error_kind::kDeadlineTooShort, [](auto& request) { request.deadline = kNow; });
+  EXPECT_TRUE(entry_.IsIdle());
+}
+
+// Guards against an extra hop, and a queue elsewhere, while the own upstream is free.
+TEST_F(EntrySystemTest, OwnUpstreamComesFirst) {
+  ON_CALL(local_, HasFreeSlot).WillByDefault(Return(true));
+  EXPECT_CALL(local_,
+              OnLocalAttempt(exchange_id{5}, Field(&attempt_head::target, member_id{1}), _));
+  EXPECT_CALL(peers_, SendAttempt).Times(0);
+  entry_.OnCallerRequest(Request(), kNow);
+}
+
+// Guards against a refused call that wanders through all owners.
+TEST_F(EntrySystemTest, TriesAtMostThreeOwners) {
+  const call_id id = entry_.OnCallerRequest(Request(), kNow);
+  Refuse(error_kind::kOverloaded);
+  Refuse(error_kind::kDraining);
+  ExpectError(error_kind::kOverloaded);
+  Refuse(error_kind::kOverloaded);
+  EXPECT_EQ(sent_.size(), 3U);
+  EXPECT_EQ(entry_.log().Find(id)->attempts.size(), 3U);
+}
+
+// Guards against retries that multiply the work when every owner refuses.
+TEST_F(EntrySystemTest, EmptyBudgetEndsTheCall) {
+  EXPECT_CALL(callers_, AnswerError(_, _, error_kind::kRetryBudgetEmpty, _)).Times(80);
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    caller_request request = Request();
+    request.exchange = exchange_id{100 + i};
+    entry_.OnCallerRequest(request, kNow);
+    Refuse(error_kind::kOverloaded);
+  }
+  EXPECT_EQ(sent_.size(), 120U);
+}
+
+// Guards against "unknown" for a protected call of which nothing was sent.
+TEST_F(EntrySystemTest, PassesOverClosedChannels) {
+  EXPECT_CALL(peers_, SendAttempt(_, Field(&attempt_head::target, member_id{2})))
+      .WillOnce(Return(false));
+  EXPECT_CALL(peers_, SendAttempt(_, Field(&attempt_head::target, member_id{3})));
+  entry_.OnCallerRequest(Request(), kNow);
+}
+
+// Guards against a response of another attempt, owner or run that reaches this caller.
+TEST_F(EntrySystemTest, DropsAnswersThatMatchNoOpenAttempt) {
+  entry_.OnCallerRequest(Request(), kNow);
+  EXPECT_CALL(callers_, RelayAnswer).Times(0);
+  EXPECT_CALL(callers_, AnswerError).Times(0);
+  std::vector<answer_identity> wrong(5, Last());
+  wrong[0].owner.value++;
+  wrong[1].owner_run.value++;
+  wrong[2].attempt.number++;
+  wrong[3].attempt.call.sequence++;
+  wrong[4].attempt.call.entry_incarnation.value++;
+  for (const answer_identity& from : wrong) {
+    entry_.OnAnswerHead(from, 200, kNow);
+    entry_.OnAttemptFinished(from, true, {}, kNow);
+    entry_.OnAttemptRefused(from, error_kind::kOverloaded, 0, {}, kNow);
+  }
+  EXPECT_EQ(entry_.counters().dropped_answers, 15U);
+  EXPECT_EQ(entry_.open_calls(), 1U);
+}
+
+// Guards against a key that runs at two owners.
+TEST_F(EntrySystemTest, KeyGoesToItsHomeOnly) {
+  caller_request request = Request();
+  request.key = "own";
+  entry_.OnCallerRequest(request, kNow);
+  ExpectError(error_kind::kOverloaded);
+  Refuse(error_kind::kOverloaded);
+  EXPECT_EQ(sent_.size(), 1U);
+}
+
+// Guards against "not run" for a later try by an entry that cannot know the earlier ones.
+TEST_F(EntrySystemTest, LaterTryWithoutItsHomeIsUnknown) {
+  caller_request request = Request();
+  request.key = "own";
+  request.caller_try = 2;
+  EXPECT_CALL(peers_, SendAttempt).WillOnce(Return(false));
+  ExpectError(error_kind::kKeyUnknown);
+  entry_.OnCallerRequest(request, kNow);
+}
+
+// Guards against a key of a restarted home that is taken as not run.
+TEST_F(EntrySystemTest, RestartedHomeLosesItsKeys) {
+  caller_request request = Request();
+  request.key = FormatIssuedKey({{member_id{2}, incarnation{20}}, 1, 1});
+  entry_.OnCallerRequest(request, kNow);
+  answer_identity from = Last();
+  from.owner_run.value++;
+  ExpectError(error_kind::kKeyHomeLost);
+  entry_.OnAttemptRefused(from, error_kind::kWrongIncarnation, 0, {}, kNow);
+  request.key = FormatIssuedKey({{member_id{2}, incarnation{19}}, 1, 1});
+  ExpectError(error_kind::kKeyHomeLost);
+  entry_.OnCallerRequest(request, kNow);
+  EXPECT_EQ(sent_.size(), 1U);
+}
+
+// Guards against a home that is not the chosen upstream, so that its first try needs two hops.
+TEST_F(EntrySystemTest, IssuedKeyNamesAServingHome) {
+  const auto key = entry_.IssueKey("orders", kNow);
+  EXPECT_EQ(ParseIssuedKey(std::get<std::string>(key))->home.id, member_id{2});
+  EXPECT_EQ(std::get<error_kind>(entry_.IssueKey("nothing", kNow)),
+            error_kind::kUnknownService);
+}
+
+// Guards against uploads that take the slots of short work.
+TEST_F(EntrySystemTest, LargeAndUnmarkedUnknownBodiesAreLong) {
+  auto is_long = [&](const char* path, std::optional<std::uint64_t> length) {
+    caller_request request = Request(path);
+    request.content_length = length;
+    entry_.OnCallerRequest(request, kNow);
+    return sent_.back().is_long;
+  };
+  EXPECT_FALSE(is_long("/orders/new", 1 << 20));
+  EXPECT_TRUE(is_long("/orders/new", (1 << 20) + 1));
+  EXPECT_FALSE(is_long("/orders/new", std::nullopt));
+  EXPECT_TRUE(is_long("/orders/other", std::nullopt));
+}
+
+// Guards against a caller that waits for ever, and an owner that works for nobody.
+TEST_F(EntrySystemTest, DeadlineEndsTheCallOnce) {
+  entry_.OnCallerRequest(Request(), kNow);
+  entry_.Tick(kNow + std::chrono::seconds(1));
+  EXPECT_EQ(entry_.open_calls(), 1U) << "the owner may still state that the call was not run";
+  EXPECT_CALL(peers_, CancelAttempt(exchange_id{5}, Last().attempt));
+  ExpectError(error_kind::kDeadlineExceeded);
+  entry_.Tick(kNow + std::chrono::seconds(1) + std::chrono::milliseconds(50));
+  Refuse(error_kind::kQueueTimeout);
+  EXPECT_TRUE(entry_.IsIdle());
+}
+
+}  // namespace
+}  // namespace bronzeroute
--- /dev/null
+++ b/tests/calls/fault_matrix_test.cc
@@ -0,0 +1,151 @@
+#include <gtest/gtest.h>
+
+#include <array>
+#include <string>
+
+#include "tests/calls/call_world.h"
+
+namespace bronzeroute::tests {
+namespace {
+
+constexpr std::size_t kEntry = 0;
+constexpr std::size_t kOwner = 1;  // tried first; a third node can take the call instead
+constexpr milliseconds kLimit(1000);
+
+/// Steps of a call and the time after the request at which the fault strikes. A message takes
+/// 1 ms; the upstream sends the head after 10 ms and the end after 20 ms.
+struct call_step {
+  const char* name;
+  std::chrono::microseconds at;
+  bool is_behind_other_work = false;
+};
+using std::chrono::microseconds;
+constexpr std::array<call_step, 7> kSteps{{{"before send", microseconds(0)},
+                                           {"sent", microseconds(500)},
+                                           {"queued", microseconds(5000), true},
+                                           {"started", microseconds(5000)},
+                                           {"head received", microseconds(12'500)},
+                                           {"body half", microseconds(16'000)},
+                                           {"finished", microseconds(25'000)}}};
+
+/// "<what the caller was told>/<runs at upstreams>", or why the fault cannot strike here.
+struct cell {
+  const char* is_protected = nullptr;
+  const char* repeatable = nullptr;
+  const char* why = nullptr;
+};
+constexpr cell Never(const char* why) { return {.why = why}; }
+
+using world = call_world<call_rules>;
+struct fault_row {
+  const char* name;
+  void (*strike)(world&);
+  std::array<cell, 7> cells;
+};
+
+constexpr cell kComplete{"complete/1", "complete/1"};
+constexpr cell kCut{"cut/1", "cut/1"};
+constexpr cell kGone{"gone/1", "gone/1"};
+constexpr cell kLate{"deadline_exceeded/1", "deadline_exceeded/1"};
+/// The attempt was on its way or queued when the owner was lost; only a repeatable call may be
+/// sent again.
+constexpr cell kLostBeforeRun{"answer_lost/0", "complete/1"};
+constexpr cell kLostInRun{"answer_lost/1", "complete/2"};
+constexpr cell kNoMessageLeft = Never("the last message has arrived");
+constexpr cell kNoWorkLeft = Never("the upstream has finished the call");
+constexpr cell kConnected = Never("the connection to the upstream is open");
+
+// The cells follow kSteps.
+// clang-format off
+const auto kMatrix = std::to_array<fault_row>({
+    {"owner killed", [](world& w) { w.Kill(kOwner); },
+     {kComplete, kLostBeforeRun, kLostBeforeRun, kLostInRun, kCut, kCut, kComplete}},
+    {"entry killed", [](world& w) { w.Kill(kEntry); },
+     {Never("no process takes the request"), {"gone/0", "gone/0"}, {"gone/0", "gone/0"}, kGone,
+      kGone, kGone, kComplete}},
+    {"owner frozen and awake", [](world& w) { w.Freeze(kOwner, std::chrono::seconds(5)); },
+     {kLate, kLate, {"deadline_exceeded/0", "deadline_exceeded/0"}, kLate, kCut, kCut, kComplete}},
+    {"entry frozen and awake", [](world& w) { w.Freeze(kEntry, std::chrono::seconds(5)); },
+     {kComplete, kComplete, kComplete, kComplete, kComplete, kComplete, kComplete}},
+    {"link cut",
+     [](world& w) {
+       w.Cut(kEntry, kOwner);
+       w.SetLink(kEntry, kOwner, false);
+     },
+     {kComplete, kLostBeforeRun, kLostBeforeRun, kLostInRun, kCut, kCut, kComplete}},
+    {"messages delayed",
+     [](world& w) { w.options.min_delay = w.options.max_delay = milliseconds(300); },
+     {kComplete, kComplete, kComplete, kComplete, kComplete, kComplete, kNoMessageLeft}},
+    {"messages duplicated", [](world& w) { w.options.duplicate_percent = 100; },
+     {kComplete, kComplete, kComplete, kComplete, kComplete, kComplete, kNoMessageLeft}},
+    {"upstream slow",
+     [](world& w) {
+       w.SetUpstream(kOwner, upstream_mode::kSlow);
+       w.StallUpstream(kOwner, milliseconds(1500));
+     },
+     {kLate, kLate, {"queue_timeout/0", "queue_timeout/0"}, kLate, kCut, kCut, kNoWorkLeft}},
+    {"upstream draining", [](world& w) { w.Drain(kOwner); },
+     {kComplete, kComplete, kComplete, kComplete, kComplete, kComplete, kNoWorkLeft}},
+    {"upstream failing fast",
+     [](world& w) {
+       w.SetUpstream(kOwner, upstream_mode::kFailingFast);
+       w.FailRunningWork(kOwner);
+     },
+     {kComplete, kComplete, kComplete, kLostInRun, kCut, kCut, kNoWorkLeft}},
+    {"upstream refuses connections",
+     [](world& w) { w.SetUpstream(kOwner, upstream_mode::kConnectFails); },
+     {kComplete, kComplete, kComplete, kConnected, kConnected, kConnected, kNoWorkLeft}},
+});
+// clang-format on
+
+std::string Outcome(const call_oracle::request& row) {
+  std::string told(AnswerFor(row.told).name);
+  if (row.now == call_oracle::state::kComplete) told = "complete";
+  if (row.now == call_oracle::state::kCut) told = "cut";
+  if (row.now == call_oracle::state::kGone) told = "gone";
+  return told + "/" + std::to_string(row.runs);
+}
+
+std::string RunCell(const fault_row& fault, const call_step& step, bool is_protected) {
+  world_options options;
+  options.unsent_known_percent = 0;
+  world net(3, options);
+  net.choose_first = true;
+  net.RemoveUpstream(kEntry);
+  if (step.is_behind_other_work) {
+    net.gate(kOwner).slots = 1;
+    // Sent by another entry, so that it takes nothing from this entry's budgets.
+    net.gate(2).slots = 0;
+    net.Request(2, false, "", 1, kLimit);
+    net.gate(2).slots = 2;
+    net.Advance(milliseconds(2));
+  }
+  if (step.at == microseconds(0)) fault.strike(net);
+  const auto request = net.Request(kEntry, is_protected, "", 1, kLimit);
+  if (!request) return "no entry";
+  if (step.at > microseconds(0)) {
+    net.Advance(step.at);
+    fault.strike(net);
+  }
+  net.Settle();
+  std::string text = Outcome(net.oracle.at(*request));
+  for (const std::string& line : net.oracle.violations()) text += "; " + line;
+  return text;
+}
+
+// Guards against a fault at any step of a call that leads to a dishonest response, a repeated
+// protected request, or a needless failure.
+TEST(FaultMatrix, EveryFaultAtEveryStepOfACall) {
+  for (const fault_row& fault : kMatrix) {
+    for (std::size_t i = 0; i < kSteps.size(); ++i) {
+      const cell& expected = fault.cells[i];
+      const std::string name = std::string(fault.name) + " at step " + kSteps[i].name;
+      if (expected.why != nullptr) continue;
+      EXPECT_EQ(RunCell(fault, kSteps[i], true), expected.is_protected) << name;
+      EXPECT_EQ(RunCell(fault, kSteps[i], false), expected.repeatable) << name;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace bronzeroute::tests
--- /dev/null
+++ b/tests/calls/owner_system_test.cc
@@ -0,0 +1,115 @@
+#include "src/calls/owner_system.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/calls/call_world.h"
+
+namespace bronzeroute::tests {
+namespace {
+
+using world = call_world<call_rules>;
+using std::chrono::seconds;
+
+/// Entry 0 without an upstream, owner 1 with one slot.
+class OwnerSystemTest : public testing::Test {
+ protected:
+  OwnerSystemTest() : net_(2, {}) {
+    net_.RemoveUpstream(0);
+    net_.gate(1).slots = 1;
+  }
+  ~OwnerSystemTest() override {
+    net_.Settle();
+    EXPECT_EQ(net_.oracle.violations(), std::vector<std::string>());
+  }
+  std::size_t Send(bool is_protected, duration limit, const std::string& key = "",
+                   std::uint32_t caller_try = 1) {
+    return *net_.Request(0, is_protected, key, caller_try, limit);
+  }
+  const call_oracle::request& At(std::size_t index) { return net_.oracle.at(index); }
+
+  world net_;
+};
+
+// Guards against a planned stop that cuts off calls, and one that never ends.
+TEST_F(OwnerSystemTest, DrainFinishesRunningAndQueuedWork) {
+  net_.SetUpstream(1, upstream_mode::kSlow);
+  const std::size_t running = Send(true, seconds(20));
+  const std::size_t queued = Send(true, seconds(20));
+  const std::size_t late = Send(true, seconds(20));
+  net_.Advance(milliseconds(100));
+  net_.Drain(1);
+  EXPECT_FALSE(net_.node(1).IsIdle());
+  const std::size_t refused = Send(true, seconds(20));
+  net_.Advance(seconds(1));
+  EXPECT_EQ(At(refused).told, error_kind::kDraining);
+  net_.Advance(seconds(3));
+  EXPECT_EQ(At(running).now, call_oracle::state::kComplete);
+  EXPECT_EQ(At(queued).now, call_oracle::state::kComplete);
+  EXPECT_EQ(At(late).told, error_kind::kDraining);
+  EXPECT_TRUE(net_.node(1).IsIdle());
+}
+
+// Guards against a woken process that starts work whose entry may have given up.
+TEST_F(OwnerSystemTest, FreezeRefusesQueuedWork) {
+  net_.SetUpstream(1, upstream_mode::kSlow);
+  Send(true, seconds(20));
+  const std::size_t queued = Send(true, seconds(20));
+  net_.Advance(milliseconds(100));
+  net_.Freeze(1, seconds(4));
+  net_.Advance(seconds(5));
+  EXPECT_EQ(At(queued).told, error_kind::kOverloaded);
+  EXPECT_EQ(net_.node(1).owner().counters().freezes, 1U);
+}
+
+// Guards against a short pause that is taken for a freeze.
+TEST_F(OwnerSystemTest, ShortPauseKeepsTheQueue) {
+  net_.SetUpstream(1, upstream_mode::kSlow);
+  Send(true, seconds(20));
+  const std::size_t queued = Send(true, seconds(20));
+  net_.Advance(milliseconds(100));
+  net_.Freeze(1, milliseconds(2900));
+  net_.Advance(seconds(5));
+  EXPECT_EQ(At(queued).now, call_oracle::state::kComplete);
+}
+
+// Guards against slots spent on callers that left.
+TEST_F(OwnerSystemTest, CallerThatLeavesFreesQueueAndRepeatableWork) {
+  net_.SetUpstream(1, upstream_mode::kSlow);
+  const std::size_t running = Send(false, seconds(20));
+  const std::size_t queued = Send(false, seconds(20));
+  net_.Advance(milliseconds(100));
+  net_.CallerLeaves(queued);
+  net_.CallerLeaves(running);
+  net_.Advance(milliseconds(100));
+  EXPECT_EQ(At(queued).runs, 0);
+  EXPECT_TRUE(net_.node(1).IsIdle());
+}
+
+// Guards against a protected run that is broken off, so that its key could never be settled.
+TEST_F(OwnerSystemTest, ProtectedRunEndsWithoutItsCaller) {
+  net_.SetUpstream(1, upstream_mode::kSlow);
+  const std::size_t first = Send(true, seconds(20), "order-1");
+  net_.Advance(milliseconds(100));
+  net_.CallerLeaves(first);
+  net_.Advance(milliseconds(100));
+  const std::size_t early = Send(true, seconds(20), "order-1", 2);
+  net_.Advance(seconds(3));
+  const std::size_t later = Send(true, seconds(20), "order-1", 3);
+  net_.Advance(seconds(1));
+  EXPECT_EQ(At(early).told, error_kind::kKeyInProgress);
+  EXPECT_EQ(At(later).told, error_kind::kDuplicateKey);
+}
+
+// Guards against work that hangs at the upstream and holds its rows for ever.
+TEST_F(OwnerSystemTest, HangingWorkIsCancelledAfterItsDeadline) {
+  net_.StallUpstream(1, std::chrono::hours(1));
+  Send(true, seconds(1));
+  Send(false, seconds(1));
+  net_.Advance(seconds(10));
+  EXPECT_FALSE(net_.node(1).IsIdle());
+  net_.Advance(seconds(2));
+  EXPECT_TRUE(net_.node(1).IsIdle());
+}
+
+}  // namespace
+}  // namespace bronzeroute::tests
