Count attempts until a hint can show them

Cause: each hint set the count of own attempts to zero, also of those still on their way, so many entries sent to the same member within a round trip. Ruled out: counting open attempts instead, which counts running work twice.

--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -12,6 +12,9 @@
 namespace bronzeroute {
 namespace {
 
+// Far above what a queue can hold; bounds the memory for a member that sends no hints.
+constexpr std::size_t kMaxUnseen = 1024;
+
 constexpr double kFailureWeight = 1.0 / 8;
 constexpr double kFailureHalfLifeUs = 1e6;
 
@@ -89,7 +92,11 @@
   item.has_hint = true;
   item.row.hint = hint;
   item.row.hint_received = received;
-  item.row.sent_since_hint = 0;
+  // The hint left the owner half a round trip ago and shows what had arrived by then. Attempts
+  // sent less than a round trip ago were still on their way.
+  const time_point shown = received - TypicalRoundTrip(item.row.where);
+  while (!item.unseen.empty() && item.unseen.front() <= shown) item.unseen.pop_front();
+  item.row.sent_since_hint = static_cast<std::uint32_t>(item.unseen.size());
   const bool clear = item.health.At(now) == ejection_state::kClear;
   if (hint.failing && clear && MayEject(item, now)) {
     item.health.Eject(now);
@@ -100,10 +107,12 @@
   }
 }
 
-void hint_table::OnAttemptSent(member_id member, bool is_trial, time_point /*now*/) {
+void hint_table::OnAttemptSent(member_id member, bool is_trial, time_point now) {
   entry* item = Find(member);
   if (item == nullptr) return;
-  ++item->row.sent_since_hint;
+  if (item->unseen.size() == kMaxUnseen) item->unseen.pop_front();
+  item->unseen.push_back(now);
+  item->row.sent_since_hint = static_cast<std::uint32_t>(item->unseen.size());
   ++item->row.open_attempts;
   if (is_trial) item->health.BeginTrial();
 }
--- a/src/routing/hint_table.h
+++ b/src/routing/hint_table.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <span>
 #include <string>
 #include <string_view>
@@ -62,6 +63,8 @@
     bool has_hint = false;
     std::size_t service = 0;
     ejection health;
+    /// When the attempts in candidate::sent_since_hint were sent, oldest first.
+    std::deque<time_point> unseen;
     /// candidate::failure_share as of `failed_at`; it halves every second after that.
     double failure_share = 0;
     time_point failed_at;
--- a/src/routing/score_function.cc
+++ b/src/routing/score_function.cc
@@ -11,9 +11,9 @@
 
 // Round trips of section 1: 1.4 ms one way between zones, 12 ms between regions. Inside a zone
 // there is a hop but no measurable distance.
-constexpr double kZoneRoundTripUs = 2800;
-constexpr double kRegionRoundTripUs = 24000;
-constexpr double kSameZoneRoundTripUs = 200;
+constexpr duration kZoneRoundTrip{2800};
+constexpr duration kRegionRoundTrip{24000};
+constexpr duration kSameZoneRoundTrip{200};
 
 // A body of 1 MiB to another region must save about 20 ms: the link of 4,000 Mbit/s would carry
 // it in 2 ms, but it is shared by all traffic and billed.
@@ -28,20 +28,6 @@
 // A failed call costs its caller another attempt or the whole call.
 constexpr double kFailureUs = 100'000;
 
-double RoundTrip(distance where) {
-  switch (where) {
-    case distance::kSameInstance:
-      return 0;
-    case distance::kSameZone:
-      return kSameZoneRoundTripUs;
-    case distance::kSameRegion:
-      return kZoneRoundTripUs;
-    case distance::kOtherRegion:
-      break;
-  }
-  return kRegionRoundTripUs;
-}
-
 /// 0 for a fresh hint, 1 for one that says nothing any more.
 double Staleness(duration age) {
   const auto over = static_cast<double>((age - kFreshFor).count());
@@ -51,6 +37,20 @@
 
 }  // namespace
 
+duration TypicalRoundTrip(distance where) {
+  switch (where) {
+    case distance::kSameInstance:
+      return duration(0);
+    case distance::kSameZone:
+      return kSameZoneRoundTrip;
+    case distance::kSameRegion:
+      return kZoneRoundTrip;
+    case distance::kOtherRegion:
+      break;
+  }
+  return kRegionRoundTrip;
+}
+
 double Occupancy(const candidate& row) {
   return static_cast<double>(row.hint.in_use) + row.hint.queued_short + row.hint.queued_long;
 }
@@ -63,7 +63,7 @@
       row.hint.service_time_us * (1 - stale) + context.mean_service_time_us * stale;
   const double slots = std::max<double>(row.hint.effective_slots, 1);
   score result;
-  result.round_trip = RoundTrip(row.where);
+  result.round_trip = static_cast<double>(TypicalRoundTrip(row.where).count());
   if (row.where == distance::kOtherRegion) {
     const std::uint64_t assumed =
         context.request.is_long ? kAssumedLongBody : kAssumedShortBody;
--- a/src/routing/score_function.h
+++ b/src/routing/score_function.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "src/base/time.h"
 #include "src/routing/candidate.h"
 #include "src/routing/choice_context.h"
+#include "src/routing/distance.h"
 #include "src/routing/score.h"
 
 namespace bronzeroute {
@@ -9,6 +11,9 @@
 /// Slots in use, queued work, and own attempts that the hint does not show yet.
 double Occupancy(const candidate& row);
 
+/// Round trip of a message to a member at the distance, without load.
+duration TypicalRoundTrip(distance where);
+
 /// The expected cost of sending a call to `row`. Old hints count less than the service's mean.
 score ScoreOf(const candidate& row, const choice_context& context);
 
--- a/tests/routing/routing_system_test.cc
+++ b/tests/routing/routing_system_test.cc
@@ -152,6 +152,17 @@
   EXPECT_EQ(pair.Pick(), 2);
 }
 
+// Guards against a hint that hides attempts still on their way, so that many are sent at once.
+TEST(RoutingSystem, HintKeepsAttemptsThatItCannotShow) {
+  product_harness pair({Member(1, "b"), Member(2, "b")});
+  pair.Report(2, Hint(1, 6));
+  for (int i = 0; i < 12; ++i) pair.system_.OnAttemptSent(member_id{1}, false, At({}));
+  pair.Report(1, Hint(1, 0), At(duration(2799)));
+  EXPECT_EQ(pair.Pick(At(duration(2799))), 2) << "sent less than a round trip ago";
+  pair.Report(1, Hint(2, 0), At(duration(2800)));
+  EXPECT_EQ(pair.Pick(At(duration(2800))), 1);
+}
+
 // Guards against trust in an old report: an idle one must not draw all work for seconds.
 TEST(RoutingSystem, OldHintsArePulledTowardsTheMean) {
   product_harness pair({Member(1), Member(2)});
