Keep long requests at different upstreams

Cause: the own upstream was taken for long work whenever it had a free slot, so two uploads often held two slots of one worker and its short work waited. Ruled out: a lower long_share, which is the operators' choice and refuses uploads.

--- a/src/routing/routing_system.h
+++ b/src/routing/routing_system.h
@@ -62,7 +62,7 @@
     }
     std::size_t pick = 0;
     const std::size_t own =
-        Policy::kOwnUpstreamFirst ? FreeOwnUpstream(candidates) : candidates.size();
+        Policy::kOwnUpstreamFirst ? FreeOwnUpstream(candidates, request) : candidates.size();
     if (eligible.trial) {
       explanation.reason = choice_reason::kTrialCall;
     } else if (candidates.size() == 1) {
@@ -91,9 +91,11 @@
   }
 
  private:
-  static std::size_t FreeOwnUpstream(std::span<const candidate> candidates) {
+  static std::size_t FreeOwnUpstream(std::span<const candidate> candidates,
+                                     const choice_request& request) {
     const auto own = std::ranges::find(candidates, distance::kSameInstance, &candidate::where);
     if (own == candidates.end() || own->hint.failing ||
+        (request.is_long && own->hint.running_long + own->hint.queued_long > 0) ||
         Occupancy(*own) + own->sent_since_hint >= own->hint.effective_slots) {
       return candidates.size();
     }
--- a/src/routing/score_function.cc
+++ b/src/routing/score_function.cc
@@ -21,6 +21,10 @@
 constexpr std::uint64_t kAssumedShortBody = 4 << 10;
 constexpr std::uint64_t kAssumedLongBody = 4 << 20;
 
+// Two long requests at one upstream take two slots from its short work for a long time. Keeping
+// them apart is worth a hop between zones, but not the bytes of an upload to another region.
+constexpr double kLongBesideLongUs = 20'000;
+
 constexpr duration kFreshFor = milliseconds(100);
 // Time after which an old hint counts for nothing: a worker's load has changed many times over.
 constexpr duration kForgottenAfter = milliseconds(1000);
@@ -71,6 +75,9 @@
                           static_cast<double>(context.request.content_length.value_or(assumed));
   }
   result.wait = std::max(occupancy + 1 - slots, 0.0) * service_time / slots;
+  if (context.request.is_long) {
+    result.wait += kLongBesideLongUs * (row.hint.running_long + row.hint.queued_long);
+  }
   result.failures = (row.hint.failing ? 1 : row.failure_share) * kFailureUs;
   return result;
 }
--- a/tests/routing/routing_system_test.cc
+++ b/tests/routing/routing_system_test.cc
@@ -198,6 +198,19 @@
   EXPECT_NE(set.Choose().explanation.reason, choice_reason::kOwnUpstreamFree);
 }
 
+// Guards against long requests that pile up at one upstream and take its slots from short work.
+TEST(RoutingSystem, LongWorkAvoidsMembersThatRunLongWork) {
+  product_harness pair({Member(1), Member(2, "b")}, 1);
+  load_hint busy = Hint(1, 1);
+  busy.running_long = 1;
+  pair.Report(1, busy);
+  pair.Report(2, Hint(1, 4));
+  choice_request upload;
+  upload.is_long = true;
+  EXPECT_THAT(pair.Picks(20, At({}), upload), ElementsAre(2));
+  EXPECT_THAT(pair.Picks(20), ElementsAre(1));
+}
+
 // Guards against work for members that leave or may be dead, and outside the allowed regions.
 TEST(RoutingSystem, AvoidsDrainingSuspectAndForeignMembers) {
   product_harness set({Member(1), Member(2), Member(3), Member(4, "c", "south"), Member(5)});
