Do not send work dropped from a queue to the next queue

Cause: at the crest a full queue drops the work with the least remaining time, which has waited longest. As `overloaded` it was tried elsewhere, waited there again and was dropped again; the caller learned of its refusal only after some 80 ms. Change: dropped short work is refused as `queue_timeout`, whose row allows no further attempt.

--- a/src/admission/admission_system.cc
+++ b/src/admission/admission_system.cc
@@ -174,7 +174,9 @@
   queue& short_work = QueueOf(false);
   const auto least = std::ranges::min_element(short_work, {}, &queue_row::deadline);
   if (least == short_work.end() || deadline <= least->deadline) return false;
-  notices_.push_back({least->exchange, error_kind::kOverloaded});
+  // Not kOverloaded, which would send it to the next queue: it has waited already, and would
+  // most likely be the one with the least remaining time there too.
+  notices_.push_back({least->exchange, error_kind::kQueueTimeout});
   short_work.erase(least);
   return true;
 }
--- a/src/admission/admission_system.h
+++ b/src/admission/admission_system.h
@@ -108,7 +108,8 @@
   offer_result OfferTrial(exchange_id exchange, const attempt_head& head, std::size_t route,
                           bool is_long, time_point now);
   /// Makes room in the full short queue for work with `deadline`: drops long work first, then
-  /// the short work with the least remaining time. False if the newcomer is that work.
+  /// the short work with the least remaining time (kQueueTimeout). False if the newcomer is
+  /// that work.
   bool MakeRoom(time_point deadline);
   void Start(exchange_id exchange, std::size_t route, bool is_long, bool is_trial);
   void RefuseQueued(error_kind kind);
