Benchmark a nearby random baseline, a failing worker and the target size

Cause: random over all regions loses by distance alone, so it could not show what the score adds; failing fast and the cost at 540 members were not measured. Ruled out: judging the wall-clock cost in a test.

--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -13,6 +13,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -82,12 +83,18 @@
 constexpr duration kCrestEnd = seconds(6);
 constexpr double kCrestFactor = 5;
 
+constexpr duration kFailStart = seconds(3);
+constexpr duration kFailEnd = seconds(8);
+constexpr double kFailWorkUs = 200;
+
 struct scenario {
   /// Short work offered, as a share of what the workers can do at their mean speed.
   double load = 0;
   /// Share of the slots that long work would fill.
   double long_load = 0;
   bool crest = false;
+  /// Worker 0 fails every request at once from kFailStart to kFailEnd.
+  bool failing = false;
   duration length{};
 };
 
@@ -111,6 +118,8 @@
   bool is_long = false;
   bool answered = false;
   bool in_time = false;
+  bool failed = false;
+  std::uint32_t owner = 0;
 };
 
 struct run_result {
@@ -153,11 +162,14 @@
   exchange_id exchange;
   double remaining_us = 0;
   time_point started;
+  bool fails = false;
 };
 
 std::uint32_t ZoneOf(std::uint32_t instance) { return instance % kZones; }
 std::uint32_t RegionOf(std::uint32_t instance) { return ZoneOf(instance) / kZonesPerRegion; }
 
+member_id Id(std::uint32_t instance) { return member_id{instance + 1}; }
+
 distance DistanceOf(std::uint32_t a, std::uint32_t b) {
   if (a == b) return distance::kSameInstance;
   if (RegionOf(a) != RegionOf(b)) return distance::kOtherRegion;
@@ -178,6 +190,24 @@
   return kOneWayRegions;
 }
 
+/// Baseline that knows distances but no load: any candidate of the own region, or of all
+/// regions if there is none. Shows what the score adds to locality.
+struct policy_random_near {
+  static constexpr std::string_view kName = "random_near";
+  static constexpr bool kOwnUpstreamFirst = false;
+
+  std::size_t Pick(std::span<const candidate> candidates, const choice_context& /*context*/,
+                   choice_random& random) {
+    std::vector<std::size_t> near;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+      if (candidates[i].where != distance::kOtherRegion) near.push_back(i);
+    }
+    const std::size_t count = near.empty() ? candidates.size() : near.size();
+    const auto pick = std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+    return near.empty() ? pick : near[pick];
+  }
+};
+
 /// Instance i is an entry; the first ones are owners too.
 template <choice_policy Policy>
 class policy_model {
@@ -258,7 +288,6 @@
     double retry_tokens = kRetryBurst;
   };
 
-  static member_id Id(std::uint32_t instance) { return member_id{instance + 1}; }
   static std::uint32_t CallOf(exchange_id exchange) {
     return static_cast<std::uint32_t>(exchange.value / (kMaxAttempts + 1));
   }
@@ -351,7 +380,7 @@
     request.deadline = item.deadline;
     const choice_result chosen = from.routing.Choose(spec_, request, item.tried, now_);
     if (!chosen.member) {
-      EndCall(index, false);
+      EndCall(index, false, false);
       return;
     }
     item.owner = static_cast<std::uint32_t>(chosen.member->value - 1);
@@ -388,9 +417,15 @@
       work += static_cast<double>(kLongBytes) / kLinkBytesPerUs;
       result_.billed_bytes += kLongBytes;
     }
+    const bool fails = plan_.failing && item.owner == 0 && now_ >= time_point() + kFailStart &&
+                       now_ < time_point() + kFailEnd;
+    if (fails) work = kFailWorkUs;
     Advance(at);
-    at.running.push_back(
-        {.call_index = index, .exchange = exchange, .remaining_us = work, .started = now_});
+    at.running.push_back({.call_index = index,
+                          .exchange = exchange,
+                          .remaining_us = work,
+                          .started = now_,
+                          .fails = fails});
     ScheduleNext(at, item.owner);
   }
 
@@ -417,11 +452,11 @@
     const auto done = std::ranges::min_element(at.running, {}, &running_work::remaining_us);
     const running_work work = *done;
     at.running.erase(done);
-    at.admission.OnUpstreamEnded(
-        work.exchange,
-        {.result = upstream_result::kAnswered, .service_time = now_ - work.started}, now_);
+    const auto result = work.fails ? upstream_result::kFailed : upstream_result::kAnswered;
+    at.admission.OnUpstreamEnded(work.exchange,
+                                 {.result = result, .service_time = now_ - work.started}, now_);
     ScheduleNext(at, subject);
-    Respond(work.call_index, error_kind::kNone);
+    Respond(work.call_index, work.fails ? error_kind::kAnswerLost : error_kind::kNone);
   }
 
   void ShiftSpeed(std::uint32_t subject) {
@@ -457,7 +492,9 @@
     if (known_ == knowledge::kHints) {
       at.routing.OnHint(Id(row.owner), incarnation{1}, item.hint, now_);
     }
-    const auto outcome = !refused ? attempt_outcome::kAnswered
+    const bool failed = item.error == error_kind::kAnswerLost;
+    const auto outcome = failed     ? attempt_outcome::kFailed
+                         : !refused ? attempt_outcome::kAnswered
                          : item.error == error_kind::kUpstreamEjected
                              ? attempt_outcome::kRefusedEjected
                              : attempt_outcome::kRefused;
@@ -469,18 +506,20 @@
       at.retry_tokens -= 1;
       SendAttempt(item.subject);
     } else {
-      EndCall(item.subject, !refused);
+      EndCall(item.subject, !refused, failed);
     }
   }
 
-  void EndCall(std::uint32_t index, bool answered) {
+  void EndCall(std::uint32_t index, bool answered, bool failed) {
     const call& item = calls_[index];
     --open_calls_;
     result_.calls.push_back({.arrival = item.arrival,
                              .latency = now_ - item.arrival,
                              .is_long = item.is_long,
                              .answered = answered,
-                             .in_time = answered && now_ <= item.deadline});
+                             .in_time = answered && now_ <= item.deadline,
+                             .failed = failed,
+                             .owner = item.owner});
   }
 
   void SendReports(std::uint32_t subject) {
@@ -668,12 +707,80 @@
       static_cast<double>(with.billed_bytes) / 1e6);
 }
 
+template <choice_policy Policy>
+void ReportFailing(std::string_view name, const user_shape& shape, knowledge known,
+                   std::uint64_t seed) {
+  const scenario plan = {.load = 0.5, .failing = true, .length = seconds(12)};
+  const run_result run = policy_model<Policy>(shape, plan, known, seed).Run();
+  double first_second = 0;
+  double later = 0;
+  double offered = 0;
+  double back_ms = -1;
+  for (const call_result& row : run.calls) {
+    const duration at = row.arrival - time_point();
+    if (row.failed) ++(at < kFailStart + seconds(1) ? first_second : later);
+    if (at >= kFailStart && at < kFailEnd) ++offered;
+    const duration end = at + row.latency;
+    if (row.answered && row.owner == 0 && at >= kFailEnd && back_ms < 0) {
+      back_ms = static_cast<double>((end - kFailEnd).count()) / 1000;
+    }
+  }
+  std::printf(
+      "%-5s %-18s failing %.0f calls failed in the first second, %.0f in the next four,"
+      " of %.0f offered; back after %.0f ms\n",
+      shape.name.data(), name.data(), first_second, later, offered, back_ms);
+}
+
+/// Wall-clock cost at the target size: 540 members in 43 services.
+void ReportScale(std::uint64_t seed) {
+  constexpr std::uint32_t kMembers = 540;
+  constexpr std::uint32_t kServices = 43;
+  constexpr int kRounds = 200'000;
+  constexpr int kMemberRounds = 200;
+  std::vector<member_row> members(kMembers);
+  std::vector<service_spec> specs(kServices);
+  for (std::uint32_t i = 0; i < kServices; ++i) specs[i].name = "service" + std::to_string(i);
+  for (std::uint32_t i = 0; i < kMembers; ++i) {
+    members[i].id = Id(i);
+    members[i].service = specs[i % kServices].name;
+    members[i].region = std::to_string(RegionOf(i));
+    members[i].availability_zone = std::to_string(ZoneOf(i));
+    members[i].hint = {.sequence = 1, .effective_slots = 6, .in_use = i % 9};
+  }
+  routing_system<policy_two_choices> routing(seed);
+  using clock = std::chrono::steady_clock;
+  const auto microseconds = [](clock::duration span, int rounds) {
+    return std::chrono::duration<double, std::micro>(span).count() / rounds;
+  };
+  const auto start = clock::now();
+  for (int i = 0; i < kMemberRounds; ++i) {
+    routing.OnMembers(members, Id(0), "0", "0", time_point());
+  }
+  const auto announced = clock::now();
+  std::uint64_t chosen = 0;
+  for (int i = 0; i < kRounds; ++i) {
+    const choice_result result =
+        routing.Choose(specs[static_cast<std::size_t>(i) % kServices], {}, {}, time_point());
+    chosen += result.member ? 1 : 0;
+  }
+  const auto done = clock::now();
+  std::printf(
+      "scale: %u members, %u services: OnMembers %.1f us, Choose %.2f us (%llu chosen)\n",
+      kMembers, kServices, microseconds(announced - start, kMemberRounds),
+      microseconds(done - announced, kRounds),
+      static_cast<unsigned long long>(chosen));  // NOLINT
+}
+
 void ReportUser(const user_shape& shape, std::uint64_t seed) {
   Report<policy_two_choices>("product", shape, knowledge::kHints, seed);
   Report<policy_random>("random", shape, knowledge::kNone, seed);
   Report<policy_round_robin>("round_robin", shape, knowledge::kNone, seed);
   Report<policy_least_reported>("least_reported", shape, knowledge::kReports, seed);
   Report<policy_least_reported>("least_with_hints", shape, knowledge::kHints, seed);
+  Report<policy_random_near>("random_near", shape, knowledge::kNone, seed);
+  ReportFailing<policy_two_choices>("product", shape, knowledge::kHints, seed);
+  ReportFailing<policy_random>("random", shape, knowledge::kNone, seed);
+  ReportFailing<policy_least_reported>("least_reported", shape, knowledge::kReports, seed);
 }
 
 }  // namespace
@@ -684,5 +791,6 @@
   std::printf("seed %llu\n", static_cast<unsigned long long>(seed));  // NOLINT
   bronzeroute::ReportUser(bronzeroute::kGelo, seed);
   bronzeroute::ReportUser(bronzeroute::kSiam, seed);
+  bronzeroute::ReportScale(seed);
   return 0;
 }
