--- a/src/configuration/toml_reader.cc
+++ b/src/configuration/toml_reader.cc
@@ -67,7 +67,8 @@
                             std::span<const std::string_view> allowed) {
   for (const auto& [key, value] : table) {
     if (std::ranges::find(allowed, key.str()) == allowed.end()) {
-      AddAt(value, Concat(path, key.str().substr(0, kMaxQuoted)), "an unknown key", Concat("one of ", Join(allowed)));
+      AddAt(value, Concat(path, key.str().substr(0, kMaxQuoted)), "an unknown key",
+            Concat("one of ", Join(allowed)));
     }
   }
 }
--- a/tests/calls/call_world.h
+++ b/tests/calls/call_world.h
@@ -348,8 +348,9 @@
     }
 
     // Choice, members and routes.
-    std::optional<member_target> Choose(std::string_view, std::span<const member_id> excluded,
-                                        bool, time_point) override {
+    std::optional<member_target> Choose(std::string_view, const choice_request&,
+                                        std::span<const member_id> excluded,
+                                        time_point) override {
       std::vector<member_target> free;
       for (const member_target& one : view) {
         if (std::ranges::find(excluded, one.id) == excluded.end()) free.push_back(one);
--- a/tests/calls/entry_system_test.cc
+++ b/tests/calls/entry_system_test.cc
@@ -46,8 +46,9 @@
 };
 /// Members 2 to 9 in order, and a service "orders".
 struct fake_surroundings : upstream_chooser, member_directory, route_directory {
-  std::optional<member_target> Choose(std::string_view, std::span<const member_id> excluded,
-                                      bool, time_point) override {
+  std::optional<member_target> Choose(std::string_view, const choice_request&,
+                                      std::span<const member_id> excluded,
+                                      time_point) override {
     return excluded.size() < 8 ? std::optional(Member(2 + excluded.size())) : std::nullopt;
   }
   void OnHint(member_target, const load_hint&, time_point) override {}
--- a/tests/routing/routing_system_test.cc
+++ b/tests/routing/routing_system_test.cc
@@ -152,6 +152,17 @@
   EXPECT_EQ(pair.Pick(), 2);
 }
 
+// Guards against a hint that hides attempts still on their way, so that many are sent at once.
+TEST(RoutingSystem, HintKeepsAttemptsThatItCannotShow) {
+  product_harness pair({Member(1, "b"), Member(2, "b")});
+  pair.Report(2, Hint(1, 6));
+  for (int i = 0; i < 12; ++i) pair.system_.OnAttemptSent(member_id{1}, false, At({}));
+  pair.Report(1, Hint(1, 0), At(duration(2799)));
+  EXPECT_EQ(pair.Pick(At(duration(2799))), 2) << "sent less than a round trip ago";
+  pair.Report(1, Hint(2, 0), At(duration(2800)));
+  EXPECT_EQ(pair.Pick(At(duration(2800))), 1);
+}
+
 // Guards against trust in an old report: an idle one must not draw all work for seconds.
 TEST(RoutingSystem, OldHintsArePulledTowardsTheMean) {
   product_harness pair({Member(1), Member(2)});
@@ -187,6 +198,19 @@
   EXPECT_NE(set.Choose().explanation.reason, choice_reason::kOwnUpstreamFree);
 }
 
+// Guards against long requests that pile up at one upstream and take its slots from short work.
+TEST(RoutingSystem, LongWorkAvoidsMembersThatRunLongWork) {
+  product_harness pair({Member(1), Member(2, "b")}, 1);
+  load_hint busy = Hint(1, 1);
+  busy.running_long = 1;
+  pair.Report(1, busy);
+  pair.Report(2, Hint(1, 4));
+  choice_request upload;
+  upload.is_long = true;
+  EXPECT_THAT(pair.Picks(20, At({}), upload), ElementsAre(2));
+  EXPECT_THAT(pair.Picks(20), ElementsAre(1));
+}
+
 // Guards against work for members that leave or may be dead, and outside the allowed regions.
 TEST(RoutingSystem, AvoidsDrainingSuspectAndForeignMembers) {
   product_harness set({Member(1), Member(2), Member(3), Member(4, "c", "south"), Member(5)});
