Expose counts that sum over processes

Cause: the exposition had burn rates but not the counts behind them. Rates of several daemons cannot be added, and a report could not tell what used up the budget or since when. Ruled out: totals since the start with differences taken by the reader (needs two reads an hour apart), and minutes labelled with their Unix time (a scraper would get a new series each minute). Change: burn_window counts by result and gives its counts and steps; its steps follow Unix time, so that minutes of several processes cover the same time. The exposition adds bronzeroute_objective, bronzeroute_window_requests, bronzeroute_minute_requests, bronzeroute_process_start_time_seconds, bronzeroute_uptime_seconds and a last line "# EOF". Names and values of the existing metrics stay. Conclusion: a reader has what it needs to sum processes exactly.

--- a/src/measuring/class_metrics.h
+++ b/src/measuring/class_metrics.h
@@ -12,11 +12,18 @@
 
 /// Service level of one class of one service.
 struct class_metrics {
+  /// `unix_offset` aligns the windows; see burn_window.
+  explicit class_metrics(duration unix_offset = {})
+      : short_window(std::chrono::seconds(10), 30, unix_offset),
+        long_window(std::chrono::minutes(1), 60, unix_offset) {}
+
   std::array<std::uint64_t, kRequestResults> results{};
   /// Latency of served requests; refusals would pull it down.
   latency_summary latency;
-  burn_window short_window{std::chrono::seconds(10), 30};
-  burn_window long_window{std::chrono::minutes(1), 60};
+  /// The last 5 minutes.
+  burn_window short_window;
+  /// The last hour, by minute.
+  burn_window long_window;
 };
 
 }  // namespace bronzeroute
--- a/src/measuring/exposition.cc
+++ b/src/measuring/exposition.cc
@@ -126,6 +126,72 @@
   });
 }
 
+void AppendObjectives(std::string& out, const service_metrics& metrics) {
+  constexpr string_view kName = "bronzeroute_objective";
+  AppendHeader(out, kName, "gauge", "Share of requests that must be served in time.");
+  for (const auto& [name, row] : metrics.services()) {
+    AppendSample<1>(out, kName, {{{"service", name}}}, row.objective);
+  }
+}
+
+void AppendWindows(std::string& out, const service_metrics& metrics, time_point now) {
+  constexpr string_view kName = "bronzeroute_window_requests";
+  AppendHeader(out, kName, "gauge", "Requests in the burn windows, by how they ended.");
+  ForEachClass(metrics, [&](const std::string& name, const auto&, request_class of,
+                            const class_metrics& row) {
+    const auto append = [&](string_view window, const burn_window::counts& results) {
+      for (std::size_t i = 0; i < kRequestResults; ++i) {
+        AppendSample<4>(out, kName,
+                        {{{"service", name},
+                          {"class", RequestClassName(of)},
+                          {"window", window},
+                          {"result", RequestResultName(static_cast<request_result>(i))}}},
+                        static_cast<double>(results[i]));
+      }
+    };
+    append("5m", row.short_window.Counts(now));
+    append("1h", row.long_window.Counts(now));
+  });
+}
+
+// The label counts back from the present, since a label with the time itself would give a
+// scraper a new series each minute.
+void AppendMinutes(std::string& out, const service_metrics& metrics, time_point now) {
+  constexpr string_view kName = "bronzeroute_minute_requests";
+  AppendHeader(out, kName, "gauge",
+               "Requests per minute of Unix time in the last hour, minutes without left out.");
+  ForEachClass(metrics, [&](const std::string& name, const auto&, request_class of,
+                            const class_metrics& row) {
+    for (const burn_window::slot_counts& slot : row.long_window.Slots(now)) {
+      const std::string minutes_ago = std::to_string(slot.steps_ago);
+      const std::uint64_t bad = BadRequests(slot.results);
+      const auto append = [&](string_view outcome, std::uint64_t value) {
+        AppendSample<4>(out, kName,
+                        {{{"service", name},
+                          {"class", RequestClassName(of)},
+                          {"minutes_ago", minutes_ago},
+                          {"outcome", outcome}}},
+                        static_cast<double>(value));
+      };
+      append("good", AllRequests(slot.results) - bad);
+      append("bad", bad);
+    }
+  });
+}
+
+void AppendProcess(std::string& out, const process_start& start, time_point now) {
+  const auto append = [&out](string_view name, string_view help, duration value) {
+    AppendHeader(out, name, "gauge", help);
+    out.append(name).append(" ");
+    AppendNumber(out, Seconds(value));
+    out += '\n';
+  };
+  append("bronzeroute_process_start_time_seconds", "Start of the process in Unix time.",
+         start.unix_time);
+  append("bronzeroute_uptime_seconds", "Time since the start of the process.",
+         now - start.started);
+}
+
 template <typename Value>
 void AppendBudget(std::string& out, const budget_account& budget, string_view name,
                   string_view help, Value value) {
@@ -151,6 +217,10 @@
   AppendRequests(out, metrics);
   AppendLatency(out, metrics, now);
   AppendBurn(out, metrics, now);
+  AppendObjectives(out, metrics);
+  AppendWindows(out, metrics, now);
+  AppendMinutes(out, metrics, now);
+  AppendProcess(out, metrics.start(), now);
   AppendBudget(out, budget, "bronzeroute_measuring_bytes_total", "Bytes sent for measuring.",
                [](const budget_counter& row) { return static_cast<double>(row.bytes); });
   AppendBudget(out, budget, "bronzeroute_measuring_upstream_seconds_total",
@@ -162,6 +232,8 @@
   AppendBudget(out, budget, "bronzeroute_measuring_forced_total",
                "Charges taken on credit so that failure detection goes on.",
                [](const budget_counter& row) { return static_cast<double>(row.forced); });
+  // A comment to scrapers; shows a reader of a saved file that it is whole.
+  out += "# EOF\n";
   return out;
 }
 
--- a/src/measuring/exposition.h
+++ b/src/measuring/exposition.h
@@ -10,7 +10,8 @@
 class service_metrics;
 
 /// The service levels and the use of the measuring budget in the Prometheus text format.
-/// Times are in seconds.
+/// Times are in seconds. Counts per window and minute, with the start of the process, let a
+/// reader sum several processes exactly. The last line is "# EOF".
 std::string ExpositionText(const service_metrics& metrics, const budget_account& budget,
                            time_point now);
 
--- a/src/measuring/service_metrics.cc
+++ b/src/measuring/service_metrics.cc
@@ -19,12 +19,13 @@
   const auto found = services_.find(service_name);
   if (found == services_.end()) return;
   std::unique_ptr<class_metrics>& metrics = found->second.classes[static_cast<std::size_t>(of)];
-  if (!metrics) metrics = std::make_unique<class_metrics>();
+  if (!metrics) metrics = std::make_unique<class_metrics>(start_.UnixOffset());
   ++metrics->results[static_cast<std::size_t>(result)];
-  const bool good = result == request_result::kServedInTime;
-  metrics->short_window.Add(good, now);
-  metrics->long_window.Add(good, now);
-  if (good || result == request_result::kServedLate) metrics->latency.Add(latency, now);
+  metrics->short_window.Add(result, now);
+  metrics->long_window.Add(result, now);
+  if (result == request_result::kServedInTime || result == request_result::kServedLate) {
+    metrics->latency.Add(latency, now);
+  }
 }
 
 const class_metrics* service_metrics::Find(std::string_view service_name,
--- a/src/measuring/service_metrics.h
+++ b/src/measuring/service_metrics.h
@@ -11,6 +11,7 @@
 
 #include "src/base/time.h"
 #include "src/measuring/class_metrics.h"
+#include "src/measuring/process_start.h"
 #include "src/measuring/request_class.h"
 #include "src/measuring/request_result.h"
 
@@ -28,6 +29,8 @@
   };
   using service_map = std::map<std::string, service, std::less<>>;
 
+  explicit service_metrics(const process_start& start = {}) : start_(start) {}
+
   /// Takes a service of the accepted document; repeated for a changed objective.
   void SetObjective(std::string_view service_name, double objective);
   /// Drops a service that the accepted document no longer has.
@@ -46,10 +49,12 @@
   double LongBurnRate(std::string_view service_name, request_class of, time_point now) const;
 
   const service_map& services() const { return services_; }
+  const process_start& start() const { return start_; }
 
  private:
   const class_metrics* Find(std::string_view service_name, request_class of) const;
 
+  process_start start_;
   service_map services_;
 };
 
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -57,6 +57,10 @@
     : links_(ports.links),
       identity_{self.id, self.run, now},
       budget_(kInitialBytesPerSecond, kInitialUpstreamTime),
+      // The incarnation is the start time in milliseconds.
+      metrics_(
+          {.started = now,
+           .unix_time = std::chrono::milliseconds(static_cast<std::int64_t>(self.run.value))}),
       membership_(self, MembershipSettings(settings), ports.datagrams, ports.log, budget_,
                   settings.seed, now),
       configuration_(
--- a/tests/measuring/service_metrics_test.cc
+++ b/tests/measuring/service_metrics_test.cc
@@ -4,6 +4,7 @@
 
 #include <cmath>
 #include <string>
+#include <string_view>
 
 #include "src/measuring/budget_account.h"
 #include "src/measuring/exposition.h"
@@ -115,6 +116,55 @@
   EXPECT_EQ(summary.count(), 12U);
 }
 
+// Guards against causes of burn that get mixed up or outlive their window.
+TEST(BurnWindow, CountsByResult) {
+  burn_window window(minutes(1), 60);
+  window.Add(kRefused, kStart);
+  window.Add(kRefused, kStart);
+  window.Add(kUnknown, kStart + minutes(1));
+  EXPECT_EQ(window.Counts(kStart + minutes(1)), (burn_window::counts{0, 0, 2, 1, 0}));
+  EXPECT_EQ(window.Counts(kStart + minutes(60)), (burn_window::counts{0, 0, 0, 1, 0}));
+  EXPECT_EQ(window.Counts(kStart + minutes(62)), burn_window::counts{});
+}
+
+// Guards against minutes of two processes that overlap only in part, and against idle minutes
+// that are reported.
+TEST(BurnWindow, StepsFollowUnixTime) {
+  // At time_point{} it is 50 s past a whole minute, so 10 s later the next minute begins.
+  burn_window window(minutes(1), 60, minutes(1000) + seconds(50));
+  window.Add(kServedInTime, time_point(seconds(9)));
+  window.Add(kFailed, time_point(seconds(10)));
+  const auto slots = window.Slots(time_point(seconds(130)));
+  ASSERT_EQ(slots.size(), 2U);
+  EXPECT_EQ(slots[0].steps_ago, 3U);
+  EXPECT_EQ(slots[0].results, (burn_window::counts{1, 0, 0, 0, 0}));
+  EXPECT_EQ(slots[1].steps_ago, 2U);
+  EXPECT_EQ(slots[1].results, (burn_window::counts{0, 0, 0, 0, 1}));
+}
+
+// Guards against a reader that cannot sum processes because a count is missing.
+TEST(Exposition, GivesWhatSumsNeed) {
+  service_metrics metrics({.started = kStart, .unix_time = seconds(1'700'000'000)});
+  metrics.SetObjective("estoque", 0.999);
+  metrics.Record("estoque", kShort, kRefused, milliseconds(2), kStart);
+  const std::string text =
+      ExpositionText(metrics, budget_account(0, duration(0)), kStart + minutes(10));
+  const auto has = [&text](std::string_view line) {
+    return text.find("\n" + std::string(line) + "\n") != std::string::npos;
+  };
+  const std::string labels = R"({service="estoque",class="short",)";
+  EXPECT_TRUE(has("bronzeroute_objective{service=\"estoque\"} 0.999"));
+  EXPECT_TRUE(
+      has("bronzeroute_window_requests" + labels + R"(window="5m",result="refused"} 0)"));
+  EXPECT_TRUE(
+      has("bronzeroute_window_requests" + labels + R"(window="1h",result="refused"} 1)"));
+  EXPECT_TRUE(
+      has("bronzeroute_minute_requests" + labels + R"(minutes_ago="10",outcome="bad"} 1)"));
+  EXPECT_TRUE(has("bronzeroute_process_start_time_seconds 1.7e+09"));
+  EXPECT_TRUE(has("bronzeroute_uptime_seconds 600"));
+  EXPECT_TRUE(text.ends_with("\n# EOF\n"));
+}
+
 // Guards against text that a scraper rejects, such as an unescaped label.
 TEST(Exposition, FollowsTheTextFormat) {
   service_metrics metrics;
