Add brreport, a report on service-level burn

Cause: burn rates were visible per daemon only; nobody could tell for a service whether to page, what used up the budget, or how much of the history the daemons still have. Ruled out: averaging the daemons' burn rates (wrong when their loads differ) and a scraper with storage (another process to run and to trust). Change: src/report reads expositions from daemons, discovered members or files, sums the counts and judges each service by the multi-window rule: page at 14.4 times the allowed rate over 5 min and 1 h with at least 5 bad requests. Text, JSON and one self-contained HTML page. A process that cannot be read, a text that was cut short and a dead member are named in every output. bronzeroute_report is a library so that the tests can call its parts. Failures on the way: a test found a range-for over a temporary JSON value in the member list parser (crash); fixed. Screenshots of the page showed a table wider than the page and plot labels too small on a narrow screen; both fixed.

--- /dev/null
+++ b/src/report/html_renderer.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+
+namespace bronzeroute {
+
+struct burn_report;
+
+/// The report as one HTML page that needs no other resource.
+std::string HtmlReport(const burn_report& report);
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/report/json_renderer.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+
+namespace bronzeroute {
+
+struct burn_report;
+
+/// The report as one JSON object; docs/burn-report.md lists its fields.
+std::string JsonReport(const burn_report& report);
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/report/metrics_reader.cc
@@ -0,0 +1,104 @@
+#include "src/report/metrics_reader.h"
+
+#include <cpprest/http_client.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <exception>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "absl/status/status.h"
+#include "src/base/concat.h"
+#include "src/report/exposition_parser.h"
+#include "src/report/member_list_parser.h"
+
+namespace bronzeroute {
+namespace {
+
+// Bounds the bodies held at once; one of a daemon with 43 services is below 2 MB.
+constexpr std::size_t kReadAtOnce = 16;
+
+// GETs `path`; the task never throws.
+pplx::task<absl::StatusOr<std::string>> Fetch(std::string_view address, const std::string& path,
+                                              std::chrono::milliseconds timeout) {
+  try {
+    web::http::client::http_client_config config;
+    config.set_timeout(timeout);
+    web::http::client::http_client client(web::uri(Concat("http://", address)), config);
+    return client.request(web::http::methods::GET, path)
+        .then([](const web::http::http_response& response) {
+          const auto code = response.status_code();
+          // The media type is not checked, so that saved answers of any server can be served.
+          return response.extract_string(true).then(
+              [code](const std::string& body) -> absl::StatusOr<std::string> {
+                if (code == web::http::status_codes::OK) return body;
+                return absl::UnavailableError(Concat("answered with status ", code));
+              });
+        })
+        .then([](const pplx::task<absl::StatusOr<std::string>>& task)
+                  -> absl::StatusOr<std::string> {
+          try {
+            return task.get();
+          } catch (const std::exception& error) {
+            return absl::UnavailableError(Concat("no response: ", error.what()));
+          }
+        });
+  } catch (const std::exception& error) {
+    return pplx::task_from_result<absl::StatusOr<std::string>>(
+        absl::InvalidArgumentError(Concat("not an address: ", error.what())));
+  }
+}
+
+absl::StatusOr<std::string> ReadFile(const std::string& path) {
+  std::ifstream input(path, std::ios::binary);
+  std::ostringstream text;
+  // An empty file leaves the output stream in a failed state, so only the input is judged.
+  if (!input || (text << input.rdbuf(), input.bad())) {
+    return absl::NotFoundError("the file cannot be read");
+  }
+  return text.str();
+}
+
+pplx::task<absl::StatusOr<std::string>> Start(const process_source& source,
+                                              std::chrono::milliseconds timeout) {
+  if (source.from == process_source::origin::kFile) {
+    return pplx::task_from_result(ReadFile(source.name));
+  }
+  if (source.name.empty()) {
+    return pplx::task_from_result<absl::StatusOr<std::string>>(
+        absl::NotFoundError("the member has no admin address"));
+  }
+  return Fetch(source.name, "/.bronzeroute/v1/metrics", timeout);
+}
+
+}  // namespace
+
+absl::StatusOr<member_list> metrics_reader::Members(std::string_view admin) const {
+  const absl::StatusOr<std::string> body =
+      Fetch(admin, "/.bronzeroute/v1/members", timeout_).get();
+  if (!body.ok()) return body.status();
+  return ParseMemberList(*body);
+}
+
+std::vector<process_reading> metrics_reader::Read(
+    const std::vector<process_source>& sources) const {
+  std::vector<process_reading> readings;
+  for (std::size_t first = 0; first < sources.size(); first += kReadAtOnce) {
+    const std::size_t last = std::min(first + kReadAtOnce, sources.size());
+    std::vector<pplx::task<absl::StatusOr<std::string>>> tasks;
+    for (std::size_t i = first; i < last; ++i) tasks.push_back(Start(sources[i], timeout_));
+    for (std::size_t i = first; i < last; ++i) {
+      const absl::StatusOr<std::string> text = tasks[i - first].get();
+      if (text.ok()) {
+        readings.push_back({sources[i], ParseExposition(*text)});
+      } else {
+        readings.push_back({sources[i], text.status()});
+      }
+    }
+  }
+  return readings;
+}
+
+}  // namespace bronzeroute
