--- a/src/measuring/exposition.cc
+++ b/src/measuring/exposition.cc
@@ -159,13 +159,14 @@
 void AppendMinutes(std::string& out, const service_metrics& metrics, time_point now) {
   constexpr string_view kName = "bronzeroute_minute_requests";
   AppendHeader(out, kName, "gauge",
-               "Requests per minute of Unix time in the last hour, minutes without left out.");
+               "Requests per minute of Unix time in the last hour, zeros left out.");
   ForEachClass(metrics, [&](const std::string& name, const auto&, request_class of,
                             const class_metrics& row) {
     for (const burn_window::slot_counts& slot : row.long_window.Slots(now)) {
       const std::string minutes_ago = std::to_string(slot.steps_ago);
       const std::uint64_t bad = BadRequests(slot.results);
       const auto append = [&](string_view outcome, std::uint64_t value) {
+        if (value == 0) return;
         AppendSample<4>(out, kName,
                         {{{"service", name},
                           {"class", RequestClassName(of)},
--- a/src/report/exposition_parser.cc
+++ b/src/report/exposition_parser.cc
@@ -161,6 +161,14 @@
         }
       }
     }
+    for (const auto& [name, row] : result_.services) {
+      for (const auto& each : row.classes) {
+        if (each && !MinutesAddUp(*each)) {
+          return absl::DataLossError(
+              Concat("the minutes of service ", name, " do not add up to its hour"));
+        }
+      }
+    }
     return std::move(result_);
   }
 
@@ -175,6 +183,17 @@
     return true;
   }
 
+  // The daemon makes the minutes and the hour from the same counts.
+  static bool MinutesAddUp(const process_metrics::class_row& row) {
+    process_metrics::minute_counts sum;
+    for (const auto& [at, counts] : row.minutes) {
+      sum.good += counts.good;
+      sum.bad += counts.bad;
+    }
+    return sum.bad == BadRequests(row.long_window) &&
+           sum.good + sum.bad == AllRequests(row.long_window);
+  }
+
   bool AddObjective(const sample& row) {
     const std::string* service = row.Label("service");
     if (service == nullptr || !(row.value >= 0 && row.value <= 1)) return false;
--- a/tests/report/exposition_parser_test.cc
+++ b/tests/report/exposition_parser_test.cc
@@ -104,6 +104,10 @@
   EXPECT_FALSE(with(window, ""));
   EXPECT_FALSE(with(window, window + window));
   EXPECT_FALSE(with("bronzeroute_uptime_seconds 90\n", ""));
+  const std::string minute =
+      R"(bronzeroute_minute_requests{service="estoque",class="short",minutes_ago="1",)"
+      "outcome=\"bad\"} 3\n";
+  EXPECT_FALSE(with(minute, ""));
   EXPECT_FALSE(with("bronzeroute_objective{service=\"estoque\"} 0.99\n", ""));
   for (const char* value : {"-1", "1.5", "+Inf", "nan", "", "3 ", "1e300"}) {
     EXPECT_FALSE(with(window, sample + value + "\n")) << value;
