Leave counts per minute out of ordinary scrapes

Cause: with 43 services and bad requests in every minute the exposition grew from 154 KB to 1.8 MB, so a scraper every 15 s would alone exceed the 5 KB/s of control traffic. Ruled out: dropping the counts; the burn report plots them. Change: /metrics gives totals, /metrics?minutes=1 adds the minutes; brreport asks for them. Before: 1.8 MB in the worst case.

--- a/src/measuring/exposition.cc
+++ b/src/measuring/exposition.cc
@@ -213,14 +213,14 @@
 }  // namespace
 
 std::string ExpositionText(const service_metrics& metrics, const budget_account& budget,
-                           time_point now) {
+                           time_point now, exposition_detail detail) {
   std::string out;
   AppendRequests(out, metrics);
   AppendLatency(out, metrics, now);
   AppendBurn(out, metrics, now);
   AppendObjectives(out, metrics);
   AppendWindows(out, metrics, now);
-  AppendMinutes(out, metrics, now);
+  if (detail == exposition_detail::kMinutes) AppendMinutes(out, metrics, now);
   AppendProcess(out, metrics.start(), now);
   AppendBudget(out, budget, "bronzeroute_measuring_bytes_total", "Bytes sent for measuring.",
                [](const budget_counter& row) { return static_cast<double>(row.bytes); });
--- a/src/measuring/exposition.h
+++ b/src/measuring/exposition.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "src/base/time.h"
+#include "src/measuring/exposition_detail.h"
 
 namespace bronzeroute {
 
@@ -13,6 +14,7 @@
 /// Times are in seconds. Counts per window and minute, with the start of the process, let a
 /// reader sum several processes exactly. The last line is "# EOF".
 std::string ExpositionText(const service_metrics& metrics, const budget_account& budget,
-                           time_point now);
+                           time_point now,
+                           exposition_detail detail = exposition_detail::kMinutes);
 
 }  // namespace bronzeroute
--- a/src/report/metrics_reader.cc
+++ b/src/report/metrics_reader.cc
@@ -70,7 +70,7 @@
     return pplx::task_from_result<absl::StatusOr<std::string>>(
         absl::NotFoundError("the member has no admin address"));
   }
-  return Fetch(source.name, "/.bronzeroute/v1/metrics", timeout);
+  return Fetch(source.name, "/.bronzeroute/v1/metrics?minutes=1", timeout);
 }
 
 }  // namespace
