Keep every way to an upstream inside the regions of its service

Cause: regions were checked only in the choice by load; the own free upstream and the home of a caller's key were taken wherever they stood. Ruled out: the example document; scoring names region central on purpose. Conclusion: where a service may run is decided at the owner, not only by hints.

--- a/src/node/admission_adapter.cc
+++ b/src/node/admission_adapter.cc
@@ -27,14 +27,16 @@
 }  // namespace
 
 void admission_adapter::Configure(const service_spec& spec,
-                                  const upstream_announcement& upstream, time_point now) {
+                                  const upstream_announcement& upstream, bool is_allowed,
+                                  time_point now) {
   now_ = now;
+  is_allowed_ = is_allowed;
   service_ = spec.name;
   system_.Configure(spec, upstream.slots, upstream.connections, now);
 }
 
 bool admission_adapter::HasFreeSlot(std::string_view service, bool is_long, time_point now) {
-  if (service != service_ || system_.draining()) {
+  if (service != service_ || !is_allowed_ || system_.draining()) {
     return false;
   }
   if (system_.health(now) != ejection_state::kClear || system_.queued() > 0) {
@@ -49,8 +51,12 @@
 admission_result admission_adapter::Offer(exchange_id exchange, const attempt_head& head,
                                           time_point now) {
   now_ = now;
-  const offer_result offered = system_.Offer(exchange, head, now);
   admission_result result;
+  if (head.service == service_ && !is_allowed_) {
+    result.kind = error_kind::kWrongService;
+    return result;
+  }
+  const offer_result offered = system_.Offer(exchange, head, now);
   switch (offered.state) {
     case offer_state::kStarted:
       result.decision = admission_result::state::kStarted;
--- a/src/node/admission_adapter.h
+++ b/src/node/admission_adapter.h
@@ -18,9 +18,10 @@
  public:
   admission_adapter() : system_(this) {}
 
-  /// Takes the limits of the document and of the announcement.
+  /// Takes the limits of the document and of the announcement. All work is refused while
+  /// `is_allowed` is false, because the document does not let the service run in this region.
   void Configure(const service_spec& spec, const upstream_announcement& upstream,
-                 time_point now);
+                 bool is_allowed, time_point now);
 
   void SetListener(admission_listener* listener) override { listener_ = listener; }
   bool HasFreeSlot(std::string_view service, bool is_long, time_point now) override;
@@ -41,6 +42,7 @@
   admission_listener* listener_ = nullptr;
   admission_system system_;
   std::string service_;
+  bool is_allowed_ = false;
   /// Start of the running work, from which service times are taken.
   absl::flat_hash_map<exchange_id, time_point> started_;
   /// Time of the event that is being handled.
--- a/src/node/member_directory_adapter.h
+++ b/src/node/member_directory_adapter.h
@@ -7,19 +7,22 @@
 
 namespace bronzeroute {
 
+class configuration_system;
 class membership_system;
 
 /// The members of a service as the entry needs them to find the home of a key.
 class member_directory_adapter final : public member_directory {
  public:
-  /// `membership` must outlive the adapter.
-  explicit member_directory_adapter(const membership_system& membership)
-      : membership_(membership) {}
+  /// Both must outlive the adapter.
+  member_directory_adapter(const membership_system& membership,
+                           const configuration_system& configuration)
+      : membership_(membership), configuration_(configuration) {}
 
   std::vector<member_target> LiveMembers(std::string_view service) override;
 
  private:
   const membership_system& membership_;
+  const configuration_system& configuration_;
 };
 
 }  // namespace bronzeroute
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -8,6 +8,7 @@
 #include "src/calls/attempt_head.h"
 #include "src/calls/call_log_row.h"
 #include "src/configuration/document.h"
+#include "src/configuration/may_run_in.h"
 #include "src/configuration/record_verdict.h"
 #include "src/measuring/request_class.h"
 #include "src/measuring/request_result.h"
@@ -67,7 +68,7 @@
           {.environment = settings.environment, .self = self.id, .seed = settings.seed},
           ports.log, ports.configuration_peers),
       routing_(configuration_, settings.seed),
-      members_(membership_),
+      members_(membership_, configuration_),
       routes_(configuration_),
       node_(identity_,
             node_ports{.callers = ports.callers,
@@ -237,7 +238,7 @@
   applied_service_ = upstream->service;
   applied_slots_ = upstream->slots;
   applied_connections_ = upstream->connections;
-  admission_.Configure(*spec, *upstream, now);
+  admission_.Configure(*spec, *upstream, MayRunIn(*spec, membership_.self().region), now);
 }
 
 void node_runtime::ApplyMembers(time_point now) {
--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <utility>
 
+#include "src/configuration/may_run_in.h"
 #include "src/configuration/service_spec.h"
 #include "src/membership/member_row.h"
 #include "src/routing/score_function.h"
@@ -181,10 +182,7 @@
   if (std::ranges::find(excluded, item.row.id) != excluded.end()) {
     return candidate_fate::kExcludedByCaller;
   }
-  if (!spec.regions.empty() &&
-      std::ranges::find(spec.regions, item.region) == spec.regions.end()) {
-    return candidate_fate::kOutsideRegions;
-  }
+  if (!MayRunIn(spec, item.region)) return candidate_fate::kOutsideRegions;
   if (item.draining || item.row.hint.draining) return candidate_fate::kDraining;
   if (item.state != member_state::kAlive) return candidate_fate::kSuspect;
   return candidate_fate::kNotTaken;
--- a/tests/process/whole_path_test.cc
+++ b/tests/process/whole_path_test.cc
@@ -80,6 +80,26 @@
   }
 }
 
+// Guards against work of a service in a region that the document does not name, whether the
+// upstream is chosen, stands beside the entry, or is the home of a key.
+TEST_F(whole_path, ServiceRunsOnlyInItsRegions) {
+  deployment_.StartLog();
+  deployment_.AddPair("orders", "north", "north-a");
+  deployment_.AddPair("orders", "south", "south-a");
+  std::string document = ExampleDocument();
+  document.insert(document.find("deadline_ms"), "regions = [\"north\"]\n");
+  ASSERT_TRUE(deployment::WaitFor([&] { return deployment_.Publish(document) == 0; }))
+      << deployment_.ctl_output();
+  ASSERT_TRUE(deployment_.WaitReady(2));
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(deployment_.Call(1, "GET", "/orders/1").status, 200);
+    const std::string key = "own-key-" + std::to_string(i);
+    EXPECT_EQ(deployment_.Call(1, "POST", "/orders/new", "x", key).status, 200);
+  }
+  EXPECT_EQ(deployment_.Runs(0), 20);
+  EXPECT_EQ(deployment_.Runs(1), 0);
+}
+
 // Guards against a planned stop that cuts off a request in flight.
 TEST_F(whole_path, SigtermFinishesRequestsInFlight) {
   Deploy(2);
--- a/tools/run_local.sh
+++ b/tools/run_local.sh
@@ -27,11 +27,11 @@
 fi
 bin=$build/bin
 if [ "$example" = gelo ]; then
-  services=(estoque pedidos comprovantes)
+  services=(pedidos estoque comprovantes)
   zones=(recife/recife-a recife/recife-b fortaleza/fortaleza-a fortaleza/fortaleza-b salvador/salvador-a salvador/salvador-b)
   short=/estoque/items protected=/pedidos/orders long=/comprovantes/photos slots=6 connections=260
 else
-  services=(entries scoring media)
+  services=(scoring entries media)
   zones=(central/central-a central/central-b north/north-a north/north-b south/south-a south/south-b)
   short=/entries/list protected=/scoring/scores long=/media/photos slots=9 connections=220
 fi
