Place upstreams of the local deployment in regions that the document allows

Cause: run_local.sh spread the two upstreams of each service over zones by index, so pedidos (gelo, regions = [recife]) ran in fortaleza and scoring (siam, regions = [central]) in north. Other daemons rightly found no upstream there: 27 of 52 protected calls got no key in each example (run of both examples before the change). Ruled out: membership (all six daemons knew all six upstreams) and key issue itself (every daemon issued keys for unrestricted services). Change: each upstream has its placement beside its service. A process that ends at start, for example because of a taken address, ends the script at once, and its last log lines are shown; before, the logs were deleted unseen. After: 52 of 52 protected calls served in both examples; with port 8011 taken the script ends with code 1 and shows the daemon's message.

--- a/tools/run_local.sh
+++ b/tools/run_local.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs packages, builds, and runs a small local deployment on the built-in stand-ins: the
 # platform's log, and two upstreams with their daemons for each service of a shipped example.
-# Sends requests through it and prints the responses.
+# Sends requests through it and prints their outcomes. On failure it prints the logs.
 # Usage: tools/run_local.sh [gelo|siam] [--stay]
 # With --stay the deployment runs until Ctrl-C; otherwise it stops after the requests.
 set -euo pipefail
@@ -27,20 +27,27 @@
 fi
 bin=$build/bin
 if [ "$example" = gelo ]; then
-  services=(estoque pedidos comprovantes)
-  zones=(recife/recife-a recife/recife-b fortaleza/fortaleza-a fortaleza/fortaleza-b salvador/salvador-a salvador/salvador-b)
+  # Each upstream as service:region/zone, within the regions that the document allows.
+  upstreams=(estoque:recife/recife-a estoque:fortaleza/fortaleza-a
+    pedidos:recife/recife-a pedidos:recife/recife-b
+    comprovantes:fortaleza/fortaleza-b comprovantes:salvador/salvador-a)
   short=/estoque/items protected=/pedidos/orders long=/comprovantes/photos slots=6 connections=260
 else
-  services=(entries scoring media)
-  zones=(central/central-a central/central-b north/north-a north/north-b south/south-a south/south-b)
+  upstreams=(entries:central/central-a entries:north/north-a
+    scoring:central/central-a scoring:central/central-b
+    media:north/north-b media:south/south-a)
   short=/entries/list protected=/scoring/scores long=/media/photos slots=9 connections=220
 fi
 work=$(mktemp -d)
 pids=()
 stop_all() {
-  local pid
+  local code=$? pid
   for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  if [ "$code" -ne 0 ] && [ "$code" -ne 130 ]; then
+    echo "== failed; last lines of each process" >&2
+    tail -n 5 "$work"/*.out >&2
+  fi
   rm -rf "$work"
 }
 trap stop_all EXIT
@@ -52,11 +59,11 @@
 index=0
 targets=()
 admins=()
-for service in "${services[@]}"; do
-  for _ in 1 2; do
-    zone=${zones[$((index % ${#zones[@]}))]}
-    base=$((8000 + index * 10))
-    cat >"$work/$index.toml" <<TOML
+for upstream in "${upstreams[@]}"; do
+  service=${upstream%%:*}
+  zone=${upstream#*:}
+  base=$((8000 + index * 10))
+  cat >"$work/daemon-$index.toml" <<TOML
 environment = "production"
 region = "${zone%/*}"
 availability_zone = "${zone#*/}"
@@ -68,15 +75,19 @@
 [log]
 address = "$log"
 TOML
-    "$bin/bronzerouted" --settings "$work/$index.toml" 2>"$work/daemon-$index.log" &
-    pids+=($!)
-    "$bin/brstandin_worker" --listen "127.0.0.1:$((base + 4))" --daemon "127.0.0.1:$((base + 3))" \
-      --service "$service" --slots $slots --connections $connections >/dev/null 2>&1 &
-    pids+=($!)
-    targets+=(--target "127.0.0.1:$base")
-    admins+=(--admin "127.0.0.1:$((base + 3))")
-    index=$((index + 1))
-  done
+  "$bin/bronzerouted" --settings "$work/daemon-$index.toml" >"$work/daemon-$index.out" 2>&1 &
+  pids+=($!)
+  "$bin/brstandin_worker" --listen "127.0.0.1:$((base + 4))" --daemon "127.0.0.1:$((base + 3))" \
+    --service "$service" --slots $slots --connections $connections >"$work/worker-$index.out" 2>&1 &
+  pids+=($!)
+  targets+=(--target "127.0.0.1:$base")
+  admins+=(--admin "127.0.0.1:$((base + 3))")
+  index=$((index + 1))
+done
+# A process that ends at once has found its address taken.
+sleep 0.5
+for pid in "${pids[@]}"; do
+  kill -0 "$pid" 2>/dev/null || exit 1
 done
 echo "== publish examples/$example.toml to trial, promote it to production"
 "$bin/brctl" --log "$log" publish "examples/$example.toml"
@@ -88,6 +99,6 @@
   --short 60 --protected 20 --long 2 --long-bytes 1000000 --duration 3 --keys issued
 "$bin/brctl" --log "$log" status "${admins[@]}"
 if $stay; then
-  echo "== running; callers' addresses: ${targets[*]//--target/}; Ctrl-C stops it"
+  echo "== running; callers' addresses:${targets[*]//--target/}; Ctrl-C stops it"
   wait
 fi
