--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -86,6 +86,7 @@
 constexpr duration kFailStart = seconds(3);
 constexpr duration kFailEnd = seconds(8);
 constexpr double kFailWorkUs = 200;
+constexpr double kSlowSpeed = 0.25;
 
 struct scenario {
   /// Short work offered, as a share of what the workers can do at their mean speed.
@@ -95,6 +96,8 @@
   bool crest = false;
   /// Worker 0 fails every request at once from kFailStart to kFailEnd.
   bool failing = false;
+  /// Worker 0 runs at a quarter of its speed from kFailStart to kFailEnd.
+  bool slow = false;
   duration length{};
 };
 
@@ -464,6 +467,10 @@
     Advance(at);
     const double draw = std::uniform_real_distribution<>(0, 1)(at.random);
     at.speed = draw < 0.6 ? 1 : draw < 0.85 ? 0.5 : 0.2;
+    if (plan_.slow && subject == 0 && now_ >= time_point() + kFailStart &&
+        now_ < time_point() + kFailEnd) {
+      at.speed *= kSlowSpeed;
+    }
     ScheduleNext(at, subject);
     const double length = std::exponential_distribution<>(1 / kSpeedShiftUs)(at.random);
     if (Ended() && open_calls_ == 0) return;
@@ -731,6 +738,19 @@
       shape.name.data(), name.data(), first_second, later, offered, back_ms);
 }
 
+template <choice_policy Policy>
+void ReportSlow(std::string_view name, const user_shape& shape, knowledge known,
+                std::uint64_t seed) {
+  const scenario plan = {.load = 0.5, .slow = true, .length = seconds(10)};
+  const run_result run = policy_model<Policy>(shape, plan, known, seed).Run();
+  std::vector<double> latencies = ShortLatencies(run, kFailStart, kFailEnd);
+  const span_counts counts = Count(run, false, kFailStart, kFailEnd);
+  std::printf("%-5s %-18s slow    p50 %6.2f p99 %6.2f p99.9 %7.2f ms  refused %.3f%%\n",
+              shape.name.data(), name.data(), Percentile(latencies, 0.5),
+              Percentile(latencies, 0.99), Percentile(latencies, 0.999),
+              100 * counts.refused / counts.offered);
+}
+
 /// Wall-clock cost at the target size: 540 members in 43 services.
 void ReportScale(std::uint64_t seed) {
   constexpr std::uint32_t kMembers = 540;
@@ -778,6 +798,11 @@
   Report<policy_least_reported>("least_reported", shape, knowledge::kReports, seed);
   Report<policy_least_reported>("least_with_hints", shape, knowledge::kHints, seed);
   Report<policy_random_near>("random_near", shape, knowledge::kNone, seed);
+  ReportSlow<policy_two_choices>("product", shape, knowledge::kHints, seed);
+  ReportSlow<policy_random>("random", shape, knowledge::kNone, seed);
+  ReportSlow<policy_round_robin>("round_robin", shape, knowledge::kNone, seed);
+  ReportSlow<policy_least_reported>("least_reported", shape, knowledge::kReports, seed);
+  ReportSlow<policy_random_near>("random_near", shape, knowledge::kNone, seed);
   ReportFailing<policy_two_choices>("product", shape, knowledge::kHints, seed);
   ReportFailing<policy_random>("random", shape, knowledge::kNone, seed);
   ReportFailing<policy_least_reported>("least_reported", shape, knowledge::kReports, seed);
