Count the service time of a member, smoothed over a quarter second

Cause: a member that stays slow looked as good as a fast one while it had a free slot, and the own upstream was taken whenever a slot was free, however slow.

--- a/src/routing/candidate.h
+++ b/src/routing/candidate.h
@@ -19,6 +19,8 @@
   /// Attempts this process has sent there since the hint, and all it has open there.
   std::uint32_t sent_since_hint = 0;
   std::uint32_t open_attempts = 0;
+  /// Mean of load_hint::service_time_us over the hints of about the last quarter second.
+  double service_time_us = 0;
   /// Weighted share of recent attempts that failed, 0 to 1.
   double failure_share = 0;
 };
--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -12,6 +12,10 @@
 namespace bronzeroute {
 namespace {
 
+// A single hint's service time follows slowness of a few ms, which is over when a call arrives.
+// With it in the wait for a long queue, all entries chase the member that was fast last.
+constexpr double kServiceMemoryUs = 250'000;
+
 // Far above what a queue can hold; bounds the memory for a member that sends no hints.
 constexpr std::size_t kMaxUnseen = 1024;
 
@@ -89,6 +93,10 @@
 void hint_table::ApplyHint(entry& item, const load_hint& hint, time_point received,
                            time_point now) {
   if (item.has_hint && hint.sequence <= item.row.hint.sequence) return;
+  const auto apart = static_cast<double>((received - item.row.hint_received).count());
+  const double weight =
+      item.has_hint ? 1 - std::exp(-std::max(apart, 0.0) / kServiceMemoryUs) : 1;
+  item.row.service_time_us += weight * (hint.service_time_us - item.row.service_time_us);
   item.has_hint = true;
   item.row.hint = hint;
   item.row.hint_received = received;
@@ -232,7 +240,7 @@
     if (item.has_hint) {
       ++hints;
       result.context.mean_occupancy += Occupancy(item.row);
-      result.context.mean_service_time_us += item.row.hint.service_time_us;
+      result.context.mean_service_time_us += item.row.service_time_us;
     }
     candidate_fate fate = FateOf(item, spec, excluded);
     if (fate == candidate_fate::kNotTaken && !result.trial) {
--- a/src/routing/routing_system.h
+++ b/src/routing/routing_system.h
@@ -61,8 +61,9 @@
       return result;
     }
     std::size_t pick = 0;
-    const std::size_t own =
-        Policy::kOwnUpstreamFirst ? FreeOwnUpstream(candidates, request) : candidates.size();
+    const std::size_t own = Policy::kOwnUpstreamFirst
+                                ? FreeOwnUpstream(candidates, eligible.context)
+                                : candidates.size();
     if (eligible.trial) {
       explanation.reason = choice_reason::kTrialCall;
     } else if (candidates.size() == 1) {
@@ -92,16 +93,21 @@
 
  private:
   static std::size_t FreeOwnUpstream(std::span<const candidate> candidates,
-                                     const choice_request& request) {
+                                     const choice_context& context) {
     const auto own = std::ranges::find(candidates, distance::kSameInstance, &candidate::where);
     if (own == candidates.end() || own->hint.failing ||
-        (request.is_long && own->hint.running_long + own->hint.queued_long > 0) ||
+        own->service_time_us > kSlowFactor * context.mean_service_time_us ||
+        (context.request.is_long && own->hint.running_long + own->hint.queued_long > 0) ||
         Occupancy(*own) + own->sent_since_hint >= own->hint.effective_slots) {
       return candidates.size();
     }
     return static_cast<std::size_t>(own - candidates.begin());
   }
 
+  /// An own upstream slower than this many times the service's mean is compared with the
+  /// others.
+  static constexpr double kSlowFactor = 1.5;
+
   Policy policy_;
   choice_random random_;
   hint_table table_;
--- a/src/routing/score_function.cc
+++ b/src/routing/score_function.cc
@@ -64,7 +64,7 @@
   const double occupancy =
       Occupancy(row) * (1 - stale) + context.mean_occupancy * stale + row.sent_since_hint;
   const double service_time =
-      row.hint.service_time_us * (1 - stale) + context.mean_service_time_us * stale;
+      row.service_time_us * (1 - stale) + context.mean_service_time_us * stale;
   const double slots = std::max<double>(row.hint.effective_slots, 1);
   score result;
   result.round_trip = static_cast<double>(TypicalRoundTrip(row.where).count());
@@ -74,7 +74,7 @@
     result.billed_bytes = kBilledUsPerByte *
                           static_cast<double>(context.request.content_length.value_or(assumed));
   }
-  result.wait = std::max(occupancy + 1 - slots, 0.0) * service_time / slots;
+  result.wait = std::max(occupancy + 1 - slots, 0.0) * service_time / slots + service_time;
   if (context.request.is_long) {
     result.wait += kLongBesideLongUs * (row.hint.running_long + row.hint.queued_long);
   }
--- a/tests/routing/routing_system_test.cc
+++ b/tests/routing/routing_system_test.cc
@@ -117,8 +117,8 @@
   EXPECT_EQ(result.member, member_id{2});
   const std::string text = result.explanation.ToText();
   EXPECT_THAT(text, HasSubstr("service orders, policy two_choices"));
-  EXPECT_THAT(text, HasSubstr("0000000000000001, same zone: not taken; score 6033 us"));
-  EXPECT_THAT(text, HasSubstr("0000000000000002, same region: chosen; score 2800 us"));
+  EXPECT_THAT(text, HasSubstr("0000000000000001, same zone: not taken; score 11033 us"));
+  EXPECT_THAT(text, HasSubstr("0000000000000002, same region: chosen; score 7800 us"));
 }
 
 // Guards against a reordered or old report that replaces a newer one.
@@ -211,6 +211,23 @@
   EXPECT_THAT(pair.Picks(20), ElementsAre(1));
 }
 
+// Guards against free slots that draw work to a slow upstream, also to the own one, and against
+// a decision by one hint.
+TEST(RoutingSystem, MembersThatStaySlowAreAvoided) {
+  product_harness pair({Member(1), Member(2, "b")}, 1);
+  load_hint slow = Hint(1, 0);
+  pair.Report(1, Hint(1, 0));
+  pair.Report(2, Hint(1, 0));
+  slow.service_time_us = 20'000;
+  slow.sequence = 2;
+  pair.Report(1, slow, At(milliseconds(5)));
+  EXPECT_EQ(pair.Pick(At(milliseconds(5))), 1);
+  slow.sequence = 3;
+  pair.Report(1, slow, At(milliseconds(500)));
+  pair.Report(2, Hint(2, 0), At(milliseconds(500)));
+  EXPECT_EQ(pair.Pick(At(milliseconds(500))), 2);
+}
+
 // Guards against work for members that leave or may be dead, and outside the allowed regions.
 TEST(RoutingSystem, AvoidsDrainingSuspectAndForeignMembers) {
   product_harness set({Member(1), Member(2), Member(3), Member(4, "c", "south"), Member(5)});
