Estimate the wait by the service's mean unless a member is clearly slow

Cause: at the crest a queue of 64 multiplied small differences of the service time to tens of ms, so all entries of a region chased one member; the other's queue was drained in order, up to 57 ms.

--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -13,7 +13,6 @@
 namespace {
 
 // A single hint's service time follows slowness of a few ms, which is over when a call arrives.
-// With it in the wait for a long queue, all entries chase the member that was fast last.
 constexpr double kServiceMemoryUs = 250'000;
 
 // Far above what a queue can hold; bounds the memory for a member that sends no hints.
--- a/src/routing/routing_system.h
+++ b/src/routing/routing_system.h
@@ -92,6 +92,8 @@
   }
 
  private:
+  /// The own upstream if it has a free slot and is not slow; otherwise the number of
+  /// candidates.
   static std::size_t FreeOwnUpstream(std::span<const candidate> candidates,
                                      const choice_context& context) {
     const auto own = std::ranges::find(candidates, distance::kSameInstance, &candidate::where);
@@ -104,10 +106,6 @@
     return static_cast<std::size_t>(own - candidates.begin());
   }
 
-  /// An own upstream slower than this many times the service's mean is compared with the
-  /// others.
-  static constexpr double kSlowFactor = 1.5;
-
   Policy policy_;
   choice_random random_;
   hint_table table_;
--- a/src/routing/score_function.cc
+++ b/src/routing/score_function.cc
@@ -74,7 +74,9 @@
     result.billed_bytes = kBilledUsPerByte *
                           static_cast<double>(context.request.content_length.value_or(assumed));
   }
-  result.wait = std::max(occupancy + 1 - slots, 0.0) * service_time / slots + service_time;
+  const double mean = context.mean_service_time_us;
+  const double turn = service_time > kSlowFactor * mean ? service_time : mean;
+  result.wait = std::max(occupancy + 1 - slots, 0.0) * turn / slots + service_time;
   if (context.request.is_long) {
     result.wait += kLongBesideLongUs * (row.hint.running_long + row.hint.queued_long);
   }
--- a/src/routing/score_function.h
+++ b/src/routing/score_function.h
@@ -8,6 +8,11 @@
 
 namespace bronzeroute {
 
+/// A member whose service time is above this many times the service's mean counts as slow.
+/// Below it, differences are mostly chance, and a long queue would multiply them: at a crest
+/// all entries then chase the member that was fast last.
+inline constexpr double kSlowFactor = 1.4;
+
 /// Slots in use, queued work, and own attempts that the hint does not show yet.
 double Occupancy(const candidate& row);
 
