Rename types of admission and routing that src/calls has too

Cause: upstream_outcome, admission_listener and attempt_outcome stood in two folders of one namespace with different members, which breaks the one-definition rule. Change: admission has upstream_end and queue_listener, routing has attempt_end. Before: two definitions of three names. After: one each; no behaviour changed. Conclusion: the modules can be linked into one program.

--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -18,8 +18,8 @@
 #include <string_view>
 #include <vector>
 
-#include "src/admission/admission_listener.h"
 #include "src/admission/admission_system.h"
+#include "src/admission/queue_listener.h"
 #include "src/base/error_answer.h"
 #include "src/calls/attempt_head.h"
 #include "src/membership/member_row.h"
@@ -269,7 +269,7 @@
   }
 
  private:
-  struct owner : public admission_listener {
+  struct owner : public queue_listener {
     owner(policy_model* the_model, std::uint64_t seed) : model(the_model), random(seed) {}
     void OnQueuedStarted(exchange_id exchange) override { model->StartWork(*this, exchange); }
     void OnQueuedRefused(exchange_id exchange, error_kind kind) override {
@@ -500,11 +500,11 @@
       at.routing.OnHint(Id(row.owner), incarnation{1}, item.hint, now_);
     }
     const bool failed = item.error == error_kind::kAnswerLost;
-    const auto outcome = failed     ? attempt_outcome::kFailed
-                         : !refused ? attempt_outcome::kAnswered
+    const auto outcome = failed     ? attempt_end::kFailed
+                         : !refused ? attempt_end::kAnswered
                          : item.error == error_kind::kUpstreamEjected
-                             ? attempt_outcome::kRefusedEjected
-                             : attempt_outcome::kRefused;
+                             ? attempt_end::kRefusedEjected
+                             : attempt_end::kRefused;
     at.routing.OnAttemptEnded(Id(row.owner), outcome, row.is_trial, now_);
     const bool again = refused && AnswerFor(item.error).try_elsewhere &&
                        row.tried.size() < kMaxAttempts && at.retry_tokens >= 1 &&
--- a/src/admission/admission_system.cc
+++ b/src/admission/admission_system.cc
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <utility>
 
-#include "src/admission/admission_listener.h"
+#include "src/admission/queue_listener.h"
 #include "src/calls/attempt_head.h"
 
 namespace bronzeroute {
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-admission_system::admission_system(admission_listener* listener) : listener_(listener) {}
+admission_system::admission_system(queue_listener* listener) : listener_(listener) {}
 
 void admission_system::Configure(const service_spec& spec, std::uint32_t announced_slots,
                                  std::uint32_t announced_connections, time_point now) {
@@ -188,7 +188,7 @@
   if (is_long) ++running_long_;
 }
 
-void admission_system::OnUpstreamEnded(exchange_id exchange, const upstream_outcome& outcome,
+void admission_system::OnUpstreamEnded(exchange_id exchange, const upstream_end& outcome,
                                        time_point now) {
   const auto found = running_.find(exchange);
   if (found == running_.end()) return;
--- a/src/admission/admission_system.h
+++ b/src/admission/admission_system.h
@@ -9,7 +9,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "src/admission/cancel_result.h"
 #include "src/admission/offer_result.h"
-#include "src/admission/upstream_outcome.h"
+#include "src/admission/upstream_end.h"
 #include "src/admission/work_classifier.h"
 #include "src/base/error_kind.h"
 #include "src/base/strong_id.h"
@@ -20,7 +20,7 @@
 
 namespace bronzeroute {
 
-class admission_listener;
+class queue_listener;
 struct attempt_head;
 
 /// The gate in front of the upstream beside this process. It knows slots, connections and queue
@@ -29,7 +29,7 @@
 class admission_system {
  public:
   /// `listener` is not owned and must outlive the system.
-  explicit admission_system(admission_listener* listener);
+  explicit admission_system(queue_listener* listener);
 
   /// Sets the limits: the smaller of the document's and the announced ones. The first call, and
   /// a change of the service, start the warm-up. Running work above a lowered limit finishes.
@@ -46,7 +46,7 @@
   offer_result Offer(exchange_id exchange, const attempt_head& head, time_point now);
 
   /// The request of `exchange` ended at the upstream; frees its slot and connection.
-  void OnUpstreamEnded(exchange_id exchange, const upstream_outcome& outcome, time_point now);
+  void OnUpstreamEnded(exchange_id exchange, const upstream_end& outcome, time_point now);
 
   cancel_result Cancel(exchange_id exchange, time_point now);
 
@@ -119,7 +119,7 @@
   /// Calls the listener for `notices_`. Must be the last step of an event.
   void Notify();
 
-  admission_listener* listener_;
+  queue_listener* listener_;
   bool configured_ = false;
   bool draining_ = false;
   std::string service_;
--- a/src/admission/admission_listener.h
+++ b/src/admission/queue_listener.h
@@ -7,9 +7,9 @@
 
 /// Receives what happens to queued attempts after Offer. Called when the state of the admission
 /// system is consistent, so an implementation may call back into it.
-class admission_listener {
+class queue_listener {
  public:
-  virtual ~admission_listener() = default;
+  virtual ~queue_listener() = default;
 
   /// The queued attempt got a slot and a connection; its request is to be sent now.
   virtual void OnQueuedStarted(exchange_id exchange) = 0;
--- a/src/admission/upstream_outcome.h
+++ b/src/admission/upstream_end.h
@@ -16,7 +16,7 @@
 };
 
 /// How a request ended at the upstream.
-struct upstream_outcome {
+struct upstream_end {
   upstream_result result = upstream_result::kAnswered;
   /// From the start at the upstream to the end of the response.
   duration service_time{};
--- a/src/routing/attempt_end.h
+++ b/src/routing/attempt_end.h
@@ -5,7 +5,7 @@
 namespace bronzeroute {
 
 /// How an attempt ended, as far as it speaks about the member it was sent to.
-enum class attempt_outcome : std::uint8_t {
+enum class attempt_end : std::uint8_t {
   kAnswered,
   /// Connect failed, link cut, response missing, late or cut, or an error of the upstream.
   kFailed,
--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -124,20 +124,20 @@
   if (is_trial) item->health.BeginTrial();
 }
 
-void hint_table::OnAttemptEnded(member_id member, attempt_outcome outcome, bool is_trial,
+void hint_table::OnAttemptEnded(member_id member, attempt_end outcome, bool is_trial,
                                 time_point now) {
   entry* item = Find(member);
   if (item == nullptr) return;
   if (item->row.open_attempts > 0) --item->row.open_attempts;
   ejection& health = item->health;
-  if (outcome == attempt_outcome::kAnswered || outcome == attempt_outcome::kFailed) {
+  if (outcome == attempt_end::kAnswered || outcome == attempt_end::kFailed) {
     const double share = DecayedShare(item->failure_share, now - item->failed_at);
-    const double sample = outcome == attempt_outcome::kFailed ? 1 : 0;
+    const double sample = outcome == attempt_end::kFailed ? 1 : 0;
     item->failure_share = share + kFailureWeight * (sample - share);
     item->failed_at = now;
   }
   switch (outcome) {
-    case attempt_outcome::kAnswered:
+    case attempt_end::kAnswered:
       if (is_trial) {
         health.OnTrialSucceeded();
         item->ejected_by_owner = false;
@@ -145,14 +145,14 @@
         health.OnSuccess();
       }
       break;
-    case attempt_outcome::kFailed:
+    case attempt_end::kFailed:
       if (is_trial) {
         health.OnTrialFailed(now);
       } else {
         health.OnFailure(MayEject(*item, now), now);
       }
       break;
-    case attempt_outcome::kRefusedEjected:
+    case attempt_end::kRefusedEjected:
       if (is_trial) {
         health.OnTrialFailed(now);
       } else if (health.At(now) == ejection_state::kClear && MayEject(*item, now)) {
@@ -160,8 +160,8 @@
         item->ejected_by_owner = true;
       }
       break;
-    case attempt_outcome::kRefused:
-    case attempt_outcome::kCancelled:
+    case attempt_end::kRefused:
+    case attempt_end::kCancelled:
       if (is_trial) health.OnTrialAbandoned();
       break;
   }
--- a/src/routing/hint_table.h
+++ b/src/routing/hint_table.h
@@ -36,7 +36,7 @@
   void OnHint(member_id member, incarnation run, const load_hint& hint, time_point now);
 
   void OnAttemptSent(member_id member, bool is_trial, time_point now);
-  void OnAttemptEnded(member_id member, attempt_outcome outcome, bool is_trial, time_point now);
+  void OnAttemptEnded(member_id member, attempt_end outcome, bool is_trial, time_point now);
 
   /// The members to choose from, and the state of the others in `explanation`. If `trial` is
   /// set in the result, it is to be chosen without a pick.
--- a/src/routing/routing_system.h
+++ b/src/routing/routing_system.h
@@ -41,8 +41,7 @@
     table_.OnAttemptSent(member, is_trial, now);
   }
 
-  void OnAttemptEnded(member_id member, attempt_outcome outcome, bool is_trial,
-                      time_point now) {
+  void OnAttemptEnded(member_id member, attempt_end outcome, bool is_trial, time_point now) {
     table_.OnAttemptEnded(member, outcome, is_trial, now);
   }
 
--- a/tests/admission/admission_fixture.h
+++ b/tests/admission/admission_fixture.h
@@ -6,8 +6,8 @@
 #include <cstdint>
 #include <string>
 
-#include "src/admission/admission_listener.h"
 #include "src/admission/admission_system.h"
+#include "src/admission/queue_listener.h"
 #include "src/calls/attempt_head.h"
 
 namespace bronzeroute {
@@ -15,7 +15,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-class mock_admission_listener : public admission_listener {
+class mock_queue_listener : public queue_listener {
  public:
   MOCK_METHOD(void, OnQueuedStarted, (exchange_id), (override));
   MOCK_METHOD(void, OnQueuedRefused, (exchange_id, error_kind), (override));
@@ -80,7 +80,7 @@
     }
   }
 
-  testing::StrictMock<mock_admission_listener> listener_;
+  testing::StrictMock<mock_queue_listener> listener_;
   admission_system system_{&listener_};
 
  private:
--- a/tests/admission/admission_property_test.cc
+++ b/tests/admission/admission_property_test.cc
@@ -8,8 +8,8 @@
 #include <set>
 #include <vector>
 
-#include "src/admission/admission_listener.h"
 #include "src/admission/admission_system.h"
+#include "src/admission/queue_listener.h"
 #include "src/calls/attempt_head.h"
 #include "tests/admission/admission_fixture.h"
 
@@ -17,7 +17,7 @@
 namespace {
 
 /// What the outside of the gate sees: requests at the upstream and requests told to be queued.
-class gate_oracle : public admission_listener {
+class gate_oracle : public queue_listener {
  public:
   struct request {
     time_point deadline;
--- a/tests/routing/routing_system_test.cc
+++ b/tests/routing/routing_system_test.cc
@@ -77,12 +77,12 @@
     for (int i = 0; i < rounds; ++i) picks.insert(Pick(now, request));
     return picks;
   }
-  void End(std::uint64_t id, attempt_outcome outcome, time_point now, bool is_trial = false) {
+  void End(std::uint64_t id, attempt_end outcome, time_point now, bool is_trial = false) {
     system_.OnAttemptSent(member_id{id}, is_trial, now);
     system_.OnAttemptEnded(member_id{id}, outcome, is_trial, now);
   }
   void Fail(std::uint64_t id, int count, time_point now) {
-    for (int i = 0; i < count; ++i) End(id, attempt_outcome::kFailed, now);
+    for (int i = 0; i < count; ++i) End(id, attempt_end::kFailed, now);
   }
 
   service_spec spec_;
@@ -268,9 +268,9 @@
   EXPECT_EQ(trial.explanation.reason, choice_reason::kTrialCall);
   pair.system_.OnAttemptSent(member_id{1}, true, At(seconds(1)));
   EXPECT_THAT(pair.Picks(20, At(seconds(1))), ElementsAre(2)) << "the trial is open";
-  pair.system_.OnAttemptEnded(member_id{1}, attempt_outcome::kFailed, true, At(seconds(1)));
+  pair.system_.OnAttemptEnded(member_id{1}, attempt_end::kFailed, true, At(seconds(1)));
   EXPECT_THAT(pair.Picks(20, At(milliseconds(2999))), ElementsAre(2)) << "2 s now";
-  pair.End(1, attempt_outcome::kAnswered, At(seconds(3)), true);
+  pair.End(1, attempt_end::kAnswered, At(seconds(3)), true);
   EXPECT_EQ(pair.system_.StateOf(member_id{1}, At(seconds(3))), ejection_state::kClear);
 }
 
@@ -353,8 +353,8 @@
           if (!open[id].empty()) {
             const bool is_trial = open[id].back();
             open[id].pop_back();
-            set.system_.OnAttemptEnded(
-                member_id{id}, static_cast<attempt_outcome>(item.value % 5), is_trial, now);
+            set.system_.OnAttemptEnded(member_id{id}, static_cast<attempt_end>(item.value % 5),
+                                       is_trial, now);
           }
           break;
         default: {
