--- a/src/routing/routing_system.h
+++ b/src/routing/routing_system.h
@@ -60,8 +60,9 @@
       return result;
     }
     std::size_t pick = 0;
-    const std::size_t own =
-        Policy::kOwnUpstreamFirst ? FreeOwnUpstream(candidates, request) : candidates.size();
+    const std::size_t own = Policy::kOwnUpstreamFirst
+                                ? FreeOwnUpstream(candidates, eligible.context)
+                                : candidates.size();
     if (eligible.trial) {
       explanation.reason = choice_reason::kTrialCall;
     } else if (candidates.size() == 1) {
@@ -90,11 +91,14 @@
   }
 
  private:
+  /// The own upstream if it has a free slot and is not slow; otherwise the number of
+  /// candidates.
   static std::size_t FreeOwnUpstream(std::span<const candidate> candidates,
-                                     const choice_request& request) {
+                                     const choice_context& context) {
     const auto own = std::ranges::find(candidates, distance::kSameInstance, &candidate::where);
     if (own == candidates.end() || own->hint.failing ||
-        (request.is_long && own->hint.running_long + own->hint.queued_long > 0) ||
+        own->service_time_us > kSlowFactor * context.mean_service_time_us ||
+        (context.request.is_long && own->hint.running_long + own->hint.queued_long > 0) ||
         Occupancy(*own) + own->sent_since_hint >= own->hint.effective_slots) {
       return candidates.size();
     }
