Test failures of the transport and fix what they showed

Cause: cut answers, leaving callers, refusals, lost owners, wrong identities, bad fields and taken addresses were written but not tested.

Closing a stream no longer ends its pipe; whoever waits for the message does, in the step that reports the event. - Answers without a body (HEAD, 204, 304) were sent with a chunked end, which shifted the next answer. 204 has no stream now; HEAD and 304 keep their length and are the last answer on their connection, since the library cannot send a length without a body. - Closing a listener after another one failed to open ended the process.

--- a/src/transport/admin_server.cc
+++ b/src/transport/admin_server.cc
@@ -15,9 +15,6 @@
   return absl::OkStatus();
 }
 
-void admin_server::Stop() {
-  if (listener_ != nullptr) listener_->close().wait();
-  listener_ = nullptr;
-}
+void admin_server::Stop() { CloseListener(listener_); }
 
 }  // namespace bronzeroute
--- a/src/transport/attempt_stream.cc
+++ b/src/transport/attempt_stream.cc
@@ -76,11 +76,7 @@
 
 void attempt_stream::WriteBody() {
   if (writing_ || all_written_ || over_ || !admitted_) return;
-  if (row_->body->AtFailure()) {
-    // The caller left; its exchange reports that.
-    context_.TryCancel();
-    return;
-  }
+  // After a failure the exchange reports that its caller left, and the attempt is cancelled.
   if (row_->body->Available() == 0 && !row_->body->ended()) return;
   outgoing_.Clear();
   *outgoing_.mutable_id() = ToProto(head_.id);
--- a/src/transport/bounded_buffer.cc
+++ b/src/transport/bounded_buffer.cc
@@ -70,6 +70,14 @@
 
 void bounded_buffer::release(std::uint8_t* /*ptr*/, std::size_t /*count*/) {}
 
+pplx::task<std::size_t> bounded_buffer::putn_nocopy(const std::uint8_t* ptr,
+                                                    std::size_t count) {
+  if (!can_write()) {
+    return pplx::task_from_exception<std::size_t>(StreamError("The stream is closed."));
+  }
+  return count == 0 ? pplx::task_from_result(count) : _putn(ptr, count);
+}
+
 pplx::task<std::size_t> bounded_buffer::_putn(const std::uint8_t* ptr, std::size_t count) {
   if (write_from_ != nullptr) {
     return pplx::task_from_exception<std::size_t>(std::logic_error("A write is pending."));
@@ -149,11 +157,6 @@
 
 pplx::task<void> bounded_buffer::_close_write() {
   m_stream_can_write = false;
-  if (m_currentException == nullptr) {
-    pipe_->End();
-  } else {
-    pipe_->Fail();
-  }
   return pplx::task_from_result();
 }
 
--- a/src/transport/bounded_buffer.h
+++ b/src/transport/bounded_buffer.h
@@ -17,8 +17,8 @@
 class bounded_buffer
     : public Concurrency::streams::details::streambuf_state_manager<std::uint8_t> {
  public:
-  /// A stream that writes into `pipe`. Closing it ends the pipe, closing it with an exception
-  /// fails the pipe.
+  /// A stream that writes into `pipe`. Closing it leaves the pipe as it is: whoever waits for
+  /// the message ends or fails the pipe, in the same step as it reports the event.
   static Concurrency::streams::ostream Writer(std::shared_ptr<byte_pipe> pipe);
   /// A stream that reads from `pipe`.
   static Concurrency::streams::istream Reader(std::shared_ptr<byte_pipe> pipe);
@@ -32,6 +32,10 @@
   bounded_buffer(std::shared_ptr<byte_pipe> pipe, std::ios_base::openmode mode);
   ~bounded_buffer() override;
 
+  /// The base class answers a failed write by waiting for a task of the event loop, on the
+  /// event loop; so failed writes must not pass through it.
+  pplx::task<std::size_t> putn_nocopy(const std::uint8_t* ptr, std::size_t count) override;
+
   bool can_seek() const override { return false; }
   bool has_size() const override { return false; }
   std::size_t buffer_size(std::ios_base::openmode /*direction*/) const override { return 0; }
--- a/src/transport/caller_server.cc
+++ b/src/transport/caller_server.cc
@@ -61,8 +61,7 @@
     }
     rows_.clear();
   });
-  if (listener_ != nullptr) listener_->close().wait();
-  listener_ = nullptr;
+  CloseListener(listener_);
 }
 
 // Runs inside the library's handling of the request head. No byte of the body has been written
@@ -186,7 +185,17 @@
   response.headers().add("Bronzeroute-Execution", std::string(ExecutionName(execution::kRan)));
   response.headers().add("Bronzeroute-Call", FormatCallId(attempt.call));
   row->relayed = answer->body;
-  response._get_impl()->set_instream(bounded_buffer::Reader(answer->body));
+  // The library cannot send a length without a body: it adds a length of 0 to an answer without
+  // a stream, and writes the end of a chunked body otherwise. So an answer that only describes
+  // a body is the last one on its connection.
+  if (answer->status == 204) {
+    response.headers().remove("Content-Length");
+  } else {
+    response._get_impl()->set_instream(bounded_buffer::Reader(answer->body));
+    if (row->method == "HEAD" || answer->status == 304) {
+      response.headers().add("Connection", "close");
+    }
+  }
   Reply(row, response, true);
 }
 
--- a/src/transport/http_listener_factory.cc
+++ b/src/transport/http_listener_factory.cc
@@ -16,10 +16,10 @@
     std::string_view address, const std::function<void(web::http::http_request)>& handler) {
   const auto parsed = ParseAddress(address);
   if (!parsed.ok()) return parsed.status();
+  auto listener = std::make_unique<web::http::experimental::listener::http_listener>(
+      web::uri(absl::StrCat("http://", AbslText(address), "/")));
+  listener->support(handler);
   try {
-    auto listener = std::make_unique<web::http::experimental::listener::http_listener>(
-        web::uri(absl::StrCat("http://", AbslText(address), "/")));
-    listener->support(handler);
     listener->open().wait();
     return listener;
   } catch (const std::exception& error) {
@@ -28,4 +28,15 @@
   }
 }
 
+void CloseListener(
+    std::unique_ptr<web::http::experimental::listener::http_listener>& listener) {
+  if (listener == nullptr) return;
+  try {
+    listener->close().wait();
+  } catch (const std::exception&) {
+    // The library forgets open listeners after another one failed to open.
+  }
+  listener = nullptr;
+}
+
 }  // namespace bronzeroute
--- a/src/transport/http_listener_factory.h
+++ b/src/transport/http_listener_factory.h
@@ -15,4 +15,7 @@
 absl::StatusOr<std::unique_ptr<web::http::experimental::listener::http_listener>> OpenListener(
     std::string_view address, const std::function<void(web::http::http_request)>& handler);
 
+/// Closes `listener` and resets it; null is allowed. Never on the event loop.
+void CloseListener(std::unique_ptr<web::http::experimental::listener::http_listener>& listener);
+
 }  // namespace bronzeroute
--- /dev/null
+++ b/tests/transport/failure_test.cc
@@ -0,0 +1,203 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "tests/transport/raw_socket.h"
+#include "tests/transport/raw_upstream.h"
+#include "tests/transport/test_daemon.h"
+
+namespace bronzeroute {
+namespace {
+
+constexpr char kGet[] = "GET /orders HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+
+// An upstream that sends `bytes` after a request head and closes.
+struct canned_upstream {
+  explicit canned_upstream(std::string answer) : bytes(std::move(answer)) {}
+  std::string bytes;
+  raw_upstream server{[this](raw_socket& peer) {
+    if (peer.ReceiveUntil("\r\n\r\n").empty()) return;
+    peer.Send(bytes);
+    peer.Shutdown();
+  }};
+};
+
+std::string Ask(const test_daemon& daemon, const std::string& request) {
+  const raw_socket caller = raw_socket::Connect(daemon.callers_port());
+  caller.Send(request);
+  return caller.ReceiveAll();
+}
+
+class FailureTest : public testing::TestWithParam<bool> {
+ protected:
+  FailureTest() {
+    if (GetParam()) entry_.UsePeer(owner_);
+  }
+  test_daemon& Last() { return GetParam() ? owner_ : entry_; }
+
+  test_daemon owner_{2};
+  test_daemon entry_{1};
+};
+
+// Guards against a partial answer that looks complete to the caller.
+TEST_P(FailureTest, CutAnswerNeverLooksComplete) {
+  // The HTTP client takes blocks of 64 KiB from its socket, so that much must come.
+  const std::string part(100'000, 'x');
+  canned_upstream with_length("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + part);
+  Last().UseUpstream(with_length.server.address());
+  const std::string first = Ask(entry_, kGet);
+  EXPECT_NE(first.find("Content-Length: 200000"), std::string::npos) << first;
+  EXPECT_GT(first.size(), 60'000U);
+  EXPECT_LT(first.size(), 101'000U);
+  Last().Await("upstream_cut");
+
+  canned_upstream chunked("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+  Last().UseUpstream(chunked.server.address());
+  const std::string second = Ask(entry_, kGet);
+  EXPECT_NE(second.find("4\r\npart\r\n"), std::string::npos) << second;
+  EXPECT_EQ(second.find("0\r\n\r\n"), std::string::npos) << second;
+  Last().Await("upstream_cut", 2);
+  if (GetParam()) entry_.Await("finished_cut", 2);
+}
+
+// Guards against a caller that leaves while its request runs still holding upstream work.
+TEST_P(FailureTest, LeavingCallerEndsAnAnswerAtTheUpstream) {
+  std::atomic<bool> ended = false;
+  raw_upstream upstream([&](raw_socket& peer) {
+    if (peer.ReceiveUntil("\r\n\r\n").empty()) return;
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n");
+    while (peer.Send(std::string(65536, 'x'))) {
+    }
+    ended = true;
+  });
+  Last().UseUpstream(upstream.address());
+  raw_socket caller = raw_socket::Connect(entry_.callers_port());
+  caller.Send(kGet);
+  caller.ReceiveUntil("\r\n\r\n");
+  caller.Reset();
+  entry_.Await("caller_gone");
+  Last().Await("upstream_cut");
+  EXPECT_EQ(owner_.Count("peer_gone"), GetParam() ? 1 : 0);
+  upstream.Stop();
+  EXPECT_TRUE(ended);
+}
+
+// Guards against an upload whose caller left being completed as if it were whole.
+TEST_P(FailureTest, LeavingCallerEndsAnUpload) {
+  std::string received;
+  std::atomic<bool> has_head = false;
+  raw_upstream upstream([&](raw_socket& peer) {
+    if (peer.ReceiveUntil("\r\n\r\n").empty()) return;
+    has_head = true;
+    received = peer.ReceiveAll();
+  });
+  Last().UseUpstream(upstream.address());
+  raw_socket caller = raw_socket::Connect(entry_.callers_port());
+  caller.Send(
+      "POST /orders HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+  while (!has_head) std::this_thread::yield();
+  caller.Reset();
+  entry_.Await("caller_gone");
+  Last().Await("upstream_lost");
+  upstream.Stop();
+  EXPECT_EQ(received.find("0\r\n\r\n"), std::string::npos) << received;
+}
+
+// Guards against an answer relayed to an exchange that it was not made for.
+TEST_P(FailureTest, AnswerOfAnotherAttemptIsNotRelayed) {
+  canned_upstream upstream("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecret");
+  Last().UseUpstream(upstream.server.address());
+  entry_.relay = false;
+  std::thread wrong([&] {
+    entry_.Await(GetParam() ? "answer_head" : "upstream_head");
+    RunOnLoop([&] {
+      attempt_id other = entry_.last_attempt;
+      ++other.call.sequence;
+      entry_.sockets().callers().RelayAnswer(entry_.last_exchange, other);
+    });
+  });
+  const std::string answer = Ask(entry_, kGet);
+  wrong.join();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 504")) << answer;
+  EXPECT_EQ(answer.find("secret"), std::string::npos) << answer;
+}
+
+// Guards against answers without a body that are framed wrong, which would shift all later
+// answers on the connection.
+TEST_P(FailureTest, AnswersWithoutBodyKeepTheConnectionInStep) {
+  raw_upstream upstream([](raw_socket& peer) {
+    for (std::string head = peer.ReceiveUntil("\r\n\r\n"); !head.empty();
+         head = peer.ReceiveUntil("\r\n\r\n")) {
+      if (head.starts_with("HEAD")) {
+        peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n");
+      } else if (head.starts_with("DELETE")) {
+        peer.Send("HTTP/1.1 204 No Content\r\n\r\n");
+      } else {
+        peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+      }
+    }
+  });
+  Last().UseUpstream(upstream.address());
+  const raw_socket first = raw_socket::Connect(entry_.callers_port());
+  first.Send("DELETE /orders HTTP/1.1\r\nHost: a\r\n\r\n");
+  const std::string deleted = first.ReceiveUntil("\r\n\r\n");
+  EXPECT_EQ(deleted.find("chunked"), std::string::npos) << deleted;
+  first.Send(kGet);
+  const std::string next = first.ReceiveAll();
+  EXPECT_TRUE(next.starts_with("HTTP/1.1 200")) << next;
+  EXPECT_TRUE(next.ends_with("ok")) << next;
+  // Answers that only describe a body are the last ones on their connection.
+  const raw_socket second = raw_socket::Connect(entry_.callers_port());
+  second.Send("HEAD /orders HTTP/1.1\r\nHost: a\r\n\r\n");
+  const std::string head = second.ReceiveAll();
+  EXPECT_NE(head.find("Content-Length: 77"), std::string::npos) << head;
+  EXPECT_NE(head.find("Connection: close"), std::string::npos) << head;
+  EXPECT_TRUE(head.ends_with("\r\n\r\n")) << head;
+}
+
+INSTANTIATE_TEST_SUITE_P(Paths, FailureTest, testing::Bool(),
+                         [](const testing::TestParamInfo<bool>& info) {
+                           return std::string(info.param ? "Hop" : "Own");
+                         });
+
+// Guards against a malformed or oversized field reaching an upstream, an unclear error, and a
+// request that brings the process down.
+TEST(CallerFields, BadFieldsGetAClearErrorAndTheProcessStaysUp) {
+  test_daemon daemon(1);
+  const auto request = [](const std::string& path, const std::string& field) {
+    return "GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" + field + "\r\n\r\n";
+  };
+  for (const std::string field :
+       {"Bronzeroute-Deadline-Ms: soon", "Bronzeroute-Deadline-Ms: -1",
+        "Bronzeroute-Deadline-Ms: 99999999999999999999", "Bronzeroute-Try: 0",
+        "Bronzeroute-Depth: 1, 2", "Idempotency-Key: a b"}) {
+    const std::string answer = Ask(daemon, request("/orders", field));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << field << ": " << answer;
+    EXPECT_NE(answer.find("Bronzeroute-Error: bad_header"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("Bronzeroute-Execution: not-run"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("\"error\":\"bad_header\""), std::string::npos) << answer;
+  }
+  const std::string large(9000, 'x');
+  for (const std::string& bytes :
+       {request("/orders", "X-Large: " + large), request("/" + large, "X-Small: y"),
+        request("/orders", "Idempotency-Key: " + large.substr(0, 300))}) {
+    const std::string answer = Ask(daemon, bytes);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 431")) << answer;
+    EXPECT_NE(answer.find("Bronzeroute-Error: field_too_large"), std::string::npos) << answer;
+  }
+  for (const std::string path : {"/%zz", "/%", "http://[", "/\x01", "*"}) {
+    Ask(daemon, request(path, "X-Small: y"));
+  }
+  for (const std::string bytes : {"\r\n\r\n", "GET\r\n\r\n", "nonsense without end"}) {
+    raw_socket caller = raw_socket::Connect(daemon.callers_port());
+    caller.Send(bytes);
+    caller.Reset();
+  }
+  EXPECT_TRUE(Ask(daemon, request("/orders", "X-Small: y")).starts_with("HTTP/1.1 502"));
+}
+
+}  // namespace
+}  // namespace bronzeroute
--- /dev/null
+++ b/tests/transport/peer_test.cc
@@ -0,0 +1,222 @@
+#include <grpcpp/client_context.h>
+#include <grpcpp/create_channel.h>
+#include <grpcpp/server.h>
+#include <grpcpp/server_builder.h>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "proto/peer.grpc.pb.h"
+#include "tests/transport/raw_socket.h"
+#include "tests/transport/raw_upstream.h"
+#include "tests/transport/test_daemon.h"
+
+namespace bronzeroute {
+namespace {
+
+std::string Post(const test_daemon& daemon, const std::string& body) {
+  const raw_socket caller = raw_socket::Connect(daemon.callers_port());
+  caller.Send("POST /orders HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n" + body);
+  return caller.ReceiveAll();
+}
+
+// Answers every request with the size of its body.
+struct counting_upstream {
+  explicit counting_upstream(std::size_t expected) : size(expected) {}
+  std::size_t size;
+  raw_upstream server{[this](raw_socket& peer) {
+    while (!peer.ReceiveUntil("\r\n\r\n").empty()) {
+      const std::string text = std::to_string(peer.ReceiveExactly(size).size());
+      peer.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) +
+                "\r\n\r\n" + text);
+    }
+  }};
+};
+
+// Guards against a refused short call that reaches the next owner without its body.
+TEST(Peer, KeptBodyIsSentAgainAfterARefusal) {
+  const std::string body(65536, 'b');
+  counting_upstream upstream(body.size());
+  test_daemon first(2);
+  test_daemon second(3);
+  test_daemon entry(1);
+  second.UseUpstream(upstream.server.address());
+  entry.UsePeer(first);
+  entry.UsePeer(second);
+  load_hint hint;
+  hint.sequence = 5;
+  hint.queued_long = 9;
+  hint.draining = true;
+  first.on_attempt = [&](exchange_id exchange, const attempt_head& head) {
+    EXPECT_EQ(head.content_length, body.size());
+    first.sockets().peers().RefuseAttempt(exchange, error_kind::kDuplicateKey, 201, hint);
+  };
+  entry.on_request = [&](const caller_request& request) {
+    attempt_head head = entry.HeadFor(request);
+    head.target = first.id();
+    EXPECT_TRUE(entry.sockets().peers().SendAttempt(request.exchange, head));
+  };
+  entry.on_refused = [&](exchange_id exchange, const attempt_id& attempt) {
+    caller_request request;
+    request.exchange = exchange;
+    request.method = "POST";
+    request.path = "/orders";
+    attempt_head head = entry.HeadFor(request);
+    head.id = {attempt.call, 2};
+    EXPECT_TRUE(entry.sockets().exchanges().Find(exchange)->body->CanRewind());
+    EXPECT_TRUE(entry.sockets().peers().SendAttempt(exchange, head));
+  };
+  const std::string answer = Post(entry, body);
+  EXPECT_TRUE(answer.ends_with("\r\n\r\n65536")) << answer;
+  ASSERT_TRUE(entry.refused_report.hint.has_value());
+  EXPECT_EQ(entry.refused_report.hint->sequence, 5U);
+  EXPECT_EQ(entry.refused_report.hint->queued_long, 9U);
+  EXPECT_TRUE(entry.refused_report.hint->draining);
+}
+
+// Guards against a refusal whose kind or recorded status is lost on the way.
+TEST(Peer, RefusalReachesTheCaller) {
+  test_daemon owner(2);
+  test_daemon entry(1);
+  entry.UsePeer(owner);
+  owner.on_attempt = [&](exchange_id exchange, const attempt_head& /*head*/) {
+    owner.sockets().peers().RefuseAttempt(exchange, error_kind::kDuplicateKey, 201, {});
+  };
+  const std::string answer = Post(entry, "body");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 409")) << answer;
+  EXPECT_NE(answer.find("Bronzeroute-Error: duplicate_key"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("Bronzeroute-Execution: ran"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("\"recorded_status\":201"), std::string::npos) << answer;
+}
+
+// Guards against the body of long work travelling to an owner that has not admitted it.
+TEST(Peer, LongBodyWaitsForAdmission) {
+  const std::string body(200'000, 'b');
+  counting_upstream upstream(body.size());
+  test_daemon owner(2);
+  test_daemon entry(1);
+  entry.is_long = true;
+  owner.UseUpstream(upstream.server.address());
+  entry.UsePeer(owner);
+  owner.on_attempt = [&](exchange_id exchange, const attempt_head& head) {
+    EXPECT_EQ(owner.sockets().exchanges().Find(exchange)->body->Available(), 0U);
+    EXPECT_TRUE(head.is_long);
+    owner.sockets().peers().AdmitAttempt(exchange, {});
+    owner.sockets().upstream().StartUpstream(exchange, head.id, head.deadline, false);
+  };
+  const std::string answer = Post(entry, body);
+  EXPECT_TRUE(answer.ends_with("\r\n\r\n200000")) << answer;
+}
+
+// Guards against an attempt that stays queued at the owner after the entry gave it up.
+TEST(Peer, CancelReachesTheOwner) {
+  test_daemon owner(2);
+  test_daemon entry(1);
+  entry.UsePeer(owner);
+  owner.on_attempt = [](exchange_id, const attempt_head&) {};
+  std::thread caller([&] { Post(entry, "body"); });
+  owner.Await("attempt");
+  RunOnLoop([&] {
+    entry.sockets().peers().CancelAttempt(entry.last_exchange, entry.last_attempt);
+    entry.sockets().callers().AnswerError(entry.last_exchange, {}, error_kind::kCancelled, 0);
+  });
+  owner.Await("peer_gone");
+  caller.join();
+  EXPECT_EQ(entry.Count("attempt_lost"), 0);
+}
+
+// Guards against a dead owner leaving its callers without an answer, or with a false "not run".
+TEST(Peer, DeadOwnerIsALoss) {
+  auto owner = std::make_unique<test_daemon>(2);
+  test_daemon entry(1);
+  entry.UsePeer(*owner);
+  owner->on_attempt = [](exchange_id, const attempt_head&) {};
+  std::future<std::string> answer =
+      std::async(std::launch::async, [&] { return Post(entry, "body"); });
+  owner->Await("attempt");
+  owner.reset();
+  const std::string text = answer.get();
+  EXPECT_TRUE(text.starts_with("HTTP/1.1 504")) << text;
+  EXPECT_NE(text.find("Bronzeroute-Execution: unknown"), std::string::npos) << text;
+  entry.Await("attempt_lost");
+  // No channel is open any more, so the next call is certainly not sent.
+  bool ready = true;
+  while (ready) {
+    RunOnLoop([&] { ready = entry.sockets().peers().IsReady(entry.target, false); });
+  }
+  EXPECT_NE(Post(entry, "body").find("Bronzeroute-Execution: not-run"), std::string::npos);
+}
+
+// An owner whose frames name another attempt or another run of the process.
+class confused_owner : public proto::Peer::Service {
+ public:
+  bool wrong_run = false;
+
+  grpc::Status Forward(
+      grpc::ServerContext* /*context*/,
+      grpc::ServerReaderWriter<proto::AnswerFrame, proto::AttemptFrame>* stream) override {
+    proto::AttemptFrame request;
+    stream->Read(&request);
+    proto::AnswerFrame frame;
+    *frame.mutable_id() = request.id();
+    frame.set_owner_incarnation(request.head().target_incarnation() + (wrong_run ? 1 : 0));
+    if (!wrong_run) frame.mutable_id()->set_sequence(request.id().sequence() + 1);
+    frame.mutable_head()->set_status(200);
+    frame.set_body("secret");
+    frame.set_last(true);
+    stream->Write(frame);
+    return grpc::Status::OK;
+  }
+};
+
+// Guards against an answer made for another attempt, or by an earlier run, reaching a caller.
+TEST(Peer, FramesOfAnotherAttemptAreDropped) {
+  for (const bool wrong_run : {false, true}) {
+    confused_owner owner;
+    owner.wrong_run = wrong_run;
+    const std::string address = test_daemon::Address(FreePort());
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+    builder.RegisterService(&owner);
+    const auto server = builder.BuildAndStart();
+    test_daemon entry(1);
+    entry.UsePeer(member_id{9}, address);
+    const std::string answer = Post(entry, "body");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 504")) << answer;
+    EXPECT_EQ(answer.find("secret"), std::string::npos) << answer;
+    RunOnLoop([&] { EXPECT_EQ(entry.sockets().peers().counters().mismatched_frames, 1U); });
+  }
+}
+
+// Guards against short work sharing a TCP connection with long work.
+TEST(Peer, ShortAndLongWorkHaveTheirOwnConnections) {
+  raw_upstream silent([](raw_socket& peer) { peer.ReceiveAll(); });
+  test_daemon entry(1);
+  RunOnLoop([&] { entry.sockets().peers().client().OpenPeer(member_id{9}, silent.address()); });
+  while (silent.connections() < 2) std::this_thread::yield();
+}
+
+// Guards against a daemon that cannot get a newer configuration from a peer.
+TEST(Peer, ConfigurationIsFetched) {
+  test_daemon owner(2);
+  test_daemon entry(1);
+  entry.UsePeer(owner);
+  std::promise<std::string> fetched;
+  RunOnLoop([&] {
+    owner.sockets().peers().server().SetSnapshotSource(
+        [](std::int64_t known) { return "newer than " + std::to_string(known); });
+    entry.sockets().peers().client().FetchConfiguration(
+        owner.id(), 41, [&](const absl::StatusOr<std::string>& snapshot) {
+          fetched.set_value(snapshot.value_or("failed"));
+        });
+  });
+  EXPECT_EQ(fetched.get_future().get(), "newer than 41");
+}
+
+}  // namespace
+}  // namespace bronzeroute
--- a/tests/transport/raw_socket.h
+++ b/tests/transport/raw_socket.h
@@ -2,7 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <poll.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -46,6 +46,10 @@
   /// The next connection; an invalid socket once the listener was shut down.
   raw_socket Accept() const { return raw_socket(::accept(handle_, nullptr, nullptr)); }
 
+  void SetNoDelay() const {
+    const int on = 1;
+    ::setsockopt(handle_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  }
   bool valid() const { return handle_ >= 0; }
   bool Send(std::string_view bytes) const {
     while (!bytes.empty()) {
--- a/tests/transport/test_daemon.h
+++ b/tests/transport/test_daemon.h
@@ -26,13 +26,16 @@
 /// its own upstream or at `target`, and each attempt is admitted. It records its events.
 class test_daemon : public transport_events {
  public:
-  explicit test_daemon(std::uint64_t id) : id_{id} {
+  explicit test_daemon(std::uint64_t id,
+                       const std::function<void(transport&)>& prepare = nullptr)
+      : id_{id} {
     StartEventLoop();
     transport_ = std::make_unique<transport>(*this);
     callers_port_ = FreePort();
     peers_port_ = FreePort();
     addresses_ = {Address(callers_port_), Address(peers_port_), Address(FreePort()),
                   Address(FreePort())};
+    if (prepare) prepare(*transport_);
     start_status = transport_->Start(addresses_);
   }
   ~test_daemon() override { transport_->Stop(); }
@@ -45,10 +48,10 @@
   member_id id() const { return id_; }
 
   /// Sends calls to `owner` from now on.
-  void UsePeer(test_daemon& owner) {
-    target = owner.id_;
-    RunOnLoop(
-        [&] { transport_->peers().client().OpenPeer(owner.id_, owner.addresses_.peers); });
+  void UsePeer(const test_daemon& owner) { UsePeer(owner.id_, owner.addresses_.peers); }
+  void UsePeer(member_id owner, const std::string& address) {
+    target = owner;
+    RunOnLoop([&] { transport_->peers().client().OpenPeer(owner, address); });
     for (bool ready = false; !ready;) {
       RunOnLoop([&] {
         ready = transport_->peers().IsReady(target, false) &&
@@ -78,6 +81,7 @@
   /// Called instead of the default on an attempt at the owner, if set.
   std::function<void(exchange_id, const attempt_head&)> on_attempt;
   std::function<void(const caller_request&)> on_request;
+  std::function<void(exchange_id, const attempt_id&)> on_refused;
   absl::Status start_status;
   // Written on the event loop.
   attempt_id last_attempt;
@@ -145,8 +149,12 @@
   void OnAttemptRefused(exchange_id exchange, const attempt_id& attempt, error_kind kind,
                         int recorded_status, const owner_report& report,
                         time_point /*now*/) override {
-    last_report = report;
+    refused_report = report;
     Record("refused");
+    if (on_refused) {
+      on_refused(exchange, attempt);
+      return;
+    }
     transport_->callers().AnswerError(exchange, attempt.call, kind, recorded_status);
   }
   void OnAnswerHead(exchange_id exchange, const attempt_id& attempt, int /*status*/,
@@ -155,8 +163,7 @@
     Record("answer_head");
   }
   void OnAttemptFinished(exchange_id exchange, const attempt_id& /*attempt*/, bool complete,
-                         const owner_report& report, time_point /*now*/) override {
-    last_report = report;
+                         const owner_report& /*report*/, time_point /*now*/) override {
     if (!complete) transport_->callers().CutAnswer(exchange);
     Record(complete ? "finished" : "finished_cut");
   }
@@ -194,7 +201,7 @@
     Record("datagram " + std::string(from) + " " + std::string(payload));
   }
 
-  owner_report last_report;
+  owner_report refused_report;
 
  private:
   void EndAtOwner(exchange_id exchange, const attempt_id& attempt, error_kind kind) {
