Merge branch 'transport' with one copy of the call id text

Cause: the branch still named its own copy of the call id text. Ruled out: keeping both; they would be two definitions of one function. Change: its test now covers the copy in src/calls. Before: build red after the merge.

--- a/tests/transport/address_test.cc
+++ b/tests/transport/address_test.cc
@@ -3,7 +3,7 @@
 #include <functional>
 #include <string>
 
-#include "src/transport/call_id_text.h"
+#include "src/calls/call_id_text.h"
 #include "src/transport/http_address.h"
 #include "tests/transport/raw_socket.h"
 #include "tests/transport/test_daemon.h"
