Send the local deployment's long calls to the long routes of the examples

Cause: the script used /media/photos and /comprovantes/photos, which no route of the documents names, so they fell under the default rule for unlisted writes. Ruled out: more routes in the examples. Change: /media/photo-sets and /comprovantes/fotos. Before: long calls treated as protected by default. After: both examples answer all calls. Conclusion: the first command of the README shows the routes it describes.

--- a/tools/run_local.sh
+++ b/tools/run_local.sh
@@ -31,12 +31,12 @@
   upstreams=(estoque:recife/recife-a estoque:fortaleza/fortaleza-a
     pedidos:recife/recife-a pedidos:recife/recife-b
     comprovantes:fortaleza/fortaleza-b comprovantes:salvador/salvador-a)
-  short=/estoque/items protected=/pedidos/orders long=/comprovantes/photos slots=6 connections=260
+  short=/estoque/items protected=/pedidos/orders long=/comprovantes/fotos slots=6 connections=260
 else
   upstreams=(entries:central/central-a entries:north/north-a
     scoring:central/central-a scoring:central/central-b
     media:north/north-b media:south/south-a)
-  short=/entries/list protected=/scoring/scores long=/media/photos slots=9 connections=220
+  short=/entries/list protected=/scoring/scores long=/media/photo-sets slots=9 connections=220
 fi
 work=$(mktemp -d)
 pids=()
