Build the start error with Concat

Cause: the linter took std::string of an Abseil view for a C-style cast. Ruled out: a suppression. Change: Concat, which takes both kinds of view.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <thread>
 
+#include "src/base/concat.h"
 #include "src/daemon/daemon.h"
 #include "src/daemon/logging.h"
 #include "src/daemon/parse_settings.h"
@@ -36,12 +37,12 @@
   // All threads inherit the mask, so that the signals are left to sigwait below.
   const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);  // NOLINT(google-readability-casting): macro of the C library
+  std::signal(SIGPIPE, SIG_IGN);
   bronzeroute::StartEventLoop();
   auto daemon = std::make_unique<bronzeroute::daemon>(options);
   const absl::Status status = daemon->Start();
   if (!status.ok()) {
-    bronzeroute::LogError("daemon: cannot start: " + std::string(status.message()));
+    bronzeroute::LogError(bronzeroute::Concat("daemon: cannot start: ", status.message()));
     daemon->Close();
     return kExitStartFailed;
   }
