Measure control costs, calls and memory on real processes

The log stand-in counts reads and the bytes of their bodies.

Ruled out: /proc/net/snmp, which counts the other users of the machine too; the daemons' own count of membership bytes is used instead.

--- /dev/null
+++ b/bench/member_crowd.cc
@@ -0,0 +1,235 @@
+// Stands in for many daemons towards one real daemon: every fake member runs the membership
+// logic on a UDP socket of its own and accepts the peer channels of gRPC, all in one process.
+// Prints once a second how many bytes the real daemon sent and got as datagrams.
+// Usage: member_crowd MEMBERS LOG_ADDRESS [FIRST_PORT] [RETURNING]
+// With RETURNING, that many members stop for 60 s after the first 60 s, as a zone that is cut
+// off, and return all at once.
+
+#include <grpcpp/generic/async_generic_service.h>
+#include <grpcpp/security/server_credentials.h>
+#include <grpcpp/server.h>
+#include <grpcpp/server_builder.h>
+
+#include <array>
+#include <boost/asio/io_service.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "src/base/concat.h"
+#include "src/measuring/budget_account.h"
+#include "src/membership/datagram_port.h"
+#include "src/membership/member_codec.h"
+#include "src/membership/membership_system.h"
+#include "src/platform/log_client.h"
+#include "src/platform/log_port.h"
+#include "src/platform/log_read.h"
+#include "src/transport/event_loop.h"
+
+namespace bronzeroute {
+namespace {
+
+using boost::asio::ip::udp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kHeaderBytes = 28;
+constexpr std::size_t kServices = 43;
+constexpr std::size_t kZones = 6;
+constexpr auto kCutStart = seconds(60);
+constexpr auto kCutEnd = seconds(120);
+
+struct crowd_options {
+  std::size_t members = 0;
+  std::string log_address;
+  std::uint16_t first_port = 22000;
+  std::size_t returning = 0;
+};
+
+// Datagrams that crossed the boundary of this process.
+struct traffic {
+  std::uint64_t from_daemon = 0;
+  std::uint64_t to_daemon = 0;
+};
+
+member_row RowOf(const crowd_options& options, std::size_t slot, std::uint64_t run) {
+  const std::string address = Concat("127.0.0.1:", options.first_port + static_cast<int>(slot));
+  const std::size_t zone = slot % kZones;
+  member_row row;
+  row.id.value = 0x9E3779B97F4A7C15ULL * (slot + 1);
+  row.run.value = run;
+  row.service = Concat("service-", slot % kServices);
+  row.region = zone < kZones / 2 ? "north" : "south";
+  row.availability_zone = Concat(row.region, "-", zone % 3);
+  row.peer_address = address;
+  row.membership_address = address;
+  row.callers_address = address;
+  row.admin_address = address;
+  return row;
+}
+
+// The fake members learn of each other from `joins`, and of the real daemon by gossip.
+class fake_member : public datagram_port, public log_port {
+ public:
+  fake_member(boost::asio::io_service& loop, const crowd_options& options, std::size_t slot,
+              std::uint64_t run, traffic& counters)
+      : options_(options),
+        counters_(counters),
+        socket_(loop, udp::endpoint(boost::asio::ip::address_v4::loopback(),
+                                    static_cast<std::uint16_t>(options.first_port + slot))),
+        budget_(2000, duration(0)),
+        system_(RowOf(options, slot, run), {}, *this, *this, budget_, slot + 1,
+                MonotonicNow()) {}
+
+  void Start(const log_read& joins) {
+    system_.OnLogRead(joins, MonotonicNow());
+    Receive();
+  }
+
+  void Tick(time_point now) {
+    system_.Tick(now);
+    system_.TakeEvents();
+  }
+  // A member that is cut off goes on without datagrams.
+  void SetCut(bool cut) { cut_ = cut; }
+
+  void SendDatagram(std::string_view address, std::string_view payload) override {
+    if (cut_) return;
+    const auto port = static_cast<std::uint16_t>(
+        std::atoi(std::string(address.substr(address.find(':') + 1)).c_str()));
+    if (!IsFake(port)) counters_.to_daemon += payload.size() + kHeaderBytes;
+    boost::system::error_code ignored;
+    socket_.send_to(boost::asio::buffer(payload.data(), payload.size()),
+                    udp::endpoint(boost::asio::ip::address_v4::loopback(), port), 0, ignored);
+  }
+  void Append(std::string_view /*stream*/, std::string_view /*data*/,
+              std::uint64_t /*token*/) override {}
+  void Read(std::string_view /*stream*/, std::int64_t /*from*/) override {}
+
+  std::size_t known() const { return system_.members().size(); }
+
+ private:
+  bool IsFake(std::uint16_t port) const {
+    return port >= options_.first_port && port < options_.first_port + options_.members;
+  }
+  void Receive() {
+    socket_.async_receive_from(
+        boost::asio::buffer(data_), from_,
+        [this](const boost::system::error_code& error, std::size_t size) {
+          if (error == boost::asio::error::operation_aborted) return;
+          if (!error && !cut_) {
+            if (!IsFake(from_.port())) counters_.from_daemon += size + kHeaderBytes;
+            system_.OnDatagram(Concat("127.0.0.1:", from_.port()), {data_.data(), size},
+                               MonotonicNow());
+          }
+          Receive();
+        });
+  }
+
+  const crowd_options& options_;
+  traffic& counters_;
+  udp::socket socket_;
+  udp::endpoint from_;
+  std::array<char, 2048> data_{};
+  bool cut_ = false;
+  budget_account budget_;
+  membership_system system_;
+};
+
+class crowd {
+ public:
+  crowd(boost::asio::io_service& loop, crowd_options options)
+      : options_(std::move(options)), timer_(loop), started_(MonotonicNow()) {
+    const auto run =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                       std::chrono::system_clock::now().time_since_epoch())
+                                       .count());
+    log_client log(options_.log_address, seconds(5));
+    log_read joins;
+    joins.stream = "members";
+    joins.retention_ms = 3'600'000;
+    grpc::ServerBuilder builder;
+    for (std::size_t slot = 0; slot < options_.members; ++slot) {
+      member_update update;
+      update.row = RowOf(options_, slot, run);
+      update.has_details = true;
+      update.details_version = 1;
+      joins.records.push_back({.offset = static_cast<std::int64_t>(slot),
+                               .age_ms = 0,
+                               .data = EncodeMemberLogRecord(update)});
+      builder.AddListeningPort(update.row.peer_address, grpc::InsecureServerCredentials());
+      members_.push_back(std::make_unique<fake_member>(loop, options_, slot, run, counters_));
+    }
+    builder.RegisterCallbackGenericService(&service_);
+    server_ = builder.BuildAndStart();
+    joins.next = static_cast<std::int64_t>(options_.members);
+    for (const auto& member : members_) member->Start(joins);
+    for (const log_record& record : joins.records) {
+      if (!log.Append("members", record.data).get().ok()) {
+        std::fprintf(stderr, "the log refused a join\n");
+        std::exit(1);
+      }
+    }
+    Tick();
+  }
+
+ private:
+  void Tick() {
+    const time_point now = MonotonicNow();
+    const auto age = now - started_;
+    const bool cut = age >= kCutStart && age < kCutEnd;
+    for (std::size_t slot = 0; slot < members_.size(); ++slot) {
+      if (slot < options_.returning) members_[slot]->SetCut(cut);
+      members_[slot]->Tick(now);
+    }
+    if (now >= next_line_) {
+      std::printf("%lld s: daemon sent %llu got %llu bytes, last member knows %zu\n",
+                  static_cast<long long>(std::chrono::duration_cast<seconds>(age).count()),
+                  static_cast<unsigned long long>(counters_.from_daemon),
+                  static_cast<unsigned long long>(counters_.to_daemon),
+                  members_.back()->known());
+      std::fflush(stdout);
+      next_line_ = now + seconds(1);
+    }
+    timer_.expires_after(milliseconds(10));
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) Tick();
+    });
+  }
+
+  crowd_options options_;
+  boost::asio::steady_timer timer_;
+  time_point started_;
+  time_point next_line_{};
+  traffic counters_;
+  std::vector<std::unique_ptr<fake_member>> members_;
+  grpc::CallbackGenericService service_;
+  std::unique_ptr<grpc::Server> server_;
+};
+
+}  // namespace
+}  // namespace bronzeroute
+
+int main(int argc, char** argv) {
+  if (argc < 3) {
+    std::fprintf(stderr, "usage: member_crowd MEMBERS LOG_ADDRESS [FIRST_PORT] [RETURNING]\n");
+    return 2;
+  }
+  bronzeroute::crowd_options options;
+  options.members = static_cast<std::size_t>(std::atoi(argv[1]));
+  options.log_address = argv[2];
+  if (argc > 3) options.first_port = static_cast<std::uint16_t>(std::atoi(argv[3]));
+  if (argc > 4) options.returning = static_cast<std::size_t>(std::atoi(argv[4]));
+  boost::asio::io_service loop;
+  const bronzeroute::crowd fakes(loop, options);
+  loop.run();
+  return 0;
+}
--- a/standins/log/log_service.cc
+++ b/standins/log/log_service.cc
@@ -135,7 +135,10 @@
   reply["now_ms"] = web::json::value::number(UnixMs());
   reply["retention_ms"] = web::json::value::number(faults_.retention_ms);
   reply["records"] = web::json::value::array(std::move(records));
-  read.request.reply(status_codes::OK, reply);
+  const std::string body = reply.serialize();
+  ++total_reads_;
+  read_bytes_ += static_cast<std::int64_t>(body.size());
+  read.request.reply(status_codes::OK, body, "application/json");
 }
 
 void log_service::AnswerWaiting() {
@@ -171,6 +174,8 @@
       number("appends_per_second", faults_.appends_per_second);
       web::json::value reply;
       reply["total_appends"] = web::json::value::number(store_.total_appends());
+      reply["total_reads"] = web::json::value::number(total_reads_);
+      reply["read_bytes"] = web::json::value::number(read_bytes_);
       request.reply(status_codes::OK, reply);
     } catch (const std::exception& error) {
       request.reply(status_codes::BadRequest, error.what());
--- a/standins/log/log_service.h
+++ b/standins/log/log_service.h
@@ -41,6 +41,9 @@
   log_faults faults_;
   log_store store_;
   std::list<waiting_read> waiting_;
+  /// Reads answered so far, and the bytes of their bodies.
+  std::int64_t total_reads_ = 0;
+  std::int64_t read_bytes_ = 0;
 };
 
 }  // namespace bronzeroute::standin
--- /dev/null
+++ b/tools/bench_capacity.py
@@ -0,0 +1,456 @@
+#!/usr/bin/env python3
+"""Measures what docs/CAPACITY.md extrapolates from, on real processes on loopback.
+
+Usage: tools/bench_capacity.py [--build DIR] [--json FILE] COMMAND
+  sizes N...   N daemons without load, each with a stand-in worker: processor time, memory,
+               file descriptors, control bytes, appends and reads at the log, and the time
+               until a published document is in effect on all daemons
+  crowd N...   one daemon among N fake members of bench/member_crowd, the same columns
+  calls R...   processor time per call of an entry and an owner at R calls/s
+  memory       memory per open call, queued call and key row
+
+Processor time is user + system time of the process (/proc/PID/stat). Membership bytes are the
+daemons' own count of bytes sent (payload + 28 for each datagram). Log bytes are the TCP payload
+of each daemon's connections to the log (ss -ti). Every process started here is ended by its id.
+"""
+
+import argparse
+import http.client
+import json
+import os
+import re
+import signal
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from datetime import datetime, timezone
+
+HZ = os.sysconf("SC_CLK_TCK")
+PORTS_PER_DAEMON = 5
+SERVICES = 43
+ROUTES = 10
+ZONES = [("north", "north-a"), ("north", "north-b"), ("north", "north-c"),
+         ("south", "south-a"), ("south", "south-b"), ("south", "south-c")]
+
+
+def document(mark=0, services=None, slots=64, queue_limit=24, deadline_ms=2000):
+    names = services or [f"service-{index:02}" for index in range(SERVICES)]
+    lines = ["format = 1", f'name = "capacity-{mark}"', "[measuring]",
+             "bytes_per_second = 2000", "upstream_ms_per_second = 12"]
+    for name in names:
+        lines += ["[[service]]", f'name = "{name}"', f"deadline_ms = {deadline_ms}",
+                  f"slots = {slots}", "connections = 5000", f"queue_limit = {queue_limit}",
+                  "long_share = 0.3", "warmup_ms = 1", "objective = 0.999",
+                  "objective_latency_ms = 200"]
+        for route in range(ROUTES):
+            lines += ["[[service.route]]", 'method = "POST"',
+                      f'prefix = "/{name}/route-{route}"', 'class = "short"',
+                      f"protected = {'true' if route == 0 else 'false'}",
+                      f"deadline_ms = {deadline_ms}"]
+    return "\n".join(lines) + "\n"
+
+
+def ask(port, method, path, body=None):
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=20)
+    try:
+        connection.request(method, path, body, {"Content-Type": "application/json"})
+        return connection.getresponse().read()
+    finally:
+        connection.close()
+
+
+def cpu_seconds(pid):
+    with open(f"/proc/{pid}/stat", encoding="ascii") as stat:
+        fields = stat.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / HZ
+
+
+def rss_kb(pid):
+    with open(f"/proc/{pid}/status", encoding="ascii") as status:
+        return int(re.search(r"VmRSS:\s+(\d+)", status.read()).group(1))
+
+
+def descriptors(pid):
+    return len(os.listdir(f"/proc/{pid}/fd"))
+
+
+def median(values):
+    return round(statistics.median(values), 3)
+
+
+class Deployment:
+    """A log and daemons with workers, as processes of this one."""
+
+    def __init__(self, options):
+        self.bin = os.path.join(options.build, "bin")
+        self.log_port = options.first_port
+        self.first_port = options.first_port + 10
+        self.crowd_port = options.first_port + 1000
+        self.work = tempfile.mkdtemp(prefix="bronzeroute-capacity-")
+        self.processes = []
+        self.daemons = []
+        self.workers = []
+        self.services = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        # The log ends last, so that every daemon can append its leave record.
+        for process in reversed(self.processes):
+            if process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+                if process is self.processes[0]:
+                    break
+        deadline = time.monotonic() + 15
+        for process in self.processes:
+            try:
+                process.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        subprocess.run(["rm", "-r", self.work], check=False)
+
+    def start(self, name, *arguments):
+        with open(os.path.join(self.work, name + ".out"), "wb") as out:
+            process = subprocess.Popen([os.path.join(self.bin, name.split("-")[0]), *arguments],
+                                       stdout=out, stderr=subprocess.STDOUT)
+        self.processes.append(process)
+        return process
+
+    def start_log(self):
+        self.start("brstandin_log", "--listen", self.log_address(),
+                   "--appends-per-second", "100000")
+        wait_for_port(self.log_port)
+
+    def log_address(self):
+        return f"127.0.0.1:{self.log_port}"
+
+    def port(self, index, offset=0):
+        return self.first_port + index * PORTS_PER_DAEMON + offset
+
+    def start_daemon(self, index, service, slots=64):
+        region, zone = ZONES[index % len(ZONES)]
+        path = os.path.join(self.work, f"{index}.toml")
+        with open(path, "w", encoding="ascii") as settings:
+            settings.write(
+                f'environment = "production"\nregion = "{region}"\n'
+                f'availability_zone = "{zone}"\n[addresses]\n'
+                f'callers = "127.0.0.1:{self.port(index)}"\n'
+                f'peers = "127.0.0.1:{self.port(index, 1)}"\n'
+                f'membership = "127.0.0.1:{self.port(index, 2)}"\n'
+                f'admin = "127.0.0.1:{self.port(index, 3)}"\n'
+                f'[log]\naddress = "127.0.0.1:{self.log_port}"\n')
+        self.daemons.append(self.start(f"bronzerouted-{index}", "--settings", path))
+        self.services.append(service)
+        self.workers.append(self.start(
+            f"brstandin_worker-{index}", "--listen", f"127.0.0.1:{self.port(index, 4)}",
+            "--daemon", f"127.0.0.1:{self.port(index, 3)}", "--service", service, "--slots",
+            str(slots), "--connections", "5000"))
+
+    def control(self, *arguments):
+        return subprocess.run([os.path.join(self.bin, "brctl"), "--log",
+                               self.log_address(), *arguments],
+                              check=True, capture_output=True, text=True).stdout
+
+    def publish(self, text):
+        path = os.path.join(self.work, "document.toml")
+        with open(path, "w", encoding="ascii") as out:
+            out.write(text)
+        self.control("publish", path)
+        return int(re.search(r"accepted as version (\d+)", self.control("promote")).group(1))
+
+    def wait(self, members, timeout=90):
+        admins = []
+        for index in range(len(self.daemons)):
+            admins += ["--admin", f"127.0.0.1:{self.port(index, 3)}"]
+        self.control("wait", *admins, "--members", str(members), "--timeout", str(timeout))
+
+    def log_counters(self):
+        return json.loads(ask(self.log_port, "PUT", "/v1/faults", "{}"))
+
+    def membership_bytes(self, index):
+        text = ask(self.port(index, 3), "GET", "/.bronzeroute/v1/metrics").decode()
+        rows = re.findall(
+            r'measuring_bytes_total\{purpose="membership_\w+",[^}]*\} (\S+)', text)
+        return sum(float(row) for row in rows)
+
+    def log_bytes(self):
+        """Bytes sent and received by each daemon over its open connections to the log."""
+        lines = subprocess.run(["ss", "-tinpH", "dst", self.log_address()],
+                               check=True, capture_output=True, text=True).stdout
+        totals = {process.pid: [0, 0] for process in self.daemons}
+        for row in re.split(r"\n(?=\S)", lines):
+            pid = re.search(r"pid=(\d+)", row)
+            if pid is None or int(pid.group(1)) not in totals:
+                continue
+            for column, name in enumerate(("bytes_sent", "bytes_received")):
+                count = re.search(name + r":(\d+)", row)
+                totals[int(pid.group(1))][column] += int(count.group(1)) if count else 0
+        return totals
+
+    def effect_times(self, version):
+        """Seconds from the append of `version` until each daemon logged it as in effect."""
+        reply = json.loads(ask(self.log_port, "GET", "/v1/streams/config.production/records?from="
+                               f"{version}&limit=1"))
+        published = reply["records"][0]["at_ms"] / 1000
+        line = re.compile(r"^(\S+ \S+) .*config: version %d is in effect" % version, re.M)
+        deadline = time.monotonic() + 30
+        times = []
+        for index in range(len(self.daemons)):
+            path = os.path.join(self.work, f"bronzerouted-{index}.out")
+            while True:
+                with open(path, encoding="utf-8") as text:
+                    found = line.search(text.read())
+                if found or time.monotonic() > deadline:
+                    break
+                time.sleep(0.05)
+            if not found:
+                times.append(float("inf"))
+                continue
+            at = datetime.strptime(found.group(1), "%Y-%m-%d %H:%M:%S,%f")
+            times.append(at.replace(tzinfo=timezone.utc).timestamp() - published)
+        return times
+
+
+def wait_for_port(port):
+    deadline = time.monotonic() + 10
+    while time.monotonic() < deadline:
+        with socket.socket() as probe:
+            if probe.connect_ex(("127.0.0.1", port)) == 0:
+                return
+        time.sleep(0.02)
+    raise RuntimeError(f"nothing listens on port {port}")
+
+
+def idle_reading(deployment, seconds):
+    """Means per daemon over `seconds`."""
+    daemons = deployment.daemons
+
+    def snapshot():
+        return (time.monotonic(), [cpu_seconds(each.pid) for each in daemons],
+                deployment.log_counters(),
+                [deployment.membership_bytes(index) for index in range(len(daemons))],
+                deployment.log_bytes())
+
+    before = snapshot()
+    time.sleep(seconds)
+    after = snapshot()
+    span = after[0] - before[0]
+    count = len(daemons)
+    log = {key: (after[2][key] - before[2][key]) / span for key in after[2]}
+    sent, received = [[(after[4][each.pid][column] - before[4][each.pid][column]) / span
+                       for each in daemons] for column in (0, 1)]
+    return {
+        "seconds": round(span, 1),
+        "core_percent_median": median([100 * (b - a) / span
+                                       for a, b in zip(before[1], after[1])]),
+        "core_percent_worst": round(max(100 * (b - a) / span
+                                        for a, b in zip(before[1], after[1])), 2),
+        "rss_mb_median": round(median([rss_kb(each.pid) for each in daemons]) / 1024, 1),
+        "descriptors_median": median([descriptors(each.pid) for each in daemons]),
+        "membership_sent_bps": round(sum(after[3][i] - before[3][i]
+                                         for i in range(count)) / count / span, 1),
+        "log_sent_bps": median(sent),
+        "log_received_bps": median(received),
+        "log_reads_per_s": round(log["total_reads"], 2),
+        "log_appends_per_s": round(log["total_appends"], 3),
+        "log_read_body_bps": round(log["read_bytes"], 1),
+    }
+
+
+def publications(deployment, count):
+    times = []
+    for mark in range(1, count + 1):
+        times += deployment.effect_times(deployment.publish(document(mark)))
+        time.sleep(0.5)
+    return {"publications": count, "effect_s_median": median(times),
+            "effect_s_worst": round(max(times), 3)}
+
+
+def start_reading(deployment, before, started):
+    after = deployment.log_counters()
+    return {"start_s": round(time.monotonic() - started, 1),
+            "start_appends": after["total_appends"] - before["total_appends"],
+            "start_reads": after["total_reads"] - before["total_reads"],
+            "start_read_bytes": after["read_bytes"] - before["read_bytes"]}
+
+
+def run_size(options, count):
+    with Deployment(options) as deployment:
+        deployment.start_log()
+        deployment.publish(document())
+        before = deployment.log_counters()
+        started = time.monotonic()
+        for index in range(count):
+            deployment.start_daemon(index, f"service-{index % SERVICES:02}")
+        deployment.wait(count)
+        result = {"daemons": count, **start_reading(deployment, before, started)}
+        time.sleep(10)
+        result.update(idle_reading(deployment, options.seconds))
+        result.update(publications(deployment, options.publications))
+        return result
+
+
+def run_crowd(options, count):
+    with Deployment(options) as deployment:
+        deployment.start_log()
+        deployment.publish(document())
+        deployment.start("member_crowd", str(count - 1), deployment.log_address(),
+                         str(deployment.crowd_port))
+        deadline = time.monotonic() + 60
+        while deployment.log_counters()["total_appends"] < count + 1:
+            if time.monotonic() > deadline:
+                raise RuntimeError("the crowd did not join")
+            time.sleep(0.1)
+        before = deployment.log_counters()
+        started = time.monotonic()
+        deployment.start_daemon(0, "service-00")
+        deployment.wait(count)
+        result = {"members": count, **start_reading(deployment, before, started)}
+        time.sleep(15)
+        result.update(idle_reading(deployment, options.seconds))
+        # The crowd prints the datagram bytes that all fake members sent to and got from others
+        # outside of the process.
+        with open(os.path.join(deployment.work, "member_crowd.out"), encoding="ascii") as out:
+            result["crowd"] = out.read().strip().splitlines()[-1:]
+        return result
+
+
+def pair(deployment, slots=64, queue_limit=24, deadline_ms=60000):
+    """Daemon 0 has a worker of service `near`, daemon 1, in another zone, of `far`."""
+    deployment.start_log()
+    deployment.publish(document(services=["near", "far"], slots=slots, queue_limit=queue_limit,
+                                deadline_ms=deadline_ms))
+    deployment.start_daemon(0, "near", slots)
+    deployment.start_daemon(1, "far", slots)
+    deployment.wait(2)
+
+
+def run_calls(options, rate):
+    result = {"calls_per_s": rate}
+    with Deployment(options) as deployment:
+        pair(deployment)
+        time.sleep(3)
+        idle = [cpu_seconds(each.pid) for each in deployment.daemons]
+        time.sleep(5)
+        idle = [(cpu_seconds(each.pid) - was) / 5
+                for each, was in zip(deployment.daemons, idle)]
+        for name, target in (("own", 0), ("hop", 1)):
+            for turn in range(options.turns):
+                before = [cpu_seconds(each.pid) for each in deployment.daemons]
+                started = time.monotonic()
+                load = subprocess.run(
+                    [os.path.join(deployment.bin, "brload"), "--target",
+                     f"127.0.0.1:{deployment.port(target)}", "--short-path",
+                     "/near/x?work_us=1000", "--short", str(rate), "--duration",
+                     str(options.seconds), "--seed", str(turn + 1), "--json"],
+                    check=True, capture_output=True, text=True)
+                span = time.monotonic() - started
+                outcomes = json.loads(load.stdout)["short"]["outcomes"]
+                calls = sum(outcomes.values())
+                per_call = [round(1e6 * (cpu_seconds(each.pid) - was - rest * span) / calls)
+                            for each, was, rest in zip(deployment.daemons, before, idle)]
+                row = result.setdefault(name, {"owner_us": [], "entry_us": [], "outcomes": []})
+                row["owner_us"].append(per_call[0])
+                if target == 1:
+                    row["entry_us"].append(per_call[1])
+                row["outcomes"].append(outcomes)
+    return result
+
+
+def open_calls(port, path, count, headers=""):
+    """Sends `count` requests over connections of their own and leaves them open."""
+    sockets = []
+    for number in range(count):
+        connection = socket.create_connection(("127.0.0.1", port))
+        connection.sendall((f"POST {path} HTTP/1.1\r\nHost: capacity\r\nContent-Length: 0\r\n"
+                            + headers.format(number=number) + "\r\n").encode())
+        sockets.append(connection)
+        time.sleep(0.002)
+    return sockets
+
+
+def run_memory(options):
+    result = {}
+
+    def sizes(deployment):
+        return [rss_kb(each.pid) for each in deployment.daemons]
+
+    for name, slots in (("open", 2000), ("queued", 1)):
+        with Deployment(options) as deployment:
+            pair(deployment, slots=slots, queue_limit=2000, deadline_ms=300000)
+            # Both ways and all code are warm before the first reading.
+            warm = open_calls(deployment.port(1), "/near/x?work_us=1000", 20)
+            time.sleep(1)
+            before = sizes(deployment)
+            rows = []
+            sockets = warm
+            for step in range(4):
+                work = 60_000_000
+                sockets += open_calls(deployment.port(1), f"/near/x?work_us={work}", 200)
+                time.sleep(1.5)
+                status = json.loads(ask(deployment.port(0, 3), "GET",
+                                        "/.bronzeroute/v1/status"))
+                rows.append({"calls": 200 * (step + 1), "running": status["running"],
+                             "queued": status["queued"],
+                             "owner_kb": sizes(deployment)[0] - before[0],
+                             "entry_kb": sizes(deployment)[1] - before[1]})
+            result[name] = rows
+            for connection in sockets:
+                connection.close()
+    with Deployment(options) as deployment:
+        pair(deployment, slots=64)
+        rows = []
+
+        def load(path, keys, seed):
+            subprocess.run([os.path.join(deployment.bin, "brload"), "--target",
+                            f"127.0.0.1:{deployment.port(0)}", "--protected-path", path,
+                            "--short", "0", "--protected", "300", "--duration", "10", "--keys",
+                            keys, "--seed", str(seed)], check=True, capture_output=True)
+            return sizes(deployment)[0]
+
+        load("/near/route-1?work_us=500", "none", 1)
+        base = load("/near/route-1?work_us=500", "none", 2)
+        for turn in range(3):
+            rows.append({"calls": 3000 * (turn + 1), "without_keys_kb":
+                         load("/near/route-1?work_us=500", "none", 3 + turn) - base})
+        base = sizes(deployment)[0]
+        for turn in range(3):
+            rows.append({"calls": 3000 * (turn + 1), "with_keys_kb":
+                         load("/near/route-0?work_us=500", "own", 6 + turn) - base})
+        result["keys"] = rows
+    return result
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--json", help="file to which each result is appended as a line")
+    parser.add_argument("--seconds", type=int, default=20, help="length of each reading")
+    parser.add_argument("--first-port", type=int, default=20990, help="about 1600 are used")
+    parser.add_argument("--publications", type=int, default=8)
+    parser.add_argument("--turns", type=int, default=3)
+    parser.add_argument("command", choices=["sizes", "crowd", "calls", "memory"])
+    parser.add_argument("numbers", nargs="*", type=int)
+    options = parser.parse_args()
+    one = {"sizes": run_size, "crowd": run_crowd, "calls": run_calls}
+    if options.command == "memory":
+        results = [run_memory(options)]
+    else:
+        results = (one[options.command](options, number) for number in options.numbers)
+    for result in results:
+        line = json.dumps({"command": options.command, **result})
+        print(line, flush=True)
+        if options.json:
+            with open(options.json, "a", encoding="ascii") as out:
+                out.write(line + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
