--- a/tests/routing/routing_system_test.cc
+++ b/tests/routing/routing_system_test.cc
@@ -280,6 +280,8 @@
   product_harness set({Member(1), Member(2), Member(3), Member(4), Member(5)});
   for (std::uint64_t id = 1; id <= 5; ++id) set.Fail(id, 8, At({}));
   EXPECT_THAT(set.Picks(200), ElementsAre(3, 4, 5));
+  EXPECT_EQ(set.system_.StateOf(member_id{2}, At({})), ejection_state::kEjected);
+  EXPECT_EQ(set.system_.StateOf(member_id{3}, At({})), ejection_state::kClear);
   set.members_.resize(3);  // Members leave: of three, only one may stay ejected.
   set.Announce(At({}));
   EXPECT_THAT(set.Picks(200), ElementsAre(2, 3));
@@ -293,6 +295,7 @@
   pair.Report(1, hint);
   pair.Report(2, Hint(1, 8));
   EXPECT_THAT(pair.Picks(20), ElementsAre(2));
+  EXPECT_EQ(pair.system_.StateOf(member_id{1}, At({})), ejection_state::kEjected);
   pair.Report(1, Hint(2, 0));
   EXPECT_THAT(pair.Picks(20), ElementsAre(1));
 }
