--- /dev/null
+++ b/src/calls/call_log.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "src/calls/call_log_row.h"
+
+namespace bronzeroute {
+
+/// The last calls that ended at this entry, for `explain`.
+class call_log {
+ public:
+  static constexpr std::size_t kDefaultCapacity = 4096;
+
+  explicit call_log(std::size_t capacity = kDefaultCapacity) : capacity_(capacity) {}
+
+  using observer = std::function<void(const call_log_row&)>;
+  /// `on_end` sees every call once, when it ends.
+  void SetObserver(observer on_end) { on_end_ = std::move(on_end); }
+
+  void Add(call_log_row row);
+  /// Null if the call is unknown, still open, or too old.
+  const call_log_row* Find(const call_id& id) const;
+  std::size_t size() const { return rows_.size(); }
+
+ private:
+  std::size_t capacity_;
+  observer on_end_;
+  std::size_t next_ = 0;
+  std::vector<call_log_row> rows_;
+  absl::flat_hash_map<call_id, std::size_t> index_;
+};
+
+/// Short sentences for an operator, one a line: where the call went, why, and how it ended.
+std::string ExplainCall(const call_log_row& row);
+
+}  // namespace bronzeroute
