Adopt a raised run, forget a gone upstream, explain choices

Cause: membership raises the number of this process's run when the wall clock went back over a restart. The entry, the owner and the key table kept the old number, so that peers' attempts were refused with wrong_incarnation until the next restart. Admission also kept an upstream whose announcements had stopped: its slots looked free, so calls and new keys went to it. explain had neither candidates nor scores.

Ruled out: changing the key clock with the run. A previous run whose clock was ahead would then expire every key issued by others; UnixMs goes on as before instead.

Change: RaiseRun in entry, owner and key table. Attempts that wait under the old number are refused, not run. Admission refuses with draining while no upstream is there, and a replaced upstream starts cold.

A clock more than a minute behind its peers still makes their keys for this home key_expired (unknown).

--- a/src/calls/call_log.cc
+++ b/src/calls/call_log.cc
@@ -48,11 +48,20 @@
   for (const call_log_row::attempt& attempt : row.attempts) {
     const error_answer& answer = AnswerFor(attempt.result);
     absl::StrAppendFormat(
-        &text, "call: attempt %d after %.1f ms to member %016x run %x (%s), %.1f ms: %s\n",
-        ++number, Milliseconds(attempt.sent - row.received), attempt.target.id.value,
+        &text,
+        "call: attempt %d after %.1f ms to member %016x run %x (%s), %.1f ms: ", ++number,
+        Milliseconds(attempt.sent - row.received), attempt.target.id.value,
         attempt.target.run.value, TargetReasonText(attempt.reason),
-        Milliseconds(attempt.ended - attempt.sent),
-        attempt.result == error_kind::kNone ? std::string_view("answered") : answer.name);
+        Milliseconds(attempt.ended - attempt.sent));
+    if (attempt.result == error_kind::kNone) {
+      text += "answered\n";
+    } else {
+      absl::StrAppendFormat(&text, "%s (%s)\n", answer.name, answer.text);
+    }
+    text += attempt.choice.ToText(row.service);
+  }
+  if (!row.failed_choice.empty()) {
+    text += "call: no further attempt was possible\n" + row.failed_choice.ToText(row.service);
   }
   const error_answer& result = AnswerFor(row.result);
   if (row.caller_left) {
--- a/src/calls/call_log_row.h
+++ b/src/calls/call_log_row.h
@@ -9,6 +9,7 @@
 #include "src/base/time.h"
 #include "src/calls/member_target.h"
 #include "src/calls/target_reason.h"
+#include "src/routing/choice_summary.h"
 
 namespace bronzeroute {
 
@@ -22,6 +23,8 @@
     time_point ended{};
     /// kNone if a response was passed on.
     error_kind result = error_kind::kNone;
+    /// The candidates and their scores; empty if the choice module was not asked.
+    choice_summary choice{};
   };
 
   call_id id;
@@ -36,6 +39,8 @@
   time_point deadline{};
   time_point ended{};
   std::vector<attempt> attempts;
+  /// The last choice, if it found no member.
+  choice_summary failed_choice{};
   /// What the caller was told; kNone for a complete response.
   error_kind result = error_kind::kNone;
   /// True if the caller left before the end; `result` is then kCancelled.
--- a/src/calls/entry_system.h
+++ b/src/calls/entry_system.h
@@ -69,6 +69,9 @@
   /// A new key for `service`, or the reason why there is none.
   std::variant<std::string, error_kind> IssueKey(std::string_view service, time_point now);
 
+  /// The number of this run was raised. Open calls keep their identity.
+  void RaiseRun(incarnation to) { self_.RaiseRun(to); }
+
   bool IsIdle() const { return calls_.empty(); }
   std::size_t open_calls() const { return calls_.size(); }
   std::size_t open_attempts() const { return attempts_.size(); }
@@ -102,10 +105,11 @@
   struct chosen_target {
     member_target target;
     target_reason reason = target_reason::kChosen;
+    choice_summary choice{};
   };
 
   error_kind Classify(const caller_request& request, time_point now, call_row& row);
-  std::variant<chosen_target, error_kind> PickTarget(const call_row& row, time_point now);
+  std::variant<chosen_target, error_kind> PickTarget(call_row& row, time_point now);
   void StartAttempt(std::uint64_t sequence, time_point now);
   void RetryAfterRefusal(std::uint64_t sequence, error_kind kind, time_point now);
   void EndAfterLoss(std::uint64_t sequence, time_point now);
--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -104,7 +104,7 @@
 }
 
 template <typename Rules>
-auto basic_entry_system<Rules>::PickTarget(const call_row& row, time_point now)
+auto basic_entry_system<Rules>::PickTarget(call_row& row, time_point now)
     -> std::variant<chosen_target, error_kind> {
   const std::string& service = row.log.service;
   if (!row.key.empty()) {
@@ -114,23 +114,28 @@
         return member.id == issued->home.id && member.run == issued->home.run;
       });
       if (!is_live) return error_kind::kKeyHomeLost;
-      return chosen_target{issued->home, target_reason::kKeyHome};
+      return chosen_target{issued->home, target_reason::kKeyHome, {}};
     }
     const auto home = HomeOfOwnKey(row.key, members);
     if (!home) return error_kind::kNoUpstream;
-    return chosen_target{*home, target_reason::kKeyHome};
+    return chosen_target{*home, target_reason::kKeyHome, {}};
   }
   if (std::ranges::find(row.excluded, self_.id) == row.excluded.end() &&
       local_.HasFreeSlot(service, row.log.is_long, now)) {
-    return chosen_target{{self_.id, self_.run}, target_reason::kOwnUpstreamFree};
+    return chosen_target{{self_.id, self_.run}, target_reason::kOwnUpstreamFree, {}};
   }
   const choice_request request{.is_protected = row.log.is_protected,
                                .is_long = row.log.is_long,
                                .content_length = row.content_length,
                                .deadline = row.log.deadline};
   const auto chosen = chooser_.Choose(service, request, row.excluded, now);
-  if (!chosen) return error_kind::kNoUpstream;
-  return chosen_target{*chosen, target_reason::kChosen};
+  choice_summary choice;
+  if (const choice_explanation* last = chooser_.LastChoice()) choice = choice_summary(*last);
+  if (!chosen) {
+    row.log.failed_choice = std::move(choice);
+    return error_kind::kNoUpstream;
+  }
+  return chosen_target{*chosen, target_reason::kChosen, std::move(choice)};
 }
 
 template <typename Rules>
@@ -146,14 +151,14 @@
       EndWithError(sequence, kind, 0, false, now);
       return;
     }
-    const auto pick = PickTarget(row, now);
+    auto pick = PickTarget(row, now);
     if (const error_kind* reason = std::get_if<error_kind>(&pick)) {
       const error_kind kind =
           row.last_refusal == error_kind::kNone ? *reason : row.last_refusal;
       EndWithError(sequence, kind, 0, false, now);
       return;
     }
-    const chosen_target chosen = std::get<chosen_target>(pick);
+    chosen_target& chosen = std::get<chosen_target>(pick);
     const attempt_head head{.id = {row.log.id, ++row.last_attempt},
                             .target = chosen.target.id,
                             .target_incarnation = chosen.target.run,
@@ -170,8 +175,11 @@
                             .config_version = row.log.config_version};
     const bool is_local = chosen.target.id == self_.id && chosen.target.run == self_.run;
     row.open_attempt = head.id.number;
-    row.log.attempts.push_back(
-        {.target = chosen.target, .reason = chosen.reason, .sent = now, .ended = now});
+    row.log.attempts.push_back({.target = chosen.target,
+                                .reason = chosen.reason,
+                                .sent = now,
+                                .ended = now,
+                                .choice = std::move(chosen.choice)});
     attempts_[head.id] = attempt_row{.target = chosen.target, .is_local = is_local};
     const exchange_id exchange = row.exchange;
     if (is_local || peers_.SendAttempt(exchange, head)) {
@@ -199,8 +207,10 @@
 auto basic_entry_system<Rules>::FindOpen(const answer_identity& from, bool any_run)
     -> attempt_row* {
   const auto found = attempts_.find(from.attempt);
-  const bool matches = found != attempts_.end() && found->second.target.id == from.owner &&
-                       (any_run || found->second.target.run == from.owner_run);
+  // The owner in this process may report with a number raised since the attempt began.
+  const bool matches =
+      found != attempts_.end() && found->second.target.id == from.owner &&
+      (any_run || found->second.is_local || found->second.target.run == from.owner_run);
   if (matches) return &found->second;
   ++counters_.dropped_answers;
   return nullptr;
--- a/src/calls/key_table.h
+++ b/src/calls/key_table.h
@@ -33,6 +33,9 @@
   void End(const std::string& key, const attempt_id& attempt, key_state state, int status,
            time_point now);
 
+  /// Keys that name the earlier number of this run are refused as lost from now on; the rows
+  /// of callers' own keys stay.
+  void RaiseRun(incarnation to) { self_.RaiseRun(to); }
   /// Forgets rows whose time is over.
   void Tick(time_point now);
   std::size_t size() const { return rows_.size(); }
--- a/src/calls/owner_system.h
+++ b/src/calls/owner_system.h
@@ -68,6 +68,12 @@
   /// Enforces deadlines.
   void Tick(time_point now);
 
+  /// The number of this run was raised. Work that still waits under the earlier one is refused.
+  void RaiseRun(incarnation to) {
+    self_.RaiseRun(to);
+    keys_.RaiseRun(to);
+  }
+
   bool IsDraining() const { return drain_deadline_.has_value(); }
   bool IsIdle() const { return rows_.empty(); }
   std::size_t open_attempts() const { return rows_.size(); }
--- a/src/calls/self_identity.h
+++ b/src/calls/self_identity.h
@@ -12,7 +12,7 @@
 struct self_identity {
   member_id id;
   incarnation run;
-  /// Time of the start on the monotonic clock, at which `run` was the Unix time in ms.
+  /// Time on the monotonic clock at which `run` was the Unix time in ms.
   time_point started;
 
   /// Unix time in milliseconds, derived from the incarnation and the monotonic clock: it never
@@ -21,6 +21,13 @@
     return static_cast<std::int64_t>(run.value) +
            std::chrono::duration_cast<std::chrono::milliseconds>(now - started).count();
   }
+
+  /// Takes a later number for the same run. `UnixMs` goes on as before: `started` moves with
+  /// the number.
+  void RaiseRun(incarnation to) {
+    started += std::chrono::milliseconds(to.value - run.value);
+    run = to;
+  }
 };
 
 }  // namespace bronzeroute
--- a/src/calls/upstream_chooser.h
+++ b/src/calls/upstream_chooser.h
@@ -11,6 +11,7 @@
 
 namespace bronzeroute {
 
+struct choice_explanation;
 struct choice_request;
 struct load_hint;
 
@@ -26,6 +27,10 @@
                                               std::span<const member_id> excluded,
                                               time_point now) = 0;
 
+  /// How the last `Choose` came to its result, or null if that is not known. Valid until the
+  /// next call of `Choose`.
+  virtual const choice_explanation* LastChoice() const { return nullptr; }
+
   virtual void OnHint(member_target owner, const load_hint& hint, time_point now) = 0;
   virtual void OnAttemptSent(member_target owner, time_point now) = 0;
   /// Called once for every attempt that was sent.
--- a/src/node/admission_adapter.cc
+++ b/src/node/admission_adapter.cc
@@ -33,6 +33,10 @@
   system_.Configure(spec, upstream.slots, upstream.connections, now);
 }
 
+void admission_adapter::OnUpstreamReplaced(time_point now) {
+  if (!system_.draining()) system_.OnUpstreamReplaced(now);
+}
+
 bool admission_adapter::HasFreeSlot(std::string_view service, bool is_long, time_point now) {
   if (service != service_ || system_.draining()) {
     return false;
@@ -49,6 +53,10 @@
 admission_result admission_adapter::Offer(exchange_id exchange, const attempt_head& head,
                                           time_point now) {
   now_ = now;
+  if (service_.empty()) {
+    // Before the first announcement, and after the announcements stopped.
+    return {admission_result::state::kRefused, error_kind::kDraining};
+  }
   const offer_result offered = system_.Offer(exchange, head, now);
   admission_result result;
   switch (offered.state) {
--- a/src/node/admission_adapter.h
+++ b/src/node/admission_adapter.h
@@ -22,6 +22,12 @@
   void Configure(const service_spec& spec, const upstream_announcement& upstream,
                  time_point now);
 
+  /// The upstream is gone: nothing is offered to it until `Configure`. Running work ends.
+  void OnUpstreamGone() { service_.clear(); }
+  /// Another run of the upstream is there, which starts cold. A drain stays in force: peers
+  /// were told that this daemon takes no work until its end.
+  void OnUpstreamReplaced(time_point now);
+
   void SetListener(admission_listener* listener) override { listener_ = listener; }
   bool HasFreeSlot(std::string_view service, bool is_long, time_point now) override;
   admission_result Offer(exchange_id exchange, const attempt_head& head,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -93,6 +93,11 @@
 
   /// Refuses new work for the upstream beside this process. Calls of callers go on.
   void Drain(time_point now) { owner_.Drain(now); }
+  /// The number of this run was raised above one seen.
+  void RaiseRun(incarnation to) {
+    entry_.RaiseRun(to);
+    owner_.RaiseRun(to);
+  }
   /// True if no call and no work is open, so that the process may exit.
   bool IsIdle() const { return entry_.IsIdle() && owner_.IsIdle(); }
   /// The owner goes first: its statements on queued work reach calls of this process before
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -216,8 +216,16 @@
   const upstream_announcement* upstream = membership_.upstream();
   const std::string address = upstream == nullptr ? "" : upstream->address;
   if (address != applied_address_) {
+    // The first address is that of an upstream that Configure() starts cold.
+    const bool is_replaced = !address.empty() && had_upstream_;
+    had_upstream_ = had_upstream_ || !address.empty();
     applied_address_ = address;
     links_.SetUpstream(address);
+    if (is_replaced) admission_.OnUpstreamReplaced(now);
+    if (address.empty()) {
+      admission_.OnUpstreamGone();
+      applied_service_.clear();
+    }
   }
   const auto current = configuration_.current();
   if (upstream == nullptr || current == nullptr) {
@@ -242,6 +250,11 @@
     return;
   }
   members_changed_ = false;
+  if (membership_.self().run > identity_.run) {
+    // The wall clock went back over a restart. Peers address the raised number from now on.
+    identity_.RaiseRun(membership_.self().run);
+    node_.RaiseRun(identity_.run);
+  }
   routing_.OnMembers(membership_.members(), membership_.self(), now);
   std::vector<member_id> alive;
   for (const member_row& row : membership_.members()) {
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -110,6 +110,7 @@
   /// Service and address of the upstream that admission and transport were told of.
   std::string applied_service_;
   std::string applied_address_;
+  bool had_upstream_ = false;
   std::uint32_t applied_slots_ = 0;
   std::uint32_t applied_connections_ = 0;
   /// Peers whose channels are open.
--- a/src/node/routing_adapter.cc
+++ b/src/node/routing_adapter.cc
@@ -34,6 +34,7 @@
                                                      std::span<const member_id> excluded,
                                                      time_point now) {
   chosen_trial_.reset();
+  last_choice_ = {};
   const std::shared_ptr<const document> current = configuration_.current();
   const service_spec* spec = current == nullptr ? nullptr : current->FindService(service);
   if (spec == nullptr) {
--- a/src/node/routing_adapter.h
+++ b/src/node/routing_adapter.h
@@ -25,13 +25,12 @@
   std::optional<member_target> Choose(std::string_view service, const choice_request& request,
                                       std::span<const member_id> excluded,
                                       time_point now) override;
+  const choice_explanation* LastChoice() const override { return &last_choice_; }
   void OnHint(member_target owner, const load_hint& hint, time_point now) override;
   void OnAttemptSent(member_target owner, time_point now) override;
   void OnAttemptEnded(member_target owner, attempt_outcome outcome, time_point now) override;
 
   void OnMembers(std::span<const member_row> members, const member_row& self, time_point now);
-  /// The last choice as an operator can follow it.
-  const choice_explanation& last_choice() const { return last_choice_; }
 
  private:
   const configuration_system& configuration_;
--- /dev/null
+++ b/src/routing/choice_summary.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/base/strong_id.h"
+#include "src/routing/candidate_fate.h"
+#include "src/routing/choice_explanation.h"
+#include "src/routing/choice_reason.h"
+#include "src/routing/distance.h"
+
+namespace bronzeroute {
+
+/// A choice_explanation in bounded memory, kept for `explain`.
+class choice_summary {
+ public:
+  /// Rows kept of one choice: the chosen member, then those with the lowest scores, then the
+  /// rest. With 4096 logged calls of 3 attempts, 6 rows of 32 bytes are at most 2.4 MB.
+  static constexpr std::size_t kMaxRows = 6;
+
+  choice_summary() = default;
+  explicit choice_summary(const choice_explanation& from);
+
+  bool empty() const { return policy_.empty(); }
+  std::size_t size() const { return rows_.size(); }
+  /// The text of the explanation, and the number of members left out.
+  std::string ToText(std::string_view service) const;
+
+ private:
+  struct row {
+    member_id id;
+    distance where = distance::kSameZone;
+    candidate_fate fate = candidate_fate::kNotTaken;
+    /// Terms of the score in microseconds.
+    float round_trip = 0;
+    float billed_bytes = 0;
+    float wait = 0;
+    float failures = 0;
+  };
+
+  /// Name of the policy, a constant; empty if there was no choice.
+  std::string_view policy_;
+  choice_reason reason_ = choice_reason::kNoMembers;
+  std::uint32_t left_out_ = 0;
+  std::vector<row> rows_;
+};
+
+}  // namespace bronzeroute
