--- a/src/node/metered_peer_port.cc
+++ b/src/node/metered_peer_port.cc
@@ -12,15 +12,19 @@
 
 }  // namespace
 
-load_hint metered_peer_port::Charged(exchange_id exchange, const load_hint& hint) {
-  const auto row = distances_.find(exchange);
-  budget_charge charge;
-  charge.bytes = kHintBytes;
-  charge.purpose = charge_purpose::kLoadHint;
-  charge.where = row == distances_.end() ? distance::kSameZone : row->second;
-  if (row != distances_.end()) {
-    distances_.erase(row);
+load_hint metered_peer_port::Charged(exchange_id exchange, const load_hint& hint,
+                                     bool is_refusal) {
+  const auto row = entries_.find(exchange);
+  if (row == entries_.end()) {
+    return {};
   }
+  const entry_row to = row->second;
+  entries_.erase(row);
+  if (!pacer_.IsDue(to.entry, hint, is_refusal, now_)) {
+    return {};
+  }
+  const budget_charge charge{
+      .bytes = kHintBytes, .purpose = charge_purpose::kLoadHint, .where = to.where};
   return budget_.TryCharge(charge, now_) ? hint : load_hint{};
 }
 
@@ -43,7 +47,7 @@
 
 void metered_peer_port::RefuseAttempt(exchange_id exchange, error_kind kind,
                                       int recorded_status, const load_hint& hint) {
-  peers_.RefuseAttempt(exchange, kind, recorded_status, Charged(exchange, hint));
+  peers_.RefuseAttempt(exchange, kind, recorded_status, Charged(exchange, hint, true));
 }
 
 void metered_peer_port::RelayToEntry(exchange_id exchange, const attempt_id& attempt) {
@@ -52,7 +56,7 @@
 
 void metered_peer_port::FinishAttempt(exchange_id exchange, bool complete,
                                       const load_hint& hint) {
-  peers_.FinishAttempt(exchange, complete, Charged(exchange, hint));
+  peers_.FinishAttempt(exchange, complete, Charged(exchange, hint, false));
 }
 
 }  // namespace bronzeroute
--- a/src/node/metered_peer_port.h
+++ b/src/node/metered_peer_port.h
@@ -6,23 +6,26 @@
 #include "src/base/time.h"
 #include "src/calls/peer_port.h"
 #include "src/routing/distance.h"
+#include "src/routing/hint_pacer.h"
 
 namespace bronzeroute {
 
 class budget_account;
 
-/// Charges the load hints on responses to the measuring budget. A hint that the budget refuses
-/// is left out of its message; the message itself always goes.
+/// Spaces the load hints on responses and charges them to the measuring budget. A hint that is
+/// not due or that the budget refuses is left out of its message; the message always goes.
 class metered_peer_port final : public peer_port {
  public:
   /// Both must outlive the port.
   metered_peer_port(peer_port& peers, budget_account& budget)
       : peers_(peers), budget_(budget) {}
 
-  /// An attempt of an entry at `where` arrived; its response will carry a hint.
-  void OnPeerAttempt(exchange_id exchange, distance where) { distances_[exchange] = where; }
+  /// An attempt of `entry`, which is at `where`, arrived; its response may carry a hint.
+  void OnPeerAttempt(exchange_id exchange, member_id entry, distance where) {
+    entries_[exchange] = {entry, where};
+  }
   /// The attempt is over, however it ended.
-  void OnPeerGone(exchange_id exchange) { distances_.erase(exchange); }
+  void OnPeerGone(exchange_id exchange) { entries_.erase(exchange); }
   /// The time at which the next hints are charged.
   void SetTime(time_point now) { now_ = now; }
 
@@ -36,12 +39,19 @@
   void FinishAttempt(exchange_id exchange, bool complete, const load_hint& hint) override;
 
  private:
-  /// `hint`, or one without content if the budget is used up. Ends the row of `exchange`.
-  load_hint Charged(exchange_id exchange, const load_hint& hint);
+  struct entry_row {
+    member_id entry;
+    distance where = distance::kOtherRegion;
+  };
+
+  /// `hint`, or one without content if it is not due or the budget is used up. Ends the row of
+  /// `exchange`.
+  load_hint Charged(exchange_id exchange, const load_hint& hint, bool is_refusal);
 
   peer_port& peers_;
   budget_account& budget_;
-  absl::flat_hash_map<exchange_id, distance> distances_;
+  absl::flat_hash_map<exchange_id, entry_row> entries_;
+  hint_pacer pacer_;
   time_point now_;
 };
 
