Include the renamed listener in the public admission header

Ruled out: a second name for the old file. Change: include src/admission/queue_listener.h. Before: a source including bronzeroute/admission.h would not compile.

--- a/include/bronzeroute/admission.h
+++ b/include/bronzeroute/admission.h
@@ -1,4 +1,4 @@
 #pragma once
 
-#include "src/admission/admission_listener.h"  // IWYU pragma: export
-#include "src/admission/admission_system.h"    // IWYU pragma: export
+#include "src/admission/admission_system.h"  // IWYU pragma: export
+#include "src/admission/queue_listener.h"    // IWYU pragma: export
