Pause between reads of the member stream at its end

Each append to `members` ends the waiting read of every member, and a read that brought records was followed by the next one at once. n joins a second thus cost the log n reads a second from each of n members: starting 4, 8, 16 daemons took 24, 74, 253 reads. At 540 members that start within 5 s it would be 108 reads a second from each, 58,000 in all.

A read that reaches the end of the stream is now followed by the ordinary pause of 1 s; pages before the end still follow each other at once. Ruled out: a pause at the log, which is not ours; fewer records, since each member has to be in the stream once.

A join is known through the log up to 1 s later while others join; in quiet times the read waits at the log as before. The new test sees 10 reads in 10 s of joins every 10 ms; with the old rule it sees 1,000.

--- a/src/membership/membership_system.cc
+++ b/src/membership/membership_system.cc
@@ -970,7 +970,10 @@
       unconfirmed_until_ = std::max(unconfirmed_until_, now + settings_.confirm_within);
     }
   }
-  next_read_ = read.records.empty() ? now + settings_.read_pause : now;
+  // Each append ends the waiting reads of all members. Without the pause, n joins a second cost
+  // the log n reads a second from every member; with it, one read brings them all.
+  const bool more = !read.records.empty() && next_offset_ < read.next;
+  next_read_ = more ? now : now + settings_.read_pause;
 }
 
 void membership_system::OnLogFailed(std::string_view stream, time_point now) {
--- a/tests/membership/membership_system_test.cc
+++ b/tests/membership/membership_system_test.cc
@@ -520,6 +520,52 @@
   EXPECT_LE(appends, 16);
 }
 
+// Guards against n joins a second that cost the log n reads a second from every member, and
+// against a pause between the pages of a long stream.
+TEST(Membership, JoinsOfOtherMembersDoNotMultiplyReads) {
+  testing::NiceMock<mock_datagrams> datagrams;
+  testing::NiceMock<mock_log> log;
+  budget_account budget(5000, duration(0));
+  time_point now{seconds(1)};
+  member_row row;
+  row.id.value = 5;
+  membership_system system(row, {}, datagrams, log, budget, 1, now);
+  bool open = false;
+  int reads = 0;
+  ON_CALL(log, Read).WillByDefault([&](auto, auto) {
+    open = true;
+    ++reads;
+  });
+  std::int64_t offset = 0;
+  const auto answer = [&](std::int64_t behind) {
+    log_read read;
+    read.stream = "members";
+    read.retention_ms = 600'000;
+    read.records.push_back({.offset = offset,
+                            .age_ms = 0,
+                            .data = JoinRecord(static_cast<std::size_t>(offset), 1)});
+    read.next = ++offset + behind;
+    open = false;
+    system.OnLogRead(read, now);
+  };
+  // Ten pages follow each other at once.
+  for (int page = 10; page > 0; --page) {
+    now += milliseconds(10);
+    system.Tick(now);
+    ASSERT_TRUE(open) << page;
+    answer(page - 1);
+  }
+  // Then a join arrives every 10 ms, which ends a waiting read at once.
+  reads = 0;
+  for (int tick = 0; tick < 1000; ++tick) {
+    now += milliseconds(10);
+    system.Tick(now);
+    if (open) answer(0);
+  }
+  EXPECT_GE(reads, 9);
+  EXPECT_LE(reads, 10);
+}
+
 // Guards against any mix of faults after which the members disagree for good.
 RC_GTEST_PROP(MembershipProperty, ConvergesAfterFaultsEnd, ()) {
   const auto seed = *rc::gen::arbitrary<std::uint64_t>();
