Match routes at the owner as at the entry

Cause: the owner's classifier compared plain prefixes, so /orders/photos2 counted as the long route /orders/photos and /orders//photos/7 did not; the entry decided otherwise. Ruled out: sending the route with the attempt, since both sides have the document. Change: one MatchRoute for both sides and for the test whether a route is marked short. Before: RoutesMatchAsAtTheEntry failed in both checks. Conclusion: entry and owner agree on the class of a request.

--- a/src/admission/work_classifier.cc
+++ b/src/admission/work_classifier.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "src/calls/attempt_head.h"
+#include "src/configuration/find_route.h"
 
 namespace bronzeroute {
 
@@ -28,20 +29,13 @@
   };
   const bool changed = !std::ranges::equal(rows, routes_, same_route);
   routes_ = std::move(rows);
+  specs_ = spec.routes;
   return changed;
 }
 
 std::size_t work_classifier::RouteOf(std::string_view method, std::string_view path) const {
-  path = path.substr(0, path.find('?'));
-  const std::size_t none = routes_.size() - 1;
-  std::size_t best = none;
-  for (std::size_t i = 0; i < none; ++i) {
-    const route_row& row = routes_[i];
-    if (row.method != "*" && row.method != method) continue;
-    if (!path.starts_with(row.prefix)) continue;
-    if (best == none || row.prefix.size() > routes_[best].prefix.size()) best = i;
-  }
-  return best;
+  const route_spec* match = MatchRoute(specs_, method, path);
+  return match == nullptr ? specs_.size() : static_cast<std::size_t>(match - specs_.data());
 }
 
 bool work_classifier::IsLong(const attempt_head& head, std::size_t route) const {
--- a/src/admission/work_classifier.h
+++ b/src/admission/work_classifier.h
@@ -34,7 +34,7 @@
   /// results of RouteOf given before no longer hold.
   bool Configure(const service_spec& spec);
 
-  /// Row of the longest matching prefix, or the number of routes if none matches.
+  /// Row of the matching route, or the number of routes if none matches.
   std::size_t RouteOf(std::string_view method, std::string_view path) const;
 
   bool IsLong(const attempt_head& head, std::size_t route) const;
@@ -56,6 +56,8 @@
 
   void UpdateCost(std::size_t route);
 
+  /// The routes as configured; row i of `routes_` belongs to route i.
+  std::vector<route_spec> specs_;
   /// The last row stands for requests that match no route.
   std::vector<route_row> routes_{1};
   service_time_mean short_mean_;
--- a/src/configuration/find_route.cc
+++ b/src/configuration/find_route.cc
@@ -44,8 +44,8 @@
 
 }  // namespace
 
-route_spec FindRoute(const service_spec& service, std::string_view method,
-                     std::string_view path) {
+const route_spec* MatchRoute(std::span<const route_spec> routes, std::string_view method,
+                             std::string_view path) {
   path = path.substr(0, path.find_first_of("?#"));
   std::string normal;
   if (path.find('%') != std::string_view::npos || path.find("//") != std::string_view::npos ||
@@ -54,7 +54,7 @@
     path = normal;
   }
   const route_spec* best = nullptr;
-  for (const route_spec& route : service.routes) {
+  for (const route_spec& route : routes) {
     const bool named = route.method == method;
     if ((!named && route.method != "*") || !Matches(route.prefix, path)) continue;
     if (best == nullptr || route.prefix.size() > best->prefix.size() ||
@@ -62,7 +62,13 @@
       best = &route;
     }
   }
-  if (best != nullptr) return *best;
+  return best;
+}
+
+route_spec FindRoute(const service_spec& service, std::string_view method,
+                     std::string_view path) {
+  const route_spec* match = MatchRoute(service.routes, method, path);
+  if (match != nullptr) return *match;
   route_spec fallback;
   fallback.prefix = Concat("/", service.name);
   fallback.is_protected = method != "GET" && method != "HEAD" && method != "OPTIONS";
--- a/src/node/route_directory_adapter.cc
+++ b/src/node/route_directory_adapter.cc
@@ -1,6 +1,5 @@
 #include "src/node/route_directory_adapter.h"
 
-#include <algorithm>
 #include <memory>
 
 #include "src/configuration/configuration_system.h"
@@ -25,9 +24,7 @@
   decision.is_protected = route.is_protected;
   decision.is_long = route.is_long;
   decision.is_marked_short =
-      !route.is_long && std::ranges::any_of(spec->routes, [&route](const route_spec& each) {
-        return each.prefix == route.prefix && each.method == route.method;
-      });
+      !route.is_long && MatchRoute(spec->routes, method, path) != nullptr;
   decision.time_limit = route.time_limit;
   decision.config_version = configuration_.version();
   return decision;
--- a/tests/admission/admission_system_test.cc
+++ b/tests/admission/admission_system_test.cc
@@ -119,6 +119,13 @@
   EXPECT_TRUE(Offer(3, head).is_long);
 }
 
+// Guards against a class at the owner that differs from the entry's, for a path that only
+// begins like a long route or spells it differently.
+TEST_F(admission_fixture, RoutesMatchAsAtTheEntry) {
+  EXPECT_FALSE(Offer(1, Head("/orders/photos2", At(seconds(9)))).is_long);
+  EXPECT_TRUE(Offer(2, Head("/orders//photos/7", At(seconds(9)))).is_long);
+}
+
 // Guards against a costly route that the document calls short and that blocks short work.
 TEST_F(admission_fixture, RouteTenTimesAsExpensiveCountsAsLong) {
   Observe("/orders/read", milliseconds(2), 20);
