--- a/bench/member_crowd.cc
+++ b/bench/member_crowd.cc
@@ -2,8 +2,8 @@
 // logic on a UDP socket of its own and accepts the peer channels of gRPC, all in one process.
 // Prints once a second how many bytes the real daemon sent and got as datagrams.
 // Usage: member_crowd MEMBERS LOG_ADDRESS [FIRST_PORT] [RETURNING]
-// With RETURNING, that many members stop for 60 s after the first 60 s, as a zone that is cut
-// off, and return all at once.
+// With RETURNING, that many members are cut off from all others from 60 s to 120 s, as a zone
+// or a region is, and return all at once.
 
 #include <grpcpp/generic/async_generic_service.h>
 #include <grpcpp/security/server_credentials.h>
@@ -82,6 +82,7 @@
   fake_member(boost::asio::io_service& loop, const crowd_options& options, std::size_t slot,
               std::uint64_t run, traffic& counters)
       : options_(options),
+        slot_(slot),
         counters_(counters),
         socket_(loop, udp::endpoint(boost::asio::ip::address_v4::loopback(),
                                     static_cast<std::uint16_t>(options.first_port + slot))),
@@ -89,7 +90,11 @@
         system_(RowOf(options, slot, run), {}, *this, *this, budget_, slot + 1,
                 MonotonicNow()) {}
 
-  void Start(const log_read& joins) {
+  void Start(log_read joins) {
+    // A member that meets its own run in the log raises it, as after a restart.
+    std::erase_if(joins.records, [this](const log_record& record) {
+      return record.offset == static_cast<std::int64_t>(slot_);
+    });
     system_.OnLogRead(joins, MonotonicNow());
     Receive();
   }
@@ -98,13 +103,13 @@
     system_.Tick(now);
     system_.TakeEvents();
   }
-  // A member that is cut off goes on without datagrams.
+  // While true, no datagram passes between the returning members and all others.
   void SetCut(bool cut) { cut_ = cut; }
 
   void SendDatagram(std::string_view address, std::string_view payload) override {
-    if (cut_) return;
     const auto port = static_cast<std::uint16_t>(
         std::atoi(std::string(address.substr(address.find(':') + 1)).c_str()));
+    if (IsCutFrom(port)) return;
     if (!IsFake(port)) counters_.to_daemon += payload.size() + kHeaderBytes;
     boost::system::error_code ignored;
     socket_.send_to(boost::asio::buffer(payload.data(), payload.size()),
@@ -120,12 +125,18 @@
   bool IsFake(std::uint16_t port) const {
     return port >= options_.first_port && port < options_.first_port + options_.members;
   }
+  bool IsReturning(std::uint16_t port) const {
+    return port >= options_.first_port && port < options_.first_port + options_.returning;
+  }
+  bool IsCutFrom(std::uint16_t port) const {
+    return cut_ && IsReturning(port) != (slot_ < options_.returning);
+  }
   void Receive() {
     socket_.async_receive_from(
         boost::asio::buffer(data_), from_,
         [this](const boost::system::error_code& error, std::size_t size) {
           if (error == boost::asio::error::operation_aborted) return;
-          if (!error && !cut_) {
+          if (!error && !IsCutFrom(from_.port())) {
             if (!IsFake(from_.port())) counters_.from_daemon += size + kHeaderBytes;
             system_.OnDatagram(Concat("127.0.0.1:", from_.port()), {data_.data(), size},
                                MonotonicNow());
@@ -135,6 +146,7 @@
   }
 
   const crowd_options& options_;
+  std::size_t slot_;
   traffic& counters_;
   udp::socket socket_;
   udp::endpoint from_;
@@ -187,7 +199,7 @@
     const auto age = now - started_;
     const bool cut = age >= kCutStart && age < kCutEnd;
     for (std::size_t slot = 0; slot < members_.size(); ++slot) {
-      if (slot < options_.returning) members_[slot]->SetCut(cut);
+      members_[slot]->SetCut(cut);
       members_[slot]->Tick(now);
     }
     if (now >= next_line_) {
--- a/tools/bench_capacity.py
+++ b/tools/bench_capacity.py
@@ -6,6 +6,8 @@
                file descriptors, control bytes, appends and reads at the log, and the time
                until a published document is in effect on all daemons
   crowd N...   one daemon among N fake members of bench/member_crowd, the same columns
+  return N...  one daemon among 539 fake members, N of which are cut off for 60 s and return
+  stream N...  the start of a daemon on a configuration stream of N documents
   calls R...   processor time per call of an entry and an owner at R calls/s
   memory       memory per open call, queued call and key row
 
@@ -295,6 +297,17 @@
         return result
 
 
+def crowd_bytes(path):
+    """Datagram bytes that the real daemon got so far."""
+    with open(path, encoding="ascii") as out:
+        return int(re.findall(r"got (\d+) bytes", out.read())[-1])
+
+
+def crowd_seconds(path):
+    with open(path, encoding="ascii") as out:
+        return int(re.findall(r"^(\d+) s: .* knows \d+$", out.read(), re.M)[-1])
+
+
 def run_crowd(options, count):
     with Deployment(options) as deployment:
         deployment.start_log()
@@ -312,14 +325,76 @@
         deployment.wait(count)
         result = {"members": count, **start_reading(deployment, before, started)}
         time.sleep(15)
+        crowd_out = os.path.join(deployment.work, "member_crowd.out")
+        before = crowd_bytes(crowd_out)
         result.update(idle_reading(deployment, options.seconds))
-        # The crowd prints the datagram bytes that all fake members sent to and got from others
-        # outside of the process.
-        with open(os.path.join(deployment.work, "member_crowd.out"), encoding="ascii") as out:
-            result["crowd"] = out.read().strip().splitlines()[-1:]
+        result["membership_received_bps"] = round((crowd_bytes(crowd_out) - before) /
+                                                  result["seconds"], 1)
         return result
 
 
+def run_stream(options, records):
+    """The start of a daemon on a production stream of `records` documents."""
+    with Deployment(options) as deployment:
+        deployment.start_log()
+        for mark in range(records):
+            version = deployment.publish(document(mark))
+        before = deployment.log_counters()
+        deployment.start_daemon(0, "service-00")
+        deployment.wait(1)
+        deployment.effect_times(version)
+        after = deployment.log_counters()
+        pid = deployment.daemons[0].pid
+        with open(f"/proc/{pid}/status", encoding="ascii") as status:
+            peak = int(re.search(r"VmHWM:\s+(\d+)", status.read()).group(1))
+        return {"records": records, "read_bytes": after["read_bytes"] - before["read_bytes"],
+                "reads": after["total_reads"] - before["total_reads"],
+                "peak_rss_mb": round(peak / 1024, 1), "core_s": cpu_seconds(pid)}
+
+
+def run_return(options, returning):
+    """A cut of 60 s of `returning` fake members from the daemon and all others."""
+    with Deployment(options) as deployment:
+        deployment.start_log()
+        deployment.publish(document())
+        deployment.start("member_crowd", str(options.members - 1), deployment.log_address(),
+                         str(deployment.crowd_port), str(returning))
+        time.sleep(5)
+        deployment.start_daemon(0, "service-00")
+        deployment.wait(options.members)
+        crowd_out = os.path.join(deployment.work, "member_crowd.out")
+        while crowd_seconds(crowd_out) < 115:
+            time.sleep(0.2)
+        alive = [ready_members(deployment)]
+        healed = None
+        rows = [(crowd_bytes(crowd_out), deployment.membership_bytes(0),
+                 cpu_seconds(deployment.daemons[0].pid))]
+        for _ in range(80):
+            time.sleep(1)
+            rows.append((crowd_bytes(crowd_out), deployment.membership_bytes(0),
+                         cpu_seconds(deployment.daemons[0].pid)))
+            alive.append(ready_members(deployment))
+            if healed is None and crowd_seconds(crowd_out) >= 120 and \
+                    alive[-1] >= options.members:
+                healed = crowd_seconds(crowd_out) - 120
+        steps = [[b[column] - a[column] for a, b in zip(rows, rows[1:])]
+                 for column in range(3)]
+        return {"members": options.members, "returning": returning,
+                "alive_during_cut": alive[0], "all_alive_after_s": healed,
+                "alive_every_10_s": alive[5::10],
+                "received_bps_worst_second": round(max(steps[0])),
+                "received_bps_mean": round(statistics.mean(steps[0])),
+                "sent_bps_worst_second": round(max(steps[1])),
+                "sent_bps_mean": round(statistics.mean(steps[1])),
+                "core_percent_worst_second": round(100 * max(steps[2]), 1),
+                "core_percent_mean": round(100 * statistics.mean(steps[2]), 2)}
+
+
+def ready_members(deployment):
+    return json.loads(ask(deployment.port(0, 3), "GET",
+                          "/.bronzeroute/v1/status"))["ready_members"]
+
+
 def pair(deployment, slots=64, queue_limit=24, deadline_ms=60000):
     """Daemon 0 has a worker of service `near`, daemon 1, in another zone, of `far`."""
     deployment.start_log()
@@ -434,11 +509,15 @@
     parser.add_argument("--seconds", type=int, default=20, help="length of each reading")
     parser.add_argument("--first-port", type=int, default=20990, help="about 1600 are used")
     parser.add_argument("--publications", type=int, default=8)
+    parser.add_argument("--members", type=int, default=540, help="members of `return`")
     parser.add_argument("--turns", type=int, default=3)
-    parser.add_argument("command", choices=["sizes", "crowd", "calls", "memory"])
+    parser.add_argument("command", choices=["sizes", "crowd", "return", "stream", "calls", "memory"])
     parser.add_argument("numbers", nargs="*", type=int)
     options = parser.parse_args()
-    one = {"sizes": run_size, "crowd": run_crowd, "calls": run_calls}
+    # Ends through the clean-up of `Deployment`, like an error.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    one = {"sizes": run_size, "crowd": run_crowd, "calls": run_calls,
+           "return": run_return, "stream": run_stream}
     if options.command == "memory":
         results = [run_memory(options)]
     else:
