Test whole daemons under faults; fix a hasty stop and an unheard restart

Cause, as found by tests/node: (1) a process that stopped left as soon as it was idle, before its peers knew of the drain. Attempts on their way met a closed port, so that protected calls ended as unknown; without the log, the leave was not even sent. (2) A process whose clock went back over a restart after a graceful stop stayed alone while the log was out: peers dropped its datagrams as those of an earlier run and told it nothing, and members that left are not probed.

Ruled out for (1): waiting until every peer confirmed the drain, which a cut would hold up.

Change: a stopping process refuses work for at least 1 s before it leaves, and ends 250 ms after it told its peers.

--- a/src/membership/membership_system.cc
+++ b/src/membership/membership_system.cc
@@ -445,6 +445,7 @@
   const member_row* row = table_.Find(sender);
   if (row != nullptr && message.sender_incarnation() < row->run.value) {
     ++stale_datagrams_;
+    TellNewerRun(sender, from, now);
     return;
   }
   HearSender(from, message, now);
@@ -491,6 +492,17 @@
   }
 }
 
+void membership_system::TellNewerRun(member_id sender, std::string_view from, time_point now) {
+  MemberDatagram message;
+  message.set_kind(MemberDatagram::PING);
+  message.set_sequence(++sequence_);
+  message.set_target(sender.value);
+  FillSender(message, false);
+  std::size_t size = message.ByteSizeLong();
+  AddRecord(Index(table_.IndexOf(sender)), false, message, size);
+  Send(sender, from, message, size, charge_purpose::kMembershipProbe, urgency::kBudgeted, now);
+}
+
 void membership_system::HearSender(std::string_view from, const MemberDatagram& message,
                                    time_point now) {
   const member_id sender{message.sender()};
--- a/src/membership/membership_system.h
+++ b/src/membership/membership_system.h
@@ -135,6 +135,9 @@
   void TickLog(time_point now);
   void TickAppend(time_point now);
 
+  /// Answers a datagram of an earlier run. The clock of a restarted sender may have gone back;
+  /// without the log, only this record makes it raise its run.
+  void TellNewerRun(member_id sender, std::string_view from, time_point now);
   void HearSender(std::string_view from, const proto::MemberDatagram& message, time_point now);
   void OnPing(std::string_view from, const proto::MemberDatagram& message, time_point now);
   void OnPingRequest(std::string_view from, const proto::MemberDatagram& message,
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -21,6 +21,12 @@
 
 // Hints that came with probe messages reach routing at this period; hints on responses at once.
 constexpr auto kMembersPeriod = std::chrono::milliseconds(100);
+// A process that stops refuses work for at least this long before it leaves: peers learn of the
+// drain within one push (100 ms) and a round trip, and attempts that were on the way by then
+// are refused instead of lost.
+constexpr auto kStopLinger = std::chrono::seconds(1);
+// Time in which the leave reaches peers before the process ends; pushes go out every 100 ms.
+constexpr auto kLeaveTold = std::chrono::milliseconds(250);
 // Limits of the measuring budget until a document names them.
 constexpr std::uint64_t kInitialBytesPerSecond = 2000;
 constexpr auto kInitialUpstreamTime = std::chrono::milliseconds(6);
@@ -143,12 +149,13 @@
 }
 
 void node_runtime::Stop(time_point now) {
+  if (!stopping_) leave_at_ = now + kStopLinger;
   stopping_ = true;
   Drain(now);
 }
 
 bool node_runtime::MayExit() const {
-  return stopping_ && node_.IsIdle() &&
+  return leave_told_ && node_.IsIdle() &&
          (membership_.leave_recorded() || !membership_.log_available());
 }
 
@@ -165,10 +172,12 @@
     next_members_ = now + kMembersPeriod;
   }
   ApplyMembers(now);
-  if (stopping_ && !leaving_ && node_.IsIdle()) {
+  if (stopping_ && !leaving_ && now >= leave_at_ && node_.IsIdle()) {
     leaving_ = true;
+    leave_told_at_ = now + kLeaveTold;
     membership_.Leave(now);
   }
+  leave_told_ = leaving_ && now >= leave_told_at_;
 }
 
 std::size_t node_runtime::ServingMembers() const {
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -69,7 +69,8 @@
   /// The process stops: drains, and leaves the membership.
   void Stop(time_point now);
   bool stopping() const { return stopping_; }
-  /// True once no call is open and the log has the leave record.
+  /// True once no call is open, peers had time to hear of the leave, and the log has its record
+  /// or is out.
   bool MayExit() const;
 
   void Tick(time_point now);
@@ -119,6 +120,9 @@
   bool members_changed_ = true;
   bool stopping_ = false;
   bool leaving_ = false;
+  bool leave_told_ = false;
+  time_point leave_at_;
+  time_point leave_told_at_;
 };
 
 }  // namespace bronzeroute
--- a/tests/node/node_runtime_test.cc
+++ b/tests/node/node_runtime_test.cc
@@ -43,6 +43,22 @@
   EXPECT_EQ(world.oracle.Violations(), "");
 }
 
+// Guards against a daemon that stays alone when its clock went back over a restart while the
+// log is out: its peers dropped its datagrams as those of an earlier run and told it nothing.
+TEST(NodeRuntime, RaisesItsRunWithoutTheLog) {
+  runtime_world world(2, {});
+  ASSERT_TRUE(world.Publish());
+  world.Advance(seconds(20));
+  world.Stop(1);
+  world.Advance(seconds(5));
+  world.log.is_down = true;
+  world.Restart(1, seconds(40));
+  world.Advance(seconds(16));
+  EXPECT_EQ(world.daemon(0).ServingMembers(), 2U);
+  EXPECT_EQ(Outcome(world, 1), "complete");
+  EXPECT_EQ(world.oracle.Violations(), "");
+}
+
 // Guards against calls and keys that go to the daemon's own upstream after it is gone: its
 // slots looked free, and every call lost an attempt on it.
 TEST(NodeRuntime, UsesNoUpstreamThatIsGone) {
@@ -84,5 +100,66 @@
   }
 }
 
+// Guards against a stop that is over before the peers know of it: an attempt on its way then
+// met a closed port, and a protected call ended as unknown.
+TEST(NodeRuntime, StopsOnlyAfterAttemptsOnTheWayAreAnswered) {
+  runtime_world world(2, {});
+  ASSERT_TRUE(world.Publish());
+  world.RemoveUpstream(0);
+  world.Advance(seconds(20));
+  world.options.max_delay = milliseconds(100);
+  world.Stop(1);
+  for (int i = 0; i < 20; ++i) {
+    world.Request(0, true, "", 1, seconds(1));
+    world.Advance(milliseconds(5));
+  }
+  world.Advance(seconds(6));
+  EXPECT_FALSE(world.IsAlive(1));
+  for (std::size_t i = 0; i < 20; ++i) {
+    const error_kind told = world.oracle.calls.at(i).told;
+    EXPECT_EQ(AnswerFor(told).state, execution::kNotRun) << AnswerFor(told).name;
+  }
+  EXPECT_EQ(world.oracle.Violations(), "");
+}
+
+// Guards against service that depends on the log: for an hour without it, calls and a restart
+// of one daemon go on, and membership stays whole.
+TEST(NodeRuntime, ServesThroughAnHourWithoutTheLog) {
+  runtime_world world(4, {.tick = milliseconds(50)});
+  ASSERT_TRUE(world.Publish());
+  world.Advance(seconds(20));
+  world.log.is_down = true;
+  for (int minute = 0; minute < 60; ++minute) {
+    world.Advance(seconds(58));
+    EXPECT_EQ(Outcome(world, minute % 4, minute % 2 == 0), "complete") << minute;
+    if (minute == 30) {
+      world.Kill(2);
+      world.Restart(2);
+      world.Advance(seconds(15));
+      EXPECT_EQ(world.daemon(2).configuration().version(), 0);
+    }
+    EXPECT_EQ(world.daemon(0).ServingMembers(), 4U) << minute;
+  }
+  world.Settle();
+  EXPECT_EQ(world.oracle.Violations(), "");
+}
+
+// Guards against a request that is run, or left without a clear answer, by daemons that have no
+// configuration: all restart while the log is out.
+TEST(NodeRuntime, IsNotReadyAfterMassRestartWithoutTheLog) {
+  runtime_world world(4, {});
+  ASSERT_TRUE(world.Publish());
+  world.Advance(seconds(20));
+  world.log.is_down = true;
+  for (std::size_t i = 0; i < 4; ++i) world.Kill(i);
+  for (std::size_t i = 0; i < 4; ++i) world.Restart(i);
+  for (std::size_t i = 0; i < 4; ++i) EXPECT_EQ(Outcome(world, i, true), "not_ready");
+  world.Advance(seconds(60));
+  EXPECT_EQ(Outcome(world, 1), "not_ready");
+  world.Settle();
+  EXPECT_EQ(Outcome(world, 1), "complete");
+  EXPECT_EQ(world.oracle.Violations(), "");
+}
+
 }  // namespace
 }  // namespace bronzeroute::tests
