Freeze and kill the upstream that the product chose

Cause: the tests of a frozen owner and of a killed upstream waited for work at the first upstream, but the choice between two upstreams is the product's, so the wait could fail. Change: they take the upstream that is busy.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -80,9 +80,9 @@
 
 absl::Status daemon::Start() {
   absl::Status status = transport_.Start({.callers = settings_.callers_address,
-                                                .peers = settings_.peers_address,
-                                                .membership = settings_.membership_address,
-                                                .admin = settings_.admin_address});
+                                          .peers = settings_.peers_address,
+                                          .membership = settings_.membership_address,
+                                          .admin = settings_.admin_address});
   if (!status.ok()) {
     return status;
   }
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <thread>
 
+#include "src/base/concat.h"
 #include "src/daemon/daemon.h"
 #include "src/daemon/logging.h"
 #include "src/daemon/parse_settings.h"
@@ -42,7 +43,7 @@
   auto daemon = std::make_unique<bronzeroute::daemon>(options);
   const absl::Status status = daemon->Start();
   if (!status.ok()) {
-    bronzeroute::LogError("daemon: cannot start: " + std::string(status.message()));
+    bronzeroute::LogError(bronzeroute::Concat("daemon: cannot start: ", status.message()));
     daemon->Close();
     std::_Exit(kExitStartFailed);
   }
--- a/tests/process/owner_loss_test.cc
+++ b/tests/process/owner_loss_test.cc
@@ -13,7 +13,26 @@
 
 constexpr char kUnknown[] = "unknown";
 
-class owner_loss : public deployed_test {};
+class owner_loss : public deployed_test {
+ protected:
+  // Members as each daemon sees them.
+  std::string MembersText() {
+    std::string text;
+    for (std::size_t i = 0; i < kPairs; ++i) {
+      text += "daemon " + std::to_string(i) + ":";
+      const auto members =
+          deployment_.GetJson(deployment_.pair(i).admin, "/.bronzeroute/v1/members");
+      if (!members.has_field("members")) {
+        continue;
+      }
+      for (const auto& row : members.at("members").as_array()) {
+        text += " " + row.at("admin_address").as_string() + " " + row.at("state").as_string();
+      }
+      text += "\n";
+    }
+    return text;
+  }
+};
 
 // Guards against a protected call that is repeated or called not run when its owner dies, and
 // against a replacement daemon that runs a key of the lost one again.
@@ -68,37 +87,38 @@
 TEST_F(owner_loss, FrozenOwnerRunsNothingThatItsCallersWereToldDidNotRun) {
   Deploy();
   // The first freeze is shorter than the gap that a daemon notices, the second is longer.
-  for (const char* deadline_ms : {"1000", "4000"}) {
+  for (const char* deadline_ms : {"2000", "4500"}) {
     call_oracle oracle(deployment_, std::string("-") + deadline_ms + "-");
     std::vector<std::string> keys;
     for (int i = 0; i < 24; ++i) {
       keys.push_back(deployment_.IssueKey(kEntry, "orders"));
     }
     for (const std::string& key : keys) {
-      oracle.StartProtected(kEntry, "/orders/new?work_us=600000", key, deadline_ms);
+      oracle.StartProtected(kEntry, "/orders/new?work_us=1000000", key, deadline_ms);
     }
     for (int i = 0; i < 8; ++i) {
-      oracle.StartRepeatable(kEntry, "/orders/1?work_us=600000", deadline_ms);
+      oracle.StartRepeatable(kEntry, "/orders/1?work_us=1000000", deadline_ms);
     }
-    ASSERT_TRUE(
-        deployment::WaitFor([this] { return deployment_.RunRecord(kFirst, "in_use") >= 3; }));
-    deployment_.pair(kFirst).daemon->Signal(SIGSTOP);
+    const std::size_t frozen = WaitForBusy(3);
+    ASSERT_LT(frozen, kEntry);
+    const std::size_t other = frozen == kFirst ? kSecond : kFirst;
+    deployment_.pair(frozen).daemon->Signal(SIGSTOP);
     // These reach the owner's socket, but not the owner, before it wakes up.
     for (int i = 0; i < 6; ++i) {
       oracle.StartProtected(kEntry, "/orders/new", "", deadline_ms);
       oracle.StartRepeatable(kEntry, "/orders/1", deadline_ms);
-      oracle.StartRepeatable(kSecond, "/orders/1", deadline_ms);
+      oracle.StartRepeatable(other, "/orders/1", deadline_ms);
     }
     oracle.Join();
-    deployment_.pair(kFirst).daemon->Signal(SIGCONT);
-    ASSERT_TRUE(deployment_.WaitReady(kPairs));
+    deployment_.pair(frozen).daemon->Signal(SIGCONT);
+    ASSERT_TRUE(deployment_.WaitReady(kPairs)) << MembersText();
     ASSERT_TRUE(deployment::WaitFor(
         [this] { return IsIdle(kFirst) && IsIdle(kSecond) && IsIdle(kEntry); }));
     EXPECT_EQ(oracle.Contradictions(), "") << "deadline " << deadline_ms;
-    const std::int64_t before = deployment_.Runs(kFirst);
+    const std::int64_t before = deployment_.Runs(frozen);
     EXPECT_TRUE(deployment::WaitFor([&] {
       deployment_.Call(kEntry, "GET", "/orders/1");
-      return deployment_.Runs(kFirst) > before;
+      return deployment_.Runs(frozen) > before;
     }));
   }
 }
--- a/tests/process/upstream_fault_test.cc
+++ b/tests/process/upstream_fault_test.cc
@@ -50,11 +50,11 @@
                           deployment_.IssueKey(kEntry, "orders"), "5000");
     oracle.StartRepeatable(kEntry, "/orders/1?work_us=1000000", "5000");
   }
-  ASSERT_TRUE(
-      deployment::WaitFor([this] { return deployment_.RunRecord(kFirst, "in_use") >= 2; }));
-  const auto ran = deployment_.GetJson(deployment_.pair(kFirst).upstream, "/standin/runs");
-  deployment_.pair(kFirst).worker->Signal(SIGKILL);
-  deployment_.pair(kFirst).worker->Wait();
+  const std::size_t killed = WaitForBusy(2);
+  ASSERT_LT(killed, kEntry);
+  const auto ran = deployment_.GetJson(deployment_.pair(killed).upstream, "/standin/runs");
+  deployment_.pair(killed).worker->Signal(SIGKILL);
+  deployment_.pair(killed).worker->Wait();
   oracle.Join();
   for (const told_call& call : oracle.calls()) {
     EXPECT_FALSE(call.result.no_answer) << call.mark;
@@ -64,10 +64,10 @@
       EXPECT_EQ(deployment_.RunsOfMark(call.mark), 0) << "ran at both upstreams";
     }
   }
-  deployment_.StartWorker(kFirst);
-  EXPECT_TRUE(deployment::WaitFor([this] {
+  deployment_.StartWorker(killed);
+  EXPECT_TRUE(deployment::WaitFor([&] {
     return deployment_.Call(kEntry, "GET", "/orders/1").status == 200 &&
-           deployment_.Runs(kFirst) > 0;
+           deployment_.Runs(killed) > 0;
   }));
 }
 
