--- a/tests/process/owner_loss_test.cc
+++ b/tests/process/owner_loss_test.cc
@@ -90,6 +90,7 @@
   for (const char* deadline_ms : {"2000", "4500"}) {
     call_oracle oracle(deployment_, std::string("-") + deadline_ms + "-");
     std::vector<std::string> keys;
+    keys.reserve(24);
     for (int i = 0; i < 24; ++i) {
       keys.push_back(deployment_.IssueKey(kEntry, "orders"));
     }
--- a/tests/process/publication_test.cc
+++ b/tests/process/publication_test.cc
@@ -72,7 +72,7 @@
     std::string text = Document();
     const std::string old_name = "name = \"test\"";
     text.replace(text.find(old_name), old_name.size(), "name = \"" + name + "\"");
-    const std::string path = deployment_.folder() + "/" + name + ".toml";
+    std::string path = deployment_.folder() + "/" + name + ".toml";
     std::ofstream(path) << text;
     return path;
   }
--- a/tests/process/raw_http.cc
+++ b/tests/process/raw_http.cc
@@ -190,7 +190,7 @@
     std::fill_n(block.begin(), size, static_cast<char>(at / static_cast<std::int64_t>(kBlock)));
     sent.Add(block.data(), size);
     // A refusal may arrive before the whole body is sent.
-    writable = link.Write(std::string_view(block).substr(0, size));
+    writable = link.Write({block.data(), size});
     at += static_cast<std::int64_t>(size);
   }
   response.sent_hash = sent.Text();
