--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -15,6 +15,7 @@
 #include "src/node/runtime_ports.h"
 #include "src/node/runtime_settings.h"
 #include "src/transport/event_loop.h"
+#include "src/transport/listening_socket.h"
 #include "src/transport/owner_report.h"
 
 namespace bronzeroute {
@@ -24,6 +25,9 @@
 constexpr auto kTickPeriod = std::chrono::milliseconds(10);
 // A daemon that stops waits this long for the leave record after its last call ended.
 constexpr auto kLeaveLimit = std::chrono::seconds(5);
+// Time for connections that were accepted just before the listener closed to send their
+// request.
+constexpr auto kLastRequests = std::chrono::milliseconds(200);
 
 member_id IdOf(std::string_view peers_address) {
   return {XXH64(peers_address.data(), peers_address.size(), 0)};
@@ -128,12 +132,22 @@
       stop_limit_ = now + kLeaveLimit;
     }
     if (runtime_.MayExit() || now >= stop_limit_) {
-      stopped_ = true;
+      EndCallers(now);
     }
   }
   ScheduleTick();
 }
 
+void daemon::EndCallers(time_point now) {
+  if (end_at_ == time_point{}) {
+    if (EndListening(settings_.callers_address)) {
+      end_at_ = now + kLastRequests;
+    }
+  } else if (now >= end_at_) {
+    stopped_ = true;
+  }
+}
+
 void daemon::AddEndpoints() {
   AddAdminEndpoints(transport_.admin_endpoints(), runtime_, settings_);
   AddCallerEndpoints(transport_.caller_endpoints(), runtime_);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -70,6 +70,8 @@
   log_listener MakeLogListener();
   void ScheduleTick();
   void Tick();
+  /// Closes the callers' listener, then ends when its last connections were served.
+  void EndCallers(time_point now);
   /// Passes on what an owner said beside its answer.
   void NoteReport(const answer_identity& from, const owner_report& report, time_point now);
 
@@ -80,6 +82,8 @@
   node_runtime runtime_;
   boost::asio::steady_timer timer_;
   time_point stop_limit_{};
+  /// Set once no further connection of a caller is accepted.
+  time_point end_at_{};
   bool closed_ = false;
   std::atomic<bool> stopped_{false};
 };
--- a/tests/process/owner_loss_test.cc
+++ b/tests/process/owner_loss_test.cc
@@ -42,9 +42,12 @@
   ASSERT_FALSE(lost_key.empty());
   call_oracle oracle(deployment_);
   oracle.StartProtected(kEntry, "/orders/new?work_us=2000000", lost_key, "5000");
+  // Homes are the product's choice, so three calls are sent to the victim on purpose.
   for (int i = 0; i < 8; ++i) {
-    oracle.StartProtected(kEntry, "/orders/new?work_us=2000000",
-                          deployment_.IssueKey(kEntry, "orders"), "5000");
+    const std::string key =
+        i < 3 ? KeyOfHome(kFirst, kEntry) : deployment_.IssueKey(kEntry, "orders");
+    ASSERT_FALSE(key.empty());
+    oracle.StartProtected(kEntry, "/orders/new?work_us=2000000", key, "5000");
   }
   for (int i = 0; i < 4; ++i) {
     oracle.StartRepeatable(kEntry, "/orders/1?work_us=1000000", "5000");
