Ask for the keys of a killed home before the upstreams are busy

Cause: keys issued while the first calls run all go to the less loaded home, so none of 200 had the home that the test kills. Ruled out: more tries; the choice is deterministic between two hints. Change: all keys are issued while the upstreams are idle. Conclusion: the test checks the same as before; that a burst of keys lands on one home is a matter of routing and stays open here.

--- a/tests/process/owner_loss_test.cc
+++ b/tests/process/owner_loss_test.cc
@@ -40,13 +40,15 @@
   Deploy();
   const std::string lost_key = KeyOfHome(kFirst, kEntry);
   ASSERT_FALSE(lost_key.empty());
-  call_oracle oracle(deployment_);
-  oracle.StartProtected(kEntry, "/orders/new?work_us=2000000", lost_key, "5000");
   // Homes are the product's choice, so three calls are sent to the victim on purpose.
+  std::vector<std::string> keys;
   for (int i = 0; i < 8; ++i) {
-    const std::string key =
-        i < 3 ? KeyOfHome(kFirst, kEntry) : deployment_.IssueKey(kEntry, "orders");
-    ASSERT_FALSE(key.empty());
+    keys.push_back(i < 3 ? KeyOfHome(kFirst, kEntry) : deployment_.IssueKey(kEntry, "orders"));
+    ASSERT_FALSE(keys.back().empty());
+  }
+  call_oracle oracle(deployment_);
+  oracle.StartProtected(kEntry, "/orders/new?work_us=2000000", lost_key, "5000");
+  for (const std::string& key : keys) {
     oracle.StartProtected(kEntry, "/orders/new?work_us=2000000", key, "5000");
   }
   for (int i = 0; i < 4; ++i) {
