--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -476,16 +476,13 @@
     std::string_view service, time_point now) {
   const route_decision route = routes_.Find(service, "POST", "/" + std::string(service));
   if (route.error != error_kind::kNone) return route.error;
-  std::optional<member_target> home;
-  if (local_.HasFreeSlot(service, false, now)) {
-    home = member_target{self_.id, self_.run};
-  } else {
-    choice_request request;
-    request.is_protected = true;
-    request.deadline = now + route.time_limit;
-    home = chooser_.Choose(service, request, {}, now);
-  }
+  choice_request request;
+  request.is_protected = true;
+  request.deadline = now + route.time_limit;
+  // The choice prefers the own upstream too, and unlike its slots it counts keys not yet used.
+  const auto home = chooser_.Choose(service, request, {}, now);
   if (!home) return error_kind::kNoUpstream;
+  chooser_.OnKeyIssued(*home, now);
   return FormatIssuedKey({.home = *home, .issued_ms = self_.UnixMs(now), .nonce = random_()});
 }
 
--- a/src/calls/upstream_chooser.h
+++ b/src/calls/upstream_chooser.h
@@ -32,6 +32,8 @@
   virtual const choice_explanation* LastChoice() const { return nullptr; }
 
   virtual void OnHint(member_target owner, const load_hint& hint, time_point now) = 0;
+  /// A key with this home was issued: a call to it will follow, which no hint shows yet.
+  virtual void OnKeyIssued(member_target home, time_point now) = 0;
   virtual void OnAttemptSent(member_target owner, time_point now) = 0;
   /// Called once for every attempt that was sent.
   virtual void OnAttemptEnded(member_target owner, attempt_outcome outcome, time_point now) = 0;
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -199,6 +199,7 @@
   ApplyConfiguration(now);
   ApplyUpstream(now);
   if (now >= next_members_) {
+    routing_.OnHint({identity_.id, membership_.self().run}, admission_.Hint(now), now);
     members_changed_ = true;
     next_members_ = now + kMembersPeriod;
   }
--- a/src/node/routing_adapter.cc
+++ b/src/node/routing_adapter.cc
@@ -59,6 +59,10 @@
   system_.OnHint(owner.id, owner.run, hint, now);
 }
 
+void routing_adapter::OnKeyIssued(member_target home, time_point now) {
+  system_.OnWorkExpected(home.id, now);
+}
+
 void routing_adapter::OnAttemptSent(member_target owner, time_point now) {
   const bool is_trial = chosen_trial_ == owner.id;
   if (is_trial) {
--- a/src/node/routing_adapter.h
+++ b/src/node/routing_adapter.h
@@ -27,6 +27,7 @@
                                       time_point now) override;
   const choice_explanation* LastChoice() const override { return &last_choice_; }
   void OnHint(member_target owner, const load_hint& hint, time_point now) override;
+  void OnKeyIssued(member_target home, time_point now) override;
   void OnAttemptSent(member_target owner, time_point now) override;
   void OnAttemptEnded(member_target owner, attempt_outcome outcome, time_point now) override;
 
--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -115,12 +115,21 @@
   }
 }
 
+void hint_table::AddUnseen(entry& item, time_point now) {
+  if (item.unseen.size() == kMaxUnseen) item.unseen.pop_front();
+  item.unseen.push_back(now);
+  item.row.sent_since_hint = static_cast<std::uint32_t>(item.unseen.size());
+}
+
+void hint_table::OnWorkExpected(member_id member, time_point now) {
+  entry* item = Find(member);
+  if (item != nullptr) AddUnseen(*item, now);
+}
+
 void hint_table::OnAttemptSent(member_id member, bool is_trial, time_point now) {
   entry* item = Find(member);
   if (item == nullptr) return;
-  if (item->unseen.size() == kMaxUnseen) item->unseen.pop_front();
-  item->unseen.push_back(now);
-  item->row.sent_since_hint = static_cast<std::uint32_t>(item->unseen.size());
+  AddUnseen(*item, now);
   ++item->row.open_attempts;
   if (is_trial) item->health.BeginTrial();
 }
--- a/src/routing/hint_table.h
+++ b/src/routing/hint_table.h
@@ -35,6 +35,8 @@
   /// last one. Sequence 0 marks a message without a hint.
   void OnHint(member_id member, incarnation run, const load_hint& hint, time_point now);
 
+  /// Counts work that will follow like an attempt sent, until a hint can show it.
+  void OnWorkExpected(member_id member, time_point now);
   void OnAttemptSent(member_id member, bool is_trial, time_point now);
   void OnAttemptEnded(member_id member, attempt_end outcome, bool is_trial, time_point now);
 
@@ -75,6 +77,7 @@
   };
 
   entry* Find(member_id member);
+  static void AddUnseen(entry& item, time_point now);
   void ApplyHint(entry& item, const load_hint& hint, time_point received, time_point now);
   /// True if another member of the service may be ejected: at most half of them are.
   bool MayEject(const entry& item, time_point now) const;
--- a/src/routing/routing_system.h
+++ b/src/routing/routing_system.h
@@ -37,6 +37,9 @@
     table_.OnHint(member, run, hint, now);
   }
 
+  /// Work for `member` will follow, for example with a key that names it.
+  void OnWorkExpected(member_id member, time_point now) { table_.OnWorkExpected(member, now); }
+
   void OnAttemptSent(member_id member, bool is_trial, time_point now) {
     table_.OnAttemptSent(member, is_trial, now);
   }
--- a/tests/calls/call_world.h
+++ b/tests/calls/call_world.h
@@ -359,6 +359,7 @@
       return free[world.choose_first ? 0 : world.Draw(free.size())];
     }
     void OnHint(member_target, const load_hint&, time_point) override {}
+    void OnKeyIssued(member_target, time_point) override {}
     void OnAttemptSent(member_target, time_point) override {}
     void OnAttemptEnded(member_target, attempt_outcome, time_point) override {}
     std::vector<member_target> LiveMembers(std::string_view) override { return view; }
--- a/tests/calls/entry_system_test.cc
+++ b/tests/calls/entry_system_test.cc
@@ -52,6 +52,7 @@
     return excluded.size() < 8 ? std::optional(Member(2 + excluded.size())) : std::nullopt;
   }
   void OnHint(member_target, const load_hint&, time_point) override {}
+  void OnKeyIssued(member_target, time_point) override {}
   void OnAttemptSent(member_target, time_point) override { ++open; }
   void OnAttemptEnded(member_target, attempt_outcome, time_point) override { --open; }
   std::vector<member_target> LiveMembers(std::string_view) override { return {Member(2)}; }
--- a/tests/process/whole_path_test.cc
+++ b/tests/process/whole_path_test.cc
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <cstddef>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -70,6 +71,19 @@
   EXPECT_EQ(deployment_.RunsOfKey(key), 1);
 }
 
+// Guards against a burst of issued keys that all name one home: their calls can go nowhere else
+// and are refused there while other upstreams are idle.
+TEST_F(whole_path, BurstOfIssuedKeysIsSpread) {
+  Deploy(3);
+  std::set<std::string> homes;
+  constexpr int kKeys = 24;  // more than the six slots and the first turn of the queue
+  for (int i = 0; i < kKeys; ++i) {
+    const std::string key = deployment_.IssueKey(0, "orders");
+    homes.insert(key.substr(0, key.find('.', sizeof("br1."))));
+  }
+  EXPECT_GT(homes.size(), 1);
+}
+
 // Guards against a log outage that stops callers, and against serving without a configuration.
 TEST_F(whole_path, LogOutageDoesNotStopServing) {
   Deploy(2);
--- a/tests/routing/routing_system_test.cc
+++ b/tests/routing/routing_system_test.cc
@@ -153,6 +153,17 @@
   EXPECT_EQ(pair.Pick(), 2);
 }
 
+// Guards against a burst of issued keys that all name the same idle member, whose calls could
+// then go nowhere else.
+TEST(RoutingSystem, IssuedKeysCountUntilTheNextHint) {
+  product_harness pair({Member(1), Member(2)});
+  pair.Report(1, Hint(1, 0));
+  pair.Report(2, Hint(1, 6));
+  ASSERT_EQ(pair.Pick(), 1);
+  for (int i = 0; i < 12; ++i) pair.system_.OnWorkExpected(member_id{1}, At({}));
+  EXPECT_EQ(pair.Pick(), 2);
+}
+
 // Guards against a hint that hides attempts still on their way, so that many are sent at once.
 TEST(RoutingSystem, HintKeepsAttemptsThatItCannotShow) {
   product_harness pair({Member(1, "b"), Member(2, "b")});
