--- a/tools/run_local.sh
+++ b/tools/run_local.sh
@@ -23,7 +23,7 @@
   tools/install_packages.sh
   cmake -S . -B "$build" -G Ninja >/dev/null
   cmake --build "$build" -j "${BRONZEROUTE_JOBS:-$(nproc)}" \
-    --target bronzerouted brctl brload brstandin_log brstandin_worker
+    --target bronzerouted brctl brreport brload brstandin_log brstandin_worker
 fi
 bin=$build/bin
 if [ "$example" = gelo ]; then
