--- a/tests/calls/call_fuzz_test.cc
+++ b/tests/calls/call_fuzz_test.cc
@@ -1,13 +1,11 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
-#include <cstdlib>
-#include <map>
-#include <sstream>
 #include <string>
 #include <vector>
 
 #include "tests/calls/call_world.h"
+#include "tests/calls/fuzz_script.h"
 
 namespace bronzeroute::tests {
 namespace {
@@ -31,18 +29,7 @@
   kUpstream,
 };
 
-/// One step of a script; `a` and `b` choose among what exists.
-struct step {
-  step_kind kind = step_kind::kAdvance;
-  std::uint32_t a = 0;
-  std::uint32_t b = 0;
-  std::uint32_t time_ms = 0;
-};
-
-std::ostream& operator<<(std::ostream& os, const step& one) {
-  return os << "{kind " << static_cast<int>(one.kind) << ", " << one.a << ", " << one.b << ", "
-            << one.time_ms << " ms}";
-}
+using step = fuzz_step<step_kind>;
 
 rc::Gen<step> AnyStep() {
   using enum step_kind;
@@ -60,18 +47,9 @@
                                                          {1, kLink},
                                                          {1, kDrain},
                                                          {4, kUpstream}});
-  return rc::gen::build<step>(rc::gen::set(&step::kind, kind),
-                              rc::gen::set(&step::a, rc::gen::inRange(0U, 60U)),
-                              rc::gen::set(&step::b, rc::gen::inRange(0U, 60U)),
-                              rc::gen::set(&step::time_ms, rc::gen::inRange(1U, 1000U)));
+  return AnyStepOf<step_kind>(kind);
 }
 
-/// A key in use and the number of tries made with it.
-struct key_use {
-  std::string key;
-  std::uint32_t tries = 1;
-};
-
 template <typename Rules>
 void Apply(call_world<Rules>& world, std::vector<key_use>& keys, const step& one) {
   using enum step_kind;
@@ -87,19 +65,12 @@
       }
       break;
     case kOwnKey:
-    case kIssuedKey: {
-      const std::string key =
-          one.kind == kOwnKey ? "own-" + std::to_string(keys.size()) : world.IssueKey(node);
-      if (!key.empty() && world.Request(other, true, key, 1, time)) keys.push_back({key});
+    case kIssuedKey:
+      TryNewKey(world, keys, one.kind == kOwnKey, node, other, time);
       break;
-    }
-    case kLaterTry: {
-      if (keys.empty()) break;
-      // Mostly the newest keys, whose earlier tries may still be on the way.
-      key_use& use = keys[keys.size() - 1 - one.b % std::min<std::size_t>(keys.size(), 4)];
-      if (world.Request(node, true, use.key, use.tries + 1, time)) ++use.tries;
+    case kLaterTry:
+      TryKeyAgain(world, keys, node, one.b, time);
       break;
-    }
     case kCallerLeaves:
       if (world.oracle.size() > 0) world.CallerLeaves(world.oracle.size() - 1);
       break;
@@ -136,12 +107,6 @@
   return text.str();
 }
 
-struct coverage {
-  std::map<std::string, int> told;
-  int requests = 0;
-  int runs = 0;
-};
-
 template <typename Rules>
 std::string RunScript(const world_options& options, const std::vector<step>& script,
                       coverage* seen = nullptr) {
@@ -149,26 +114,10 @@
   std::vector<key_use> keys;
   for (const step& one : script) Apply(world, keys, one);
   world.Settle();
-  for (std::size_t i = 0; seen != nullptr && i < world.oracle.size(); ++i) {
-    const auto& row = world.oracle.at(i);
-    ++seen->requests;
-    seen->runs += row.runs;
-    std::string name(AnswerFor(row.told).name);
-    if (row.now != call_oracle::state::kTold) {
-      name = row.now == call_oracle::state::kCut    ? "cut"
-             : row.now == call_oracle::state::kGone ? "gone"
-                                                    : "complete";
-    }
-    ++seen->told[name];
-  }
+  if (seen != nullptr) seen->Count(world.oracle);
   return Violations(world.oracle);
 }
 
-int Cases(int by_default) {
-  const char* text = std::getenv("BRONZEROUTE_FUZZ_CASES");
-  return text == nullptr ? by_default : std::atoi(text);
-}
-
 /// Runs random scripts; returns the report of the first one with a violation that contains
 /// `violation`, or nothing.
 template <typename Rules>
@@ -189,16 +138,8 @@
     const bool is_wanted = violations.find(violation) != std::string::npos;
     if (!violations.empty() && is_wanted) RC_FAIL(violations);
   };
-  rc::detail::TestParams params;
-  params.seed = seed;
-  params.maxSuccess = cases;
   // A build that is broken on purpose only has to fail.
-  params.disableShrinking = seen == nullptr;
-  const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata(), params);
-  if (result.template is<rc::detail::SuccessResult>()) return "";
-  std::ostringstream text;
-  rc::detail::printResultMessage(result, text);
-  return text.str();
+  return CheckWithSeed(property, seed, cases, seen != nullptr);
 }
 
 // Guards against any sequence of faults that breaks a promise: a protected request or a key
@@ -206,11 +147,8 @@
 // complete, a caller left without an answer, and rows that stay.
 TEST(CallFuzz, PromisesHoldUnderFaults) {
   coverage seen;
-  EXPECT_EQ(Fuzz<call_rules>(20'261'204, Cases(2000), "", false, &seen), "");
-  std::ostringstream text;
-  for (const auto& [name, count] : seen.told) text << ' ' << name << ' ' << count;
-  std::cout << "requests " << seen.requests << ", runs " << seen.runs << ':' << text.str()
-            << '\n';
+  EXPECT_EQ(Fuzz<call_rules>(20'261'204, FuzzCases(2000), "", false, &seen), "");
+  seen.Print();
   // Guards against a script generator that no longer reaches the outcomes that matter.
   for (const char* name :
        {"complete", "cut", "gone", "answer_lost", "deadline_exceeded", "overloaded",
--- a/tests/node/runtime_fuzz_test.cc
+++ b/tests/node/runtime_fuzz_test.cc
@@ -1,14 +1,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
-#include <cstdlib>
-#include <iostream>
-#include <map>
-#include <sstream>
 #include <string>
 #include <vector>
 
-#include "src/base/error_answer.h"
+#include "tests/calls/fuzz_script.h"
 #include "tests/node/runtime_world.h"
 
 namespace bronzeroute::tests {
@@ -38,18 +34,7 @@
   kStop,
 };
 
-/// One step of a script; `a` and `b` choose among what exists.
-struct step {
-  step_kind kind = step_kind::kAdvance;
-  std::uint32_t a = 0;
-  std::uint32_t b = 0;
-  std::uint32_t time_ms = 0;
-};
-
-std::ostream& operator<<(std::ostream& os, const step& one) {
-  return os << "{kind " << static_cast<int>(one.kind) << ", " << one.a << ", " << one.b << ", "
-            << one.time_ms << " ms}";
-}
+using step = fuzz_step<step_kind>;
 
 rc::Gen<step> AnyStep() {
   using enum step_kind;
@@ -72,18 +57,9 @@
                                                          {2, kUpstream},
                                                          {1, kUpstreamLeaves},
                                                          {1, kStop}});
-  return rc::gen::build<step>(rc::gen::set(&step::kind, kind),
-                              rc::gen::set(&step::a, rc::gen::inRange(0U, 60U)),
-                              rc::gen::set(&step::b, rc::gen::inRange(0U, 60U)),
-                              rc::gen::set(&step::time_ms, rc::gen::inRange(1U, 1000U)));
+  return AnyStepOf<step_kind>(kind);
 }
 
-/// A key in use and the number of tries made with it.
-struct key_use {
-  std::string key;
-  std::uint32_t tries = 1;
-};
-
 void Apply(runtime_world& world, std::vector<key_use>& keys, const step& one) {
   using enum step_kind;
   const std::size_t at = one.a % kDaemons;
@@ -97,18 +73,12 @@
       }
       break;
     case kOwnKey:
-    case kIssuedKey: {
-      const std::string key =
-          one.kind == kOwnKey ? "own-" + std::to_string(keys.size()) : world.IssueKey(at);
-      if (!key.empty() && world.Request(other, true, key, 1, time)) keys.push_back({key});
+    case kIssuedKey:
+      TryNewKey(world, keys, one.kind == kOwnKey, at, other, time);
       break;
-    }
-    case kLaterTry: {
-      if (keys.empty()) break;
-      key_use& use = keys[keys.size() - 1 - one.b % std::min<std::size_t>(keys.size(), 4)];
-      if (world.Request(at, true, use.key, use.tries + 1, time)) ++use.tries;
+    case kLaterTry:
+      TryKeyAgain(world, keys, at, one.b, time);
       break;
-    }
     case kAdvance:
       world.Advance(time * (one.b % 3 == 0 ? 5 : 1) / (one.b % 4 == 1 ? 50 : 1));
       break;
@@ -154,12 +124,6 @@
   }
 }
 
-struct coverage {
-  std::map<std::string, int> told;
-  int requests = 0;
-  int runs = 0;
-};
-
 std::string RunScript(const world_options& options, const std::vector<step>& script,
                       coverage* seen) {
   runtime_world world(kDaemons, options);
@@ -168,26 +132,10 @@
   std::vector<key_use> keys;
   for (const step& one : script) Apply(world, keys, one);
   world.Settle();
-  for (std::size_t i = 0; seen != nullptr && i < world.oracle.calls.size(); ++i) {
-    const auto& row = world.oracle.calls.at(i);
-    ++seen->requests;
-    seen->runs += row.runs;
-    std::string name(AnswerFor(row.told).name);
-    if (row.now != call_oracle::state::kTold) {
-      name = row.now == call_oracle::state::kCut    ? "cut"
-             : row.now == call_oracle::state::kGone ? "gone"
-                                                    : "complete";
-    }
-    ++seen->told[name];
-  }
+  if (seen != nullptr) seen->Count(world.oracle.calls);
   return world.oracle.Violations();
 }
 
-int Cases(int by_default) {
-  const char* text = std::getenv("BRONZEROUTE_FUZZ_CASES");
-  return text == nullptr ? by_default : std::atoi(text);
-}
-
 /// Runs random scripts; returns the report of the first one with a violation that contains
 /// `violation`, or nothing.
 std::string Fuzz(std::uint64_t seed, int cases, broken_part broken,
@@ -208,16 +156,8 @@
     const bool is_wanted = violations.find(violation) != std::string::npos;
     if (!violations.empty() && is_wanted) RC_FAIL(violations);
   };
-  rc::detail::TestParams params;
-  params.seed = seed;
-  params.maxSuccess = cases;
   // A build that is broken on purpose only has to fail.
-  params.disableShrinking = true;
-  const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata(), params);
-  if (result.template is<rc::detail::SuccessResult>()) return "";
-  std::ostringstream text;
-  rc::detail::printResultMessage(result, text);
-  return text.str();
+  return CheckWithSeed(property, seed, cases, false);
 }
 
 // Guards against any sequence of faults that breaks a promise of whole daemons: what call_fuzz
@@ -226,11 +166,8 @@
 // measuring above its budget.
 TEST(RuntimeFuzz, PromisesHoldUnderFaults) {
   coverage seen;
-  EXPECT_EQ(Fuzz(20'261'204, Cases(150), broken_part::kNone, "", &seen), "");
-  std::ostringstream text;
-  for (const auto& [name, count] : seen.told) text << ' ' << name << ' ' << count;
-  std::cout << "requests " << seen.requests << ", runs " << seen.runs << ':' << text.str()
-            << '\n';
+  EXPECT_EQ(Fuzz(20'261'204, FuzzCases(150), broken_part::kNone, "", &seen), "");
+  seen.Print();
   // Guards against a generator that no longer reaches the outcomes that matter.
   for (const char* name : {"complete", "gone", "answer_lost", "deadline_exceeded",
                            "duplicate_key", "key_home_lost", "not_ready"}) {
