Name the proof of each guarantee

Cause: the guarantees said what is promised, what it costs and what keeps it, but not how it is proved. Ruled out: a link to PROOFS.md alone; the manager reads one place. Change: a line "Proved by" for each promise, which also names what is known red. Before: no such line. Conclusion: the guarantees text answers all five questions.

--- a/src/configuration/guarantees_text.cc
+++ b/src/configuration/guarantees_text.cc
@@ -41,10 +41,12 @@
 }
 
 void Promise(std::string& out, std::string_view promise, std::string_view cost,
-             std::string_view mechanism, std::string_view not_promised) {
+             std::string_view mechanism, std::string_view not_promised,
+             std::string_view proved_by) {
   Paragraph(out, "Promise:", promise);
   Paragraph(out, "Cost:", cost);
   Paragraph(out, "Kept by:", mechanism);
+  Paragraph(out, "Proved by:", proved_by);
   Paragraph(out, "Not promised:", not_promised);
   out += "\n";
 }
@@ -92,7 +94,9 @@
       "second try without a key is a new request. A key is not remembered after 10 "
       "minutes: a try with an older issued key gets \"unknown\", and one with the caller's "
       "own key may run again if it is not marked. What an upstream does twice by itself is "
-      "not covered.");
+      "not covered.",
+      "CallFuzz, FaultMatrix, KeyTable and owner_loss tests; the resend tests of the "
+      "transport.");
 }
 
 void Repeatable(std::string& out) {
@@ -104,7 +108,8 @@
       "cause no work there.",
       "Two budgets in each process, each a share of first attempts in a sliding window.",
       "That a request is run again: with an empty budget the response is an error that says "
-      "what is known. Work on such a route may run more than once.");
+      "what is known. Work on such a route may run more than once.",
+      "RetryBudget and EntrySystemTest tests, CallFuzz.");
 }
 
 void Limits(std::string& out, const service_spec& service) {
@@ -122,7 +127,8 @@
           "All work for an upstream enters through the process beside it, which counts slots, "
           "connections and queue exactly.",
           "Room for every request at a peak. Load that reaches an upstream by another way is "
-          "not counted.");
+          "not counted.",
+          "AdmissionProperty and RuntimeFuzz tests.");
   Promise(
       out,
       Concat("Long work holds at most ", LongSlots(service), " of ", service.max_slots,
@@ -134,12 +140,14 @@
       service.max_slots <= 1
           ? "With 1 slot, short work does wait behind long work that is running."
           : "That short work which itself runs for a long time is kept apart: it is found only "
-            "by its mean cost.");
+            "by its mean cost.",
+      "admission_fixture tests of long work; policy_bench for latency.");
   if (service.warmup > duration(0)) {
     Promise(out,
             Concat("A cold upstream gets its full load only after ", Time(service.warmup), "."),
             "Less capacity in that time.", "The number of slots grows from 1 to all.",
-            "That the upstream is warm by then.");
+            "That the upstream is warm by then.",
+            "admission_fixture.ColdUpstreamGrowsFromOneSlotToAll.");
   }
 }
 
@@ -156,7 +164,8 @@
           "The deadline travels with the request. A request whose expected end is after it is "
           "refused at once, and one whose deadline passes in a queue is removed from it.",
           "That every request succeeds. After the deadline of work that was started, the "
-          "response says \"unknown\"; the work may go on at the upstream.");
+          "response says \"unknown\"; the work may go on at the upstream.",
+          "CallFuzz (every caller is answered), admission_fixture tests of deadlines.");
   AtMostOnce(out, service);
   Repeatable(out);
   Limits(out, service);
@@ -172,7 +181,8 @@
             "volume), and are refused while none of them can be reached.",
       "Upstreams elsewhere are not candidates; among candidates a farther one is taken only "
       "when the shorter wait pays for the distance.",
-      "That a request is received in these regions: any process accepts it and forwards it.");
+      "That a request is received in these regions: any process accepts it and forwards it.",
+      "whole_path.ServiceRunsOnlyInItsRegions.");
   Promise(out,
           absl::StrFormat("Service level: %g%% of requests are served within %s.",
                           service.objective * 100, Time(service.objective_latency)),
@@ -181,7 +191,8 @@
           "Every process counts served, late and failed requests; brreport shows how fast the "
           "budget burns.",
           "The level itself: it is a target that is measured, and nothing is refused to keep "
-          "it.");
+          "it.",
+          "No test can prove it; brreport shows how it is kept.");
 }
 
 }  // namespace
@@ -199,14 +210,17 @@
       "With an empty account, failures are noticed later.",
       "One account in each process is charged before anything is sent. In ordinary work the "
       "calls themselves are the measurement.",
-      "That the account suffices to notice every failure at once.");
+      "That the account suffices to notice every failure at once.",
+      "BudgetAccountProperty, MembershipProperty, MeteredPeerPort and RuntimeFuzz "
+      "tests.");
   Promise(out,
           "Each caller gets the whole response to its own request or sees that it is cut, and "
           "never another caller's response.",
           "A few bytes of identity on each message between processes.",
           "Every message names its call, attempt and target; one that matches no open attempt "
           "is dropped and counted.",
-          "That a response arrives if the process that received the request is lost.");
+          "That a response arrives if the process that received the request is lost.",
+          "CallFuzz, StreamingTest and upstream_fault tests.");
   Promise(
       out,
       "An upstream that is leaving gets no new work within a few seconds, and a planned stop "
@@ -214,7 +228,8 @@
       "A stop takes as long as the longest running request.",
       "The process beside the upstream refuses new work (not run) from that moment on and "
       "finishes what is running.",
-      "Requests that run at an upstream which is killed: their outcome is \"unknown\".");
+      "Requests that run at an upstream which is killed: their outcome is \"unknown\".",
+      "RuntimeFuzz, planned_stop and whole_path tests, Membership tests of drains.");
   Promise(
       out,
       "An accepted configuration is in effect everywhere within 6 s and is never replaced by "
@@ -223,7 +238,9 @@
       "Every process folds the same records in the same order; members pass versions on "
       "while the log is away.",
       "A change of the configuration while the log is unavailable, or its effect in a "
-      "region that is cut off.");
+      "region that is cut off.",
+      "ConfigurationFoldProperty, ConfigurationSystemProperty, RuntimeFuzz and "
+      "publication tests; the 6 s without the log are known red (docs/PROOFS.md).");
   for (const service_spec& service : configuration.services) Service(out, service);
   return out;
 }
