--- a/bench/member_crowd.cc
+++ b/bench/member_crowd.cc
@@ -115,7 +115,7 @@
     socket_.send_to(boost::asio::buffer(payload.data(), payload.size()),
                     udp::endpoint(boost::asio::ip::address_v4::loopback(), port), 0, ignored);
   }
-  void Append(std::string_view /*stream*/, std::string_view /*data*/,
+  void Append(std::string_view /*stream*/, std::string_view /*key*/, std::string_view /*data*/,
               std::uint64_t /*token*/) override {}
   void Read(std::string_view /*stream*/, std::int64_t /*from*/) override {}
 
--- a/bench/membership_cost.cc
+++ b/bench/membership_cost.cc
@@ -108,7 +108,7 @@
     waiting_.emplace_back(std::string(address),
                           Make(slot, MemberDatagram::ACK, message.sequence()));
   }
-  void Append(std::string_view /*stream*/, std::string_view /*data*/,
+  void Append(std::string_view /*stream*/, std::string_view /*key*/, std::string_view /*data*/,
               std::uint64_t /*token*/) override {}
   void Read(std::string_view /*stream*/, std::int64_t /*from*/) override {}
 
--- a/bench/transport_bench.cc
+++ b/bench/transport_bench.cc
@@ -52,7 +52,7 @@
 
   std::uint16_t port() const { return port_; }
   void UseUpstream(const std::string& address) {
-    RunOnLoop([&] { sockets_->upstream().SetUpstream(address); });
+    RunOnLoop([&] { sockets_->upstream().SetUpstream(address, ""); });
   }
   void UseOwner(const bench_daemon& owner) {
     owner_ = owner.id_;
@@ -123,6 +123,13 @@
     sockets_->callers().AnswerError(exchange, attempt.call, error_kind::kAnswerLost, 0);
     sockets_->peers().RefuseAttempt(exchange, error_kind::kAnswerLost, 0, {});
   }
+  void OnUpstreamRefused(exchange_id exchange, const attempt_id& attempt,
+                         time_point now) override {
+    OnUpstreamLost(exchange, attempt, now);
+  }
+  void OnUpstreamLoad(const load_report& /*report*/, time_point /*now*/) override {}
+  void OnStrayAnswer(exchange_id /*exchange*/, const attempt_id& /*attempt*/,
+                     time_point /*now*/) override {}
   void OnDatagram(std::string_view /*from*/, std::string_view /*payload*/,
                   time_point /*now*/) override {}
 
--- a/src/admission/admission_system.cc
+++ b/src/admission/admission_system.cc
@@ -55,6 +55,15 @@
   health_.Clear();
 }
 
+void admission_system::SetWarmAt(time_point warm_at, time_point now) {
+  if (warm_at <= now) {
+    warmup_end_ = std::min(warmup_end_, now);
+    return;
+  }
+  if (now >= warmup_end_) warmup_start_ = now;
+  warmup_end_ = warm_at;
+}
+
 std::uint32_t admission_system::EffectiveSlots(time_point now) const {
   if (slots_ <= 1 || now >= warmup_end_) return slots_;
   if (now <= warmup_start_) return 1;
--- a/src/admission/admission_system.h
+++ b/src/admission/admission_system.h
@@ -40,6 +40,9 @@
   /// the warm-up again.
   void OnUpstreamReplaced(time_point now);
 
+  /// The upstream says that it is slow until `warm_at`; the warm-up ends then.
+  void SetWarmAt(time_point warm_at, time_point now);
+
   /// Starts, queues or refuses the attempt. Error kinds: kDuplicateAttempt (the exchange is
   /// here already), kNotReady, kWrongService, kDraining, kDeadlineTooShort, kUpstreamEjected,
   /// kOverloaded.
--- a/src/base/error_answer.h
+++ b/src/base/error_answer.h
@@ -4,6 +4,7 @@
 
 #include "src/base/error_kind.h"
 #include "src/base/execution.h"
+#include "src/base/time.h"
 
 namespace bronzeroute {
 
@@ -17,6 +18,8 @@
   /// True if another owner may be tried without repeating work.
   bool try_elsewhere = false;
   std::string_view text;
+  /// When the caller may come back; 0 if the answer says nothing about that.
+  duration retry_after{};
 };
 
 }  // namespace bronzeroute
--- a/src/base/error_kind.cc
+++ b/src/base/error_kind.cc
@@ -13,6 +13,11 @@
 
 using enum error_kind;
 
+// A slot of a busy upstream comes free within the time of a short request or two.
+constexpr duration kSoon = std::chrono::milliseconds(100);
+// A change of the members or of the configuration takes a moment to arrive.
+constexpr duration kLater = std::chrono::milliseconds(250);
+
 constexpr auto kTable = std::to_array<error_answer>({
     {kNone, "none", 200, kRan, false, "No error."},
     {kBadHeader, "bad_header", 400, kNotRun, false, "A Bronzeroute header is malformed."},
@@ -20,25 +25,25 @@
     {kUnknownService, "unknown_service", 404, kNotRun, false,
      "The configuration in force has no such service."},
     {kTooDeep, "too_deep", 508, kNotRun, false, "The call is nested too deep."},
-    {kNotReady, "not_ready", 503, kNotRun, false, "No configuration is in force yet."},
-    {kNoUpstream, "no_upstream", 503, kNotRun, false, "No upstream can take the request."},
+    {kNotReady, "not_ready", 503, kNotRun, false, "No configuration is in force yet.", kLater},
+    {kNoUpstream, "no_upstream", 503, kNotRun, false, "No upstream can take the request.", kSoon},
     {kDeadlineTooShort, "deadline_too_short", 503, kNotRun, true,
-     "The request would be answered after its deadline."},
+     "The request would be answered after its deadline.", kSoon},
     {kOverloaded, "overloaded", 503, kNotRun, true,
-     "Slots and queue of the upstream are full."},
+     "Slots and queue of the upstream are full.", kSoon},
     {kQueueTimeout, "queue_timeout", 503, kNotRun, false,
-     "The request left the queue before it could start."},
-    {kDraining, "draining", 503, kNotRun, true, "The upstream is leaving."},
+     "The request left the queue before it could start.", kSoon},
+    {kDraining, "draining", 503, kNotRun, true, "The upstream is leaving.", kSoon},
     {kWrongIncarnation, "wrong_incarnation", 503, kNotRun, true,
-     "The attempt names an earlier run of this process."},
+     "The attempt names an earlier run of this process.", kSoon},
     {kCancelled, "cancelled", 499, kNotRun, false, "The caller cancelled before the start."},
     {kUpstreamConnectFailed, "upstream_connect_failed", 502, kNotRun, true,
      "No connection to the upstream could be made."},
-    {kUpstreamEjected, "upstream_ejected", 503, kNotRun, true, "The upstream is failing."},
+    {kUpstreamEjected, "upstream_ejected", 503, kNotRun, true, "The upstream is failing.", kSoon},
     {kRetryBudgetEmpty, "retry_budget_empty", 503, kNotRun, false,
-     "The budget for further attempts is used up."},
+     "The budget for further attempts is used up.", kSoon},
     {kPeerUnreachable, "peer_unreachable", 503, kNotRun, true,
-     "There is no open channel to the process beside the upstream."},
+     "There is no open channel to the process beside the upstream.", kSoon},
     {kAnswerLost, "answer_lost", 504, kUnknown, false,
      "The request may have run; no answer came."},
     {kDeadlineExceeded, "deadline_exceeded", 504, kUnknown, false,
@@ -59,7 +64,12 @@
     {kBadKey, "bad_key", 400, kNotRun, false, "The idempotency key is malformed."},
     {kUnknownEndpoint, "unknown_endpoint", 404, kNotRun, false, "There is no such endpoint."},
     {kWrongService, "wrong_service", 503, kNotRun, true,
-     "The upstream beside this process serves another service."},
+     "The upstream beside this process serves another service.", kSoon},
+    {kBodyTooLarge, "body_too_large", 413, kNotRun, false, "The request body is too large."},
+    {kUpstreamRefused, "upstream_refused", 503, kNotRun, true,
+     "The upstream says that it did not run the request.", kSoon},
+    {kUnknownRoute, "unknown_route", 404, kNotRun, false,
+     "The configuration in force has no route for the host and path."},
 });
 
 }  // namespace
--- a/src/base/error_kind.h
+++ b/src/base/error_kind.h
@@ -40,6 +40,9 @@
   kBadKey = 27,
   kUnknownEndpoint = 28,
   kWrongService = 29,
+  kBodyTooLarge = 30,
+  kUpstreamRefused = 31,
+  kUnknownRoute = 32,
 };
 
 /// The answer a caller gets for `kind`.
--- a/src/calls/attempt_head.h
+++ b/src/calls/attempt_head.h
@@ -27,6 +27,12 @@
   /// Body bytes, or nothing for a body of unknown length.
   std::optional<std::uint64_t> content_length;
   time_point deadline;
+  /// Time until which an answer is worth its full value.
+  time_point objective{};
+  /// Rank of the request, 0 for the most important.
+  std::uint32_t priority = 0;
+  /// The caller's own id of the request, empty if the deployment has none.
+  std::string request_id{};
   /// Configuration version the entry acted on.
   std::int64_t config_version = -1;
 };
--- a/src/calls/call_log_row.h
+++ b/src/calls/call_log_row.h
@@ -28,6 +28,8 @@
   };
 
   call_id id;
+  /// The caller's own id of the request, empty if the deployment has none.
+  std::string request_id{};
   std::string service;
   std::string path;
   bool is_protected = false;
--- a/src/calls/caller_request.h
+++ b/src/calls/caller_request.h
@@ -13,8 +13,12 @@
 struct caller_request {
   exchange_id exchange;
   std::string method;
-  /// Path with query, as received. Its first segment names the service.
+  /// Path with query, as received. Without routes by host its first segment names the service.
   std::string path;
+  /// Value of the Host field.
+  std::string host{};
+  /// The caller's own id of this request, empty if the deployment has none.
+  std::string request_id{};
   std::string key;
   std::uint32_t caller_try = 1;
   std::uint32_t depth = 0;
--- a/src/calls/entry_system.h
+++ b/src/calls/entry_system.h
@@ -90,6 +90,11 @@
     std::uint32_t open_attempt = 0;
     std::uint32_t last_attempt = 0;
     std::uint32_t attempts_sent = 0;
+    /// Attempts that got a slot at an owner, and how many may.
+    std::uint32_t attempts_admitted = 0;
+    std::uint32_t max_admitted = kMaxAttempts;
+    std::uint32_t priority = 0;
+    time_point objective;
     std::vector<member_id> excluded;
     error_kind last_refusal = error_kind::kNone;
     /// An attempt was sent and its fate is unknown.
@@ -108,6 +113,10 @@
     choice_summary choice{};
   };
 
+  /// True if the call may be offered to another owner.
+  static bool HasAttemptsLeft(const call_row& row) {
+    return row.attempts_sent < kMaxAttempts && row.attempts_admitted < row.max_admitted;
+  }
   error_kind Classify(const caller_request& request, time_point now, call_row& row);
   std::variant<chosen_target, error_kind> PickTarget(call_row& row, time_point now);
   void StartAttempt(std::uint64_t sequence, time_point now);
--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/base/concat.h"
 #include "src/base/error_answer.h"
 #include "src/calls/answer_identity.h"
 #include "src/calls/call_times.h"
@@ -29,11 +30,6 @@
 /// Candidates without an open channel that one call passes over before it is refused.
 inline constexpr std::size_t kMaxExcluded = 16;
 
-inline std::string_view ServiceOfPath(std::string_view path) {
-  if (path.starts_with('/')) path.remove_prefix(1);
-  return path.substr(0, path.find_first_of("/?"));
-}
-
 inline bool IsServerError(int status) { return status >= 500; }
 
 }  // namespace internal
@@ -65,8 +61,8 @@
   row.depth = request.depth;
   row.content_length = request.content_length;
   row.log.id = id;
-  row.log.service = internal::ServiceOfPath(request.path);
   row.log.path = request.path;
+  row.log.request_id = request.request_id;
   row.log.caller_try = request.caller_try;
   row.log.has_key = !request.key.empty();
   row.log.received = now;
@@ -90,7 +86,8 @@
   if (request.caller_try == 0) return error_kind::kBadHeader;
   if (request.key.size() > internal::kMaxKeyLength) return error_kind::kFieldTooLarge;
   if (IsIssuedKey(request.key) && !ParseIssuedKey(request.key)) return error_kind::kBadKey;
-  const route_decision route = routes_.Find(row.log.service, request.method, request.path);
+  const route_decision route = routes_.Find(request);
+  row.log.service = route.service;
   if (route.error != error_kind::kNone) return route.error;
   // A key asks for at most one run, whatever the route says.
   row.log.is_protected = route.is_protected || !request.key.empty();
@@ -98,8 +95,13 @@
       route.is_long || (request.content_length ? *request.content_length > internal::kLongBody
                                                : !route.is_marked_short);
   row.log.config_version = route.config_version;
+  row.priority = route.priority;
+  row.max_admitted = route.max_attempts == 0 ? kMaxAttempts : route.max_attempts;
   row.log.deadline =
-      std::min(request.deadline.value_or(now + route.time_limit), now + kMaxTimeLimit);
+      std::min({request.deadline.value_or(now + route.time_limit), now + kMaxTimeLimit,
+                route.limits_caller ? now + route.time_limit : now + kMaxTimeLimit});
+  row.objective = route.objective_latency > duration(0) ? now + route.objective_latency
+                                                        : row.log.deadline;
   return row.log.deadline <= now ? error_kind::kDeadlineTooShort : error_kind::kNone;
 }
 
@@ -143,7 +145,7 @@
   for (;;) {
     call_row& row = calls_.find(sequence)->second;
     const bool is_full =
-        row.attempts_sent >= kMaxAttempts || row.excluded.size() >= internal::kMaxExcluded;
+        !HasAttemptsLeft(row) || row.excluded.size() >= internal::kMaxExcluded;
     if (is_full || row.log.deadline <= now) {
       const error_kind kind = row.last_refusal == error_kind::kNone
                                   ? error_kind::kDeadlineTooShort
@@ -172,6 +174,9 @@
                             .is_long = row.log.is_long,
                             .content_length = row.content_length,
                             .deadline = row.log.deadline,
+                            .objective = row.objective,
+                            .priority = row.priority,
+                            .request_id = row.log.request_id,
                             .config_version = row.log.config_version};
     const bool is_local = chosen.target.id == self_.id && chosen.target.run == self_.run;
     row.open_attempt = head.id.number;
@@ -234,6 +239,7 @@
 void basic_entry_system<Rules>::OnAttemptAdmitted(const answer_identity& from,
                                                   const load_hint& hint, time_point now) {
   if (FindOpen(from, false) == nullptr) return;
+  ++calls_.find(from.attempt.call.sequence)->second.attempts_admitted;
   chooser_.OnHint({from.owner, from.owner_run}, hint, now);
 }
 
@@ -277,7 +283,7 @@
                                                   time_point now) {
   call_row& row = calls_.find(sequence)->second;
   row.last_refusal = kind;
-  if (row.attempts_sent < kMaxAttempts && row.log.deadline > now) {
+  if (HasAttemptsLeft(row) && row.log.deadline > now) {
     if (!budget_.TryAfterRefusal(now)) {
       ++counters_.budget_refusals;
       EndWithError(sequence, error_kind::kRetryBudgetEmpty, 0, false, now);
@@ -294,7 +300,7 @@
   row.may_have_run = true;
   row.last_refusal = error_kind::kAnswerLost;
   const bool may_repeat = Rules::MayRepeatAfterLoss(row.log.is_protected) &&
-                          row.attempts_sent < kMaxAttempts && row.log.deadline > now;
+                          HasAttemptsLeft(row) && row.log.deadline > now;
   if (may_repeat && budget_.TryReexecution(now)) {
     ++counters_.reexecutions;
     StartAttempt(sequence, now);
@@ -474,7 +480,10 @@
 template <typename Rules>
 std::variant<std::string, error_kind> basic_entry_system<Rules>::IssueKey(
     std::string_view service, time_point now) {
-  const route_decision route = routes_.Find(service, "POST", "/" + std::string(service));
+  caller_request probe;
+  probe.method = "POST";
+  probe.path = Concat("/", service);
+  const route_decision route = routes_.Find(probe);
   if (route.error != error_kind::kNone) return route.error;
   choice_request request;
   request.is_protected = true;
--- a/src/calls/owner_system.h
+++ b/src/calls/owner_system.h
@@ -52,6 +52,8 @@
 
   /// No connection could be made: it is certain that nothing was sent.
   void OnUpstreamConnectFailed(const attempt_id& attempt, time_point now);
+  /// The upstream stated that it did not run the request.
+  void OnUpstreamRefused(const attempt_id& attempt, time_point now);
   void OnUpstreamAnswerHead(const attempt_id& attempt, int status, time_point now);
   /// The response ended; `complete` is false if its body was cut.
   void OnUpstreamEnded(const attempt_id& attempt, bool complete, time_point now);
@@ -65,6 +67,8 @@
   void OnFreeze(time_point now);
   /// Refuses new work from now on and finishes what is running.
   void Drain(time_point now);
+  /// Takes work again: another run of the upstream is there.
+  void EndDrain() { drain_deadline_.reset(); }
   /// Enforces deadlines.
   void Tick(time_point now);
 
--- a/src/calls/owner_system_impl.h
+++ b/src/calls/owner_system_impl.h
@@ -199,6 +199,14 @@
   Refuse(attempt, error_kind::kUpstreamConnectFailed, upstream_outcome::kConnectFailed, now);
 }
 
+template <typename Rules>
+void basic_owner_system<Rules>::OnUpstreamRefused(const attempt_id& attempt, time_point now) {
+  CheckFreeze(now);
+  attempt_row* row = FindStarted(attempt);
+  if (row == nullptr || row->state == row_state::kAnswering) return;
+  Refuse(attempt, error_kind::kUpstreamRefused, upstream_outcome::kNotStarted, now);
+}
+
 template <typename Rules>
 void basic_owner_system<Rules>::OnUpstreamAnswerHead(const attempt_id& attempt, int status,
                                                      time_point now) {
--- a/src/calls/route_directory.h
+++ b/src/calls/route_directory.h
@@ -1,18 +1,18 @@
 #pragma once
 
-#include <string_view>
-
 #include "src/calls/route_decision.h"
 
 namespace bronzeroute {
 
+struct caller_request;
+
 /// The configuration in effect as the entry uses it.
 class route_directory {
  public:
   virtual ~route_directory() = default;
 
-  virtual route_decision Find(std::string_view service, std::string_view method,
-                              std::string_view path) = 0;
+  /// The route of `request`. Where a route has several targets, one is drawn for each call.
+  virtual route_decision Find(const caller_request& request) = 0;
 };
 
 }  // namespace bronzeroute
--- a/src/configuration/configuration_record.cc
+++ b/src/configuration/configuration_record.cc
@@ -52,8 +52,15 @@
   return record.SerializeAsString();
 }
 
+std::shared_ptr<const document> ReadTomlDocument(std::string_view bytes) {
+  parse_result parsed = ParseDocument(bytes, "document");
+  if (!parsed.value) return nullptr;
+  return std::make_shared<const document>(*std::move(parsed.value));
+}
+
 std::optional<configuration_snapshot> DecodeSnapshot(std::string_view record,
-                                                     std::string_view environment) {
+                                                     std::string_view environment,
+                                                     const document_reader& read_document) {
   proto::ConfigurationRecord message;
   if (!message.ParseFromArray(record.data(), static_cast<int>(record.size())) ||
       !message.has_snapshot()) {
@@ -73,9 +80,8 @@
   result.bytes = std::move(*snapshot.mutable_document());
   if (DocumentDigest(result.bytes) != result.digest) return std::nullopt;
   if (result.format == kDocumentFormat) {
-    parse_result parsed = ParseDocument(result.bytes, "snapshot");
-    if (!parsed.value) return std::nullopt;
-    result.parsed = std::make_shared<const document>(*std::move(parsed.value));
+    result.parsed = read_document(result.bytes);
+    if (result.parsed == nullptr) return std::nullopt;
   }
   return result;
 }
--- a/src/configuration/configuration_record.h
+++ b/src/configuration/configuration_record.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "src/configuration/configuration_snapshot.h"
+#include "src/configuration/document_reader.h"
 
 namespace bronzeroute {
 
@@ -30,7 +31,8 @@
 /// Decodes a snapshot record. None if `record` is something else, its digest is wrong, its
 /// document is invalid, or it belongs to another environment. `parsed` stays null for a
 /// format that this build cannot read.
-std::optional<configuration_snapshot> DecodeSnapshot(std::string_view record,
-                                                     std::string_view environment);
+std::optional<configuration_snapshot> DecodeSnapshot(
+    std::string_view record, std::string_view environment,
+    const document_reader& read_document = ReadTomlDocument);
 
 }  // namespace bronzeroute
--- a/src/configuration/configuration_system.cc
+++ b/src/configuration/configuration_system.cc
@@ -9,6 +9,7 @@
 #include <xxhash.h>
 
 #include "src/configuration/configuration_record.h"
+#include "src/configuration/parse_document.h"
 
 namespace bronzeroute {
 namespace {
@@ -21,8 +22,6 @@
 constexpr duration kMaxRetry = seconds(4);
 // Bounds the reads on a log that does not wait for records.
 constexpr duration kEmptyReadInterval = milliseconds(100);
-// Longer than the client's own timeout; covers a result that never comes.
-constexpr duration kReadDeadline = seconds(10);
 // The log usually supplies a new version first. With two failed fetches of 1.5 s the version
 // is still in effect within 6 s.
 constexpr duration kFetchGrace = seconds(1);
@@ -33,6 +32,8 @@
 // Longer than an append takes to reach the other daemons, so that they see it and do not
 // repeat it.
 constexpr duration kMaxRankStep = seconds(2);
+// A log that keeps the newest record of each key needs only one snapshot.
+constexpr std::string_view kSnapshotKey = "snapshot";
 constexpr duration kAppendDeadline = seconds(10);
 constexpr duration kAppendRetry = seconds(5);
 // Sets these tokens apart from those of other users of the log port.
@@ -54,7 +55,13 @@
   if (read.stream != stream_) return;
   read_open_ = false;
   read_failures_ = 0;
-  next_read_ = read.records.empty() ? now + kEmptyReadInterval : now;
+  read_once_ = true;
+  next_read_ = now + (read.records.empty() ? kEmptyReadInterval : settings_.read_pause);
+  if (settings_.form == configuration_form::kVersionedDocuments) {
+    AdoptDocuments(read);
+    DropStalePeers();
+    return;
+  }
   retention_ = milliseconds(read.retention_ms);
   log_behind_ = read.next < fold_.position();
   std::ranges::move(fold_.Fold(read), std::back_inserter(verdicts_));
@@ -97,13 +104,17 @@
 
 void configuration_system::OnSnapshot(member_id peer, std::string_view record, time_point now) {
   std::optional<configuration_snapshot> snapshot =
-      DecodeSnapshot(record, settings_.environment);
+      DecodeSnapshot(record, settings_.environment, settings_.read_document);
   if (!snapshot) {
     OnSnapshotFailed(peer, now);
     return;
   }
   if (fetching_from_ == peer) fetching_from_.reset();
-  if (snapshot->version > in_effect_.version) {
+  if (settings_.form == configuration_form::kVersionedDocuments) {
+    if (snapshot->version > in_effect_.version && snapshot->parsed != nullptr) {
+      in_effect_ = *std::move(snapshot);
+    }
+  } else if (snapshot->version > in_effect_.version) {
     const bool restored = snapshot->parsed != nullptr && fold_.Restore(*snapshot);
     if (restored) {
       restored_at_ = now;
@@ -145,12 +156,47 @@
     return "a newer version is in force that this build cannot read";
   }
   if (read_failures_ > 0) return "the log is unavailable";
+  if (settings_.form == configuration_form::kVersionedDocuments) {
+    return read_once_ ? "" : "the log was not read yet";
+  }
   if (log_behind_) return "the log ends before the records read earlier";
   if (fold_.position() == 0 && !fold_.anchored()) return "the log was not read yet";
   if (!fold_.anchored()) return "no snapshot covers the beginning of the stream";
   return {};
 }
 
+void configuration_system::AdoptDocuments(const log_read& read) {
+  next_offset_ = std::max(next_offset_, read.first);
+  for (const log_record& record : read.records) {
+    next_offset_ = std::max(next_offset_, record.offset + 1);
+    const std::shared_ptr<const document> parsed = settings_.read_document(record.data);
+    record_verdict result;
+    result.offset = record.offset;
+    result.version_before = in_effect_.version;
+    if (parsed == nullptr || parsed->version < 0) {
+      result.value = verdict::kInvalidDocument;
+    } else if (parsed->version <= in_effect_.version) {
+      result.value = verdict::kStaleBase;
+    } else {
+      result.value = verdict::kAccepted;
+      in_effect_.version = parsed->version;
+      in_effect_.as_of = parsed->version;
+      in_effect_.bytes = record.data;
+      in_effect_.digest = DocumentDigest(record.data);
+      in_effect_.format = kDocumentFormat;
+      in_effect_.parsed = parsed;
+    }
+    verdicts_.push_back(std::move(result));
+  }
+  // A read that goes on behind a gap starts where the log does.
+  if (read.records.empty()) next_offset_ = std::max(next_offset_, read.next);
+}
+
+std::int64_t configuration_system::NextOffset() const {
+  return settings_.form == configuration_form::kVersionedDocuments ? next_offset_
+                                                                   : fold_.position();
+}
+
 void configuration_system::NoteRecords(const log_read& read, time_point now) {
   if (fold_.newest_anchor() >= 0) restored_at_.reset();
   for (const log_record& record : read.records) {
@@ -206,8 +252,8 @@
   if (read_open_ && now >= read_deadline_) FailRead(now);
   if (read_open_ || now < next_read_) return;
   read_open_ = true;
-  read_deadline_ = now + kReadDeadline;
-  log_.Read(stream_, fold_.position());
+  read_deadline_ = now + settings_.read_time;
+  log_.Read(stream_, NextOffset());
 }
 
 void configuration_system::TickFetch(time_point now) {
@@ -221,6 +267,7 @@
 
 void configuration_system::TickSnapshot(time_point now) {
   if (append_open_ && now >= append_deadline_) OnAppendResult(append_token_, false, now);
+  if (settings_.form == configuration_form::kVersionedDocuments) return;
   if (append_open_ || read_failures_ > 0 || log_behind_ || retention_ <= duration(0)) return;
   const std::optional<time_point> due = SnapshotDue();
   if (!due || now < *due) return;
@@ -234,7 +281,7 @@
   append_deadline_ = now + kAppendDeadline;
   const configuration_snapshot snapshot =
       fold_.anchored() ? fold_.head() : fold_.Recover(in_effect_);
-  log_.Append(stream_, EncodeSnapshot(snapshot, settings_.environment), ++append_token_);
+  log_.Append(stream_, kSnapshotKey, EncodeSnapshot(snapshot, settings_.environment), ++append_token_);
 }
 
 std::optional<time_point> configuration_system::SnapshotDue() const {
--- a/src/configuration/configuration_system.h
+++ b/src/configuration/configuration_system.h
@@ -65,6 +65,9 @@
   static constexpr std::int64_t kNotRanked = -2;
   static constexpr std::int64_t kNoAnchor = -3;
 
+  /// Takes the highest version among documents that name theirs.
+  void AdoptDocuments(const log_read& read);
+  std::int64_t NextOffset() const;
   void NoteRecords(const log_read& read, time_point now);
   void AdoptHead();
   void FailRead(time_point now);
@@ -89,7 +92,10 @@
   /// Highest version that cannot be taken over from peers.
   std::int64_t unusable_version_ = -1;
 
+  /// Offset of the next read of versioned documents.
+  std::int64_t next_offset_ = 0;
   bool read_open_ = false;
+  bool read_once_ = false;
   time_point read_deadline_{};
   time_point next_read_{};
   int read_failures_ = 0;
--- a/src/configuration/document.cc
+++ b/src/configuration/document.cc
@@ -9,4 +9,9 @@
   return found == services.end() ? nullptr : &*found;
 }
 
+const host_route* document::FindHostRoute(std::string_view host, std::string_view path) const {
+  const auto position = index_.Find(host, path);
+  return position ? &host_routes[*position] : nullptr;
+}
+
 }  // namespace bronzeroute
--- a/src/daemon/admin_endpoints.cc
+++ b/src/daemon/admin_endpoints.cc
@@ -1,8 +1,7 @@
 #include "src/daemon/admin_endpoints.h"
 
-#include <cpprest/json.h>
-
 #include <exception>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -23,17 +22,17 @@
 namespace bronzeroute {
 namespace {
 
-using web::json::value;
+using value = nlohmann::json;
 
 constexpr std::string_view kPrefix = "/.bronzeroute/v1/";
 constexpr std::uint32_t kMaxAnnounced = 100'000;
 
-local_answer Json(const value& body) { return {200, "application/json", body.serialize()}; }
+local_answer Json(const value& body) { return {200, "application/json", body.dump()}; }
 
 local_answer BadRequest(std::string_view text) {
   value body;
-  body["error"] = value::string(std::string(text));
-  return {400, "application/json", body.serialize()};
+  body["error"] = std::string(text);
+  return {400, "application/json", body.dump()};
 }
 
 std::string_view StateName(member_state state) {
@@ -50,7 +49,7 @@
   return "left";
 }
 
-value Text(std::string_view text) { return value::string(std::string(text)); }
+value Text(std::string_view text) { return std::string(text); }
 
 value MemberJson(const member_row& row) {
   value result;
@@ -64,8 +63,8 @@
   result["callers_address"] = Text(row.callers_address);
   result["admin_address"] = Text(row.admin_address);
   result["peer_address"] = Text(row.peer_address);
-  result["draining"] = value::boolean(row.draining);
-  result["config_version"] = value::number(row.config_version);
+  result["draining"] = row.draining;
+  result["config_version"] = row.config_version;
   return result;
 }
 
@@ -74,17 +73,17 @@
   const admission_system& admission = runtime.admission().system();
   value result = MemberJson(self);
   result["environment"] = Text(options.environment);
-  result["config_version"] = value::number(runtime.configuration().version());
+  result["config_version"] = runtime.configuration().version();
   result["config_problem"] = Text(runtime.configuration().problem());
-  result["ready_members"] = value::number(static_cast<std::uint64_t>(runtime.ServingMembers()));
-  result["log_available"] = value::boolean(runtime.membership().log_available());
-  result["draining"] = value::boolean(admission.draining());
-  result["stopping"] = value::boolean(runtime.stopping());
-  result["running"] = value::number(static_cast<std::uint64_t>(admission.running()));
-  result["queued"] = value::number(static_cast<std::uint64_t>(admission.queued()));
-  result["effective_slots"] = value::number(admission.EffectiveSlots(MonotonicNow()));
+  result["ready_members"] = runtime.ServingMembers();
+  result["log_available"] = runtime.membership().log_available();
+  result["draining"] = admission.draining();
+  result["stopping"] = runtime.stopping();
+  result["running"] = admission.running();
+  result["queued"] = admission.queued();
+  result["effective_slots"] = admission.EffectiveSlots(MonotonicNow());
   result["open_calls"] =
-      value::number(static_cast<std::uint64_t>(runtime.calls().entry().open_calls()));
+      runtime.calls().entry().open_calls();
   return Json(result);
 }
 
@@ -94,14 +93,14 @@
     rows.push_back(MemberJson(row));
   }
   value result;
-  result["members"] = value::array(std::move(rows));
+  result["members"] = std::move(rows);
   return Json(result);
 }
 
 local_answer Configuration(const node_runtime& runtime) {
   const configuration_snapshot& snapshot = runtime.configuration().in_effect();
   value result;
-  result["version"] = value::number(snapshot.version);
+  result["version"] = snapshot.version;
   result["digest"] = Text(Concat(snapshot.digest));
   result["document"] = Text(snapshot.bytes);
   return Json(result);
@@ -126,16 +125,20 @@
 
 local_answer Announce(node_runtime& runtime, std::string_view body) {
   try {
-    const value announced = value::parse(std::string(body));
-    const std::string service = announced.at("service").as_string();
-    const std::string address = announced.at("address").as_string();
-    const auto slots = announced.at("slots").as_number().to_uint32();
-    const auto connections = announced.at("connections").as_number().to_uint32();
+    const value announced = value::parse(body);
+    const std::string service = announced.at("service").get<std::string>();
+    const std::string address = announced.at("address").get<std::string>();
+    const auto slots = announced.at("slots").get<std::uint32_t>();
+    const auto connections = announced.at("connections").get<std::uint32_t>();
     if (slots == 0 || slots > kMaxAnnounced || connections == 0 ||
         connections > kMaxAnnounced) {
       return BadRequest("slots and connections must be from 1 to 100000");
     }
-    runtime.OnAnnouncement(service, address, slots, connections, MonotonicNow());
+    runtime.OnAnnouncement({.service = service,
+                            .address = address,
+                            .slots = slots,
+                            .connections = connections},
+                           MonotonicNow());
     return Json(value::object());
   } catch (const std::exception&) {
     return BadRequest("expected {\"service\", \"address\", \"slots\", \"connections\"}");
@@ -164,9 +167,9 @@
     runtime.Drain(MonotonicNow());
     const admission_system& admission = runtime.admission().system();
     value result;
-    result["draining"] = value::boolean(admission.draining());
-    result["running"] = value::number(static_cast<std::uint64_t>(admission.running()));
-    result["queued"] = value::number(static_cast<std::uint64_t>(admission.queued()));
+    result["draining"] = admission.draining();
+    result["running"] = admission.running();
+    result["queued"] = admission.queued();
     return Json(result);
   });
   router.Add("GET", path("status"),
@@ -187,6 +190,14 @@
   });
 }
 
+void AddReadyEndpoint(http_router& router, node_runtime& runtime) {
+  // Any path: who asks for readiness has an address of its own and its own spelling.
+  router.Add("GET", "/", [&runtime](const local_request&) {
+    const bool ready = runtime.IsReady();
+    return local_answer{ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n"};
+  });
+}
+
 void AddCallerEndpoints(http_router& router, node_runtime& runtime) {
   router.Add("POST", Concat(kPrefix, "keys/"), [&runtime](const local_request& request) {
     return IssueKey(runtime, request.path);
--- a/src/daemon/admin_endpoints.h
+++ b/src/daemon/admin_endpoints.h
@@ -10,6 +10,10 @@
 /// explain and metrics. `runtime` must outlive `router`.
 void AddAdminEndpoints(http_router& router, node_runtime& runtime, const settings& options);
 
+/// Adds the answer to whoever asks for readiness, on any path: 200 if callers may send requests
+/// here, otherwise 503.
+void AddReadyEndpoint(http_router& router, node_runtime& runtime);
+
 /// Adds the endpoints of the callers' address: issued idempotency keys.
 void AddCallerEndpoints(http_router& router, node_runtime& runtime);
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -9,13 +9,13 @@
 #include "src/base/concat.h"
 #include "src/calls/answer_identity.h"
 #include "src/calls/attempt_head.h"
+#include "src/calls/call_id_text.h"
 #include "src/calls/caller_request.h"
 #include "src/daemon/admin_endpoints.h"
 #include "src/daemon/logging.h"
 #include "src/node/runtime_ports.h"
 #include "src/node/runtime_settings.h"
 #include "src/transport/event_loop.h"
-#include "src/transport/listening_socket.h"
 #include "src/transport/owner_report.h"
 
 namespace bronzeroute {
@@ -29,6 +29,9 @@
 // request.
 constexpr auto kLastRequests = std::chrono::milliseconds(200);
 
+// A read of the log is given up this long after its wait is over.
+constexpr auto kReadSlack = std::chrono::seconds(8);
+
 member_id IdOf(std::string_view peers_address) {
   return {XXH64(peers_address.data(), peers_address.size(), 0)};
 }
@@ -49,27 +52,36 @@
   return row;
 }
 
-runtime_settings RuntimeSettings(const settings& options) {
+runtime_settings RuntimeSettings(const settings& options, const daemon_parts& parts) {
   std::random_device entropy;
   const std::uint64_t high = entropy();
   return {.environment = options.environment,
           .seeds = options.seeds,
-          .seed = (high << 32) | entropy()};
+          .seed = (high << 32) | entropy(),
+          .form = parts.form,
+          .read_document = parts.read_document,
+          .configuration_read_pause = options.configuration_read_pause,
+          .log_read_time = options.log_wait + kReadSlack,
+          .join_spread = options.join_spread,
+          .stop_linger = options.stop_linger};
 }
 
 }  // namespace
 
-daemon::daemon(const settings& options)
+daemon::daemon(const settings& options, const daemon_parts& parts)
     : settings_(options),
       self_(SelfRow(options)),
-      transport_(*this),
-      log_(options.log_address, MakeLogListener()),
-      runtime_(self_, RuntimeSettings(options),
+      parts_(parts),
+      transport_(*this, parts.dialect),
+      announcements_(announcement_endpoints_),
+      readiness_(ready_endpoints_),
+      log_(parts.open_log(options, MakeLogListener())),
+      runtime_(self_, RuntimeSettings(options, parts),
                runtime_ports{.callers = transport_.callers(),
                              .peers = transport_.peers(),
                              .upstreams = transport_.upstream(),
                              .datagrams = transport_.datagrams(),
-                             .log = log_,
+                             .log = *log_,
                              .configuration_peers = *this,
                              .links = *this},
                MonotonicNow()),
@@ -87,28 +99,67 @@
                                           .peers = settings_.peers_address,
                                           .membership = settings_.membership_address,
                                           .admin = settings_.admin_address});
+  if (status.ok()) status = StartServers();
   if (!status.ok()) {
     return status;
   }
-  RunOnLoop([this] { Tick(); });
+  RunOnLoop([this] {
+    transport_.callers().SetCallerService(settings_.service);
+    Tick();
+  });
   LogInfo(Concat("daemon: listening for callers on ", settings_.callers_address));
   return absl::OkStatus();
 }
 
+absl::Status daemon::StartServers() {
+  absl::Status status = absl::OkStatus();
+  if (!settings_.announcements_address.empty()) {
+    status = announcements_.Start(settings_.announcements_address);
+  }
+  if (status.ok() && !settings_.ready_address.empty()) {
+    status = readiness_.Start(settings_.ready_address);
+  }
+  return status;
+}
+
 void daemon::BeginStop() {
   RunOnLoop([this] {
     LogInfo("daemon: stopping, work in flight goes on");
     runtime_.Stop(MonotonicNow());
+    transport_.callers().server().BeginClosing();
   });
 }
 
+void daemon::Reload(const settings& changed) {
+  LogInfo("daemon: settings were read again");
+  const bool needs_restart = changed.callers_address != settings_.callers_address ||
+                             changed.peers_address != settings_.peers_address ||
+                             changed.membership_address != settings_.membership_address ||
+                             changed.admin_address != settings_.admin_address ||
+                             changed.environment != settings_.environment;
+  if (needs_restart) {
+    LogWarning("daemon: changed addresses or environment take effect at the next start");
+  }
+  if (changed.log_address != settings_.log_address) {
+    LogWarning("daemon: a changed address of the log takes effect at the next start");
+  }
+  if (changed.service != settings_.service) {
+    settings_.service = changed.service;
+    transport_.callers().SetCallerService(settings_.service);
+    LogInfo(Concat("daemon: requests of this machine now come from ", settings_.service));
+  }
+}
+
 void daemon::Close() {
   if (closed_) {
     return;
   }
   closed_ = true;
   RunOnLoop([this] { timer_.cancel(); });
-  transport_.StopLinks();
+  announcements_.Stop();
+  readiness_.Stop();
+  transport_.Stop();
+  RunOnLoop([this] { log_ = nullptr; });
 }
 
 void daemon::ScheduleTick() {
@@ -122,7 +173,12 @@
 
 void daemon::Tick() {
   const time_point now = MonotonicNow();
+  log_->Tick(now);
+  transport_.Tick(now);
+  announcements_.Tick(now);
+  readiness_.Tick(now);
   runtime_.Tick(now);
+  ApplyLimits();
   transport_.peers().server().SetConfigVersion(runtime_.configuration().version());
   for (const std::string& line : runtime_.TakeLines()) {
     LogInfo(line);
@@ -140,16 +196,31 @@
 
 void daemon::EndCallers(time_point now) {
   if (end_at_ == time_point{}) {
-    if (EndListening(settings_.callers_address)) {
-      end_at_ = now + kLastRequests;
-    }
+    transport_.callers().server().EndListening();
+    end_at_ = now + kLastRequests;
   } else if (now >= end_at_) {
     stopped_ = true;
   }
 }
 
+void daemon::ApplyLimits() {
+  if (limits_version_ == runtime_.configuration().version()) return;
+  limits_version_ = runtime_.configuration().version();
+  const auto current = runtime_.configuration().current();
+  if (current == nullptr) return;
+  const caller_limits& named = current->limits;
+  http_limits limits;
+  if (named.head_bytes > 0) limits.head_bytes = named.head_bytes;
+  if (named.body_bytes > 0) limits.body_bytes = named.body_bytes;
+  if (named.head_time > duration(0)) limits.head_time = named.head_time;
+  if (named.idle_time > duration(0)) limits.idle_time = named.idle_time;
+  transport_.callers().server().SetLimits(limits);
+}
+
 void daemon::AddEndpoints() {
   AddAdminEndpoints(transport_.admin_endpoints(), runtime_, settings_);
+  if (parts_.add_endpoints) parts_.add_endpoints(announcement_endpoints_, runtime_);
+  AddReadyEndpoint(ready_endpoints_, runtime_);
   AddCallerEndpoints(transport_.caller_endpoints(), runtime_);
 }
 
@@ -239,6 +310,21 @@
   runtime_.calls().OnUpstreamLost(attempt, now);
 }
 
+void daemon::OnUpstreamRefused(exchange_id /*exchange*/, const attempt_id& attempt,
+                               time_point now) {
+  runtime_.calls().OnUpstreamRefused(attempt, now);
+}
+
+void daemon::OnUpstreamLoad(const load_report& report, time_point now) {
+  runtime_.OnUpstreamLoad(report, now);
+}
+
+void daemon::OnStrayAnswer(exchange_id /*exchange*/, const attempt_id& attempt,
+                           time_point /*now*/) {
+  LogWarning(Concat("call: dropped an answer to another request at attempt ", attempt.number,
+                    " of call ", FormatCallId(attempt.call)));
+}
+
 void daemon::OnDatagram(std::string_view from, std::string_view payload, time_point now) {
   runtime_.OnDatagram(from, payload, now);
 }
@@ -261,8 +347,8 @@
 
 void daemon::ClosePeer(member_id peer) { transport_.peers().client().ClosePeer(peer); }
 
-void daemon::SetUpstream(std::string_view address) {
-  transport_.upstream().SetUpstream(address);
+void daemon::SetUpstream(std::string_view address, std::string_view identity) {
+  transport_.upstream().SetUpstream(address, identity);
 }
 
 }  // namespace bronzeroute
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -8,11 +8,13 @@
 
 #include "absl/status/status.h"
 #include "src/configuration/configuration_peer_port.h"
+#include "src/daemon/daemon_parts.h"
 #include "src/daemon/settings.h"
 #include "src/membership/member_row.h"
 #include "src/node/node_runtime.h"
 #include "src/node/peer_link_port.h"
-#include "src/platform/http_log_port.h"
+#include "src/transport/admin_server.h"
+#include "src/transport/http_router.h"
 #include "src/transport/transport.h"
 #include "src/transport/transport_events.h"
 
@@ -23,7 +25,7 @@
                      private configuration_peer_port,
                      private peer_link_port {
  public:
-  explicit daemon(const settings& options);
+  daemon(const settings& options, const daemon_parts& parts);
   ~daemon() override;
   daemon(const daemon&) = delete;
   daemon& operator=(const daemon&) = delete;
@@ -34,8 +36,10 @@
   void BeginStop();
   /// True once nothing is open and the leave record is written. On the event loop.
   bool stopped() const { return stopped_ && transport_.open_exchanges() == 0; }
-  /// Closes everything but the HTTP listeners. Not on the event loop.
+  /// Closes everything. Not on the event loop.
   void Close();
+  /// Takes changed settings; those that need a restart are logged. On the event loop.
+  void Reload(const settings& changed);
 
  private:
   void OnCallerRequest(const caller_request& request, time_point now) override;
@@ -59,14 +63,20 @@
   void OnUpstreamEnded(exchange_id exchange, const attempt_id& attempt, bool complete,
                        time_point now) override;
   void OnUpstreamLost(exchange_id exchange, const attempt_id& attempt, time_point now) override;
+  void OnUpstreamRefused(exchange_id exchange, const attempt_id& attempt,
+                         time_point now) override;
+  void OnUpstreamLoad(const load_report& report, time_point now) override;
+  void OnStrayAnswer(exchange_id exchange, const attempt_id& attempt, time_point now) override;
   void OnDatagram(std::string_view from, std::string_view payload, time_point now) override;
 
   void FetchSnapshot(member_id peer, std::int64_t known_version) override;
   void OpenPeer(member_id peer, std::string_view address) override;
   void ClosePeer(member_id peer) override;
-  void SetUpstream(std::string_view address) override;
+  void SetUpstream(std::string_view address, std::string_view identity) override;
 
+  absl::Status StartServers();
   void AddEndpoints();
+  void ApplyLimits();
   log_listener MakeLogListener();
   void ScheduleTick();
   void Tick();
@@ -77,8 +87,14 @@
 
   settings settings_;
   member_row self_;
+  daemon_parts parts_;
   transport transport_;
-  http_log_port log_;
+  http_router announcement_endpoints_;
+  http_router ready_endpoints_;
+  admin_server announcements_;
+  admin_server readiness_;
+  std::int64_t limits_version_ = -1;
+  std::unique_ptr<log_port> log_;
   node_runtime runtime_;
   boost::asio::steady_timer timer_;
   time_point stop_limit_{};
--- a/src/daemon/parse_settings.cc
+++ b/src/daemon/parse_settings.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <map>
 #include <string>
 
@@ -15,10 +16,17 @@
 namespace {
 
 constexpr auto kRootKeys = std::to_array<std::string_view>(
-    {"environment", "region", "availability_zone", "addresses", "log", "seeds", "logging"});
+    {"environment", "region", "availability_zone", "service", "addresses", "log", "seeds",
+     "membership", "stop", "logging"});
 constexpr auto kAddressKeys =
-    std::to_array<std::string_view>({"callers", "peers", "membership", "admin"});
-constexpr auto kLogKeys = std::to_array<std::string_view>({"address"});
+    std::to_array<std::string_view>(
+        {"callers", "peers", "membership", "admin", "announcements", "ready"});
+constexpr auto kLogKeys =
+    std::to_array<std::string_view>({"address", "wait_ms", "read_pause_ms"});
+constexpr auto kMembershipKeys = std::to_array<std::string_view>({"join_spread_ms"});
+constexpr auto kStopKeys = std::to_array<std::string_view>({"linger_ms"});
+// Longest span that a setting in milliseconds may name: ten minutes.
+constexpr std::int64_t kMaxMs = 600'000;
 constexpr auto kLoggingKeys = std::to_array<std::string_view>({"level"});
 constexpr auto kEnvironments = std::to_array<std::string_view>({"trial", "production"});
 constexpr auto kLevels = std::to_array<std::string_view>({"debug", "info", "warn", "error"});
@@ -41,11 +49,24 @@
     result.peers_address = Address(*addresses, "addresses.", "peers");
     result.membership_address = Address(*addresses, "addresses.", "membership");
     result.admin_address = Address(*addresses, "addresses.", "admin");
+    result.announcements_address = OptionalAddress(*addresses, "announcements");
+    result.ready_address = OptionalAddress(*addresses, "ready");
+    result.service = Text(root, "", "service", false, "the name of a service");
     // Membership uses UDP, so its port may equal one of the TCP ports.
-    CheckDistinct(*addresses, {"callers", "peers", "admin"});
+    CheckDistinct(*addresses, {"callers", "peers", "admin", "announcements", "ready"});
     const toml::table* log = Section(root, "log", kEmpty);
     CheckKeys(*log, "log.", kLogKeys);
     result.log_address = Address(*log, "log.", "address");
+    result.log_wait = Milliseconds(*log, "log.", "wait_ms", result.log_wait);
+    result.configuration_read_pause =
+        Milliseconds(*log, "log.", "read_pause_ms", result.configuration_read_pause);
+    const toml::table* membership = Section(root, "membership", kEmpty);
+    CheckKeys(*membership, "membership.", kMembershipKeys);
+    result.join_spread =
+        Milliseconds(*membership, "membership.", "join_spread_ms", result.join_spread);
+    const toml::table* stop = Section(root, "stop", kEmpty);
+    CheckKeys(*stop, "stop.", kStopKeys);
+    result.stop_linger = Milliseconds(*stop, "stop.", "linger_ms", result.stop_linger);
     ReadSeeds(root, result);
     const toml::table* logging = Table(root, "logging");
     if (logging != nullptr) {
@@ -84,6 +105,16 @@
     return text;
   }
 
+  std::string OptionalAddress(const toml::table& table, std::string_view key) {
+    return table.contains(key) ? Address(table, "addresses.", key) : std::string();
+  }
+
+  duration Milliseconds(const toml::table& table, std::string_view path, std::string_view key,
+                        duration fallback) {
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(fallback).count();
+    return std::chrono::milliseconds(Integer(table, path, key, 0, kMaxMs, count));
+  }
+
   void CheckDistinct(const toml::table& addresses,
                      std::initializer_list<std::string_view> keys) {
     std::map<std::string, std::string_view> seen;
--- /dev/null
+++ b/src/daemon/run_daemon.cc
@@ -0,0 +1,177 @@
+#include "src/daemon/run_daemon.h"
+
+#include <sys/stat.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <ctime>
+#include <cxxopts.hpp>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <string>
+
+#include "src/base/concat.h"
+#include "src/daemon/daemon.h"
+#include "src/daemon/daemon_parts.h"
+#include "src/daemon/logging.h"
+#include "src/daemon/parse_settings.h"
+#include "src/transport/event_loop.h"
+
+namespace bronzeroute {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitStartFailed = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitBadSettings = 3;
+// Period at which a process that stops looks whether it may end.
+constexpr timespec kStopPoll{.tv_sec = 0, .tv_nsec = 10'000'000};
+// Period at which the settings file is looked at: it may change without a signal.
+constexpr timespec kSettingsPoll{.tv_sec = 1, .tv_nsec = 0};
+
+sigset_t HandledSignals() {
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGTERM);
+  sigaddset(&set, SIGHUP);
+  return set;
+}
+
+/// The settings in `file`; errors are written to `errors`.
+std::optional<settings> ReadSettings(const std::string& file, std::ostream& errors) {
+  std::ifstream input(file);
+  if (!input) {
+    errors << "cannot read " << file << "\n";
+    return std::nullopt;
+  }
+  std::stringstream text;
+  text << input.rdbuf();
+  settings_result result = ParseSettings(text.str(), file);
+  for (const document_error& error : result.errors) errors << DescribeError(error) << "\n";
+  return std::move(result.value);
+}
+
+/// What tells one state of a file from another.
+struct file_state {
+  ino_t inode = 0;
+  off_t size = 0;
+  timespec changed{};
+
+  explicit file_state(const std::string& file) {
+    struct stat found {};
+    if (stat(file.c_str(), &found) != 0) return;
+    inode = found.st_ino;
+    size = found.st_size;
+    changed = found.st_mtim;
+  }
+  bool operator==(const file_state& other) const {
+    return inode == other.inode && size == other.size &&
+           changed.tv_sec == other.changed.tv_sec && changed.tv_nsec == other.changed.tv_nsec;
+  }
+};
+
+void Reload(daemon& running, const std::string& file) {
+  std::stringstream errors;
+  const auto changed = ReadSettings(file, errors);
+  if (!changed) {
+    LogError(Concat("daemon: changed settings are faulty, the earlier ones stay: ",
+                    errors.str()));
+    return;
+  }
+  RunOnLoop([&] { running.Reload(*changed); });
+}
+
+/// Serves until a signal asks to stop.
+void Serve(daemon& running, const sigset_t& signals, const std::string& file) {
+  file_state seen(file);
+  for (;;) {
+    const int received = sigtimedwait(&signals, nullptr, &kSettingsPoll);
+    if (received == SIGTERM || received == SIGINT) return;
+    const file_state now(file);
+    if (received == SIGHUP || !(now == seen)) Reload(running, file);
+    seen = now;
+  }
+}
+
+[[noreturn]] void Run(const settings& options, const daemon_parts& parts,
+                      const std::string& file) {
+  StartLogging(options.log_level);
+  // All threads inherit the mask, so that the signals are left to the wait below.
+  const sigset_t signals = HandledSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  StartEventLoop();
+  auto running = std::make_unique<daemon>(options, parts);
+  const absl::Status status = running->Start();
+  if (!status.ok()) {
+    LogError(Concat("daemon: cannot start: ", status.message()));
+    std::_Exit(kExitStartFailed);
+  }
+  Serve(*running, signals, file);
+  running->BeginStop();
+  for (;;) {
+    nanosleep(&kStopPoll, nullptr);
+    // Checked and ended on the loop, so that no request can begin between the two.
+    RunOnLoop([&running] {
+      if (running->stopped()) {
+        LogInfo("daemon: stopped");
+        std::_Exit(kExitOk);
+      }
+    });
+  }
+}
+
+}  // namespace
+
+int RunDaemon(int argc, char** argv, std::string_view program, const daemon_parts& parts) {
+  const std::string name(program);
+  cxxopts::Options options(name, "The bronzeroute daemon beside an upstream");
+  // clang-format off
+  options.add_options()
+      ("settings", "settings file (TOML)", cxxopts::value<std::string>())
+      ("check", "check the settings and exit")
+      ("h,help", "print this help")
+      ("version", "print the version");
+  // clang-format on
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") != 0) {
+      std::cout << options.help()
+                << "\nSIGHUP, or a change of the file, reads the settings again.\n"
+                   "Exit codes: 0 stopped as asked, 1 cannot start (an address is taken), "
+                   "2 wrong usage, 3 faulty settings.\n";
+      return kExitOk;
+    }
+    if (parsed.count("version") != 0) {
+      std::cout << name << " " << BRONZEROUTE_VERSION << "\n";
+      return kExitOk;
+    }
+    if (parsed.count("settings") == 0) {
+      std::cerr << name << ": --settings FILE is required; see --help\n";
+      return kExitUsage;
+    }
+    const auto file = parsed["settings"].as<std::string>();
+    std::stringstream errors;
+    const auto settings = ReadSettings(file, errors);
+    if (!settings) {
+      std::cerr << name << ": " << errors.str();
+      return kExitBadSettings;
+    }
+    if (parsed.count("check") != 0) return kExitOk;
+    Run(*settings, parts, file);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << name << ": " << error.what() << "; see --help\n";
+    return kExitUsage;
+  } catch (const std::exception& error) {
+    std::cerr << name << ": " << error.what() << "\n";
+    return kExitStartFailed;
+  }
+}
+
+}  // namespace bronzeroute
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <chrono>
 #include <string>
 #include <vector>
 
+#include "src/base/time.h"
+
 namespace bronzeroute {
 
 /// Settings of one daemon, from its TOML file.
@@ -18,6 +21,22 @@
   std::string admin_address;
   /// "ip:port" of the platform's log.
   std::string log_address;
+  /// Address at which upstreams announce themselves in the form of the deployment, and the one
+  /// that is asked for readiness; empty if there is none.
+  std::string announcements_address;
+  std::string ready_address;
+  /// Service of the upstream beside this daemon, where requests of this machine name it.
+  std::string service;
+  /// Longest time that a read waits at the log for new records. 2.5 s: one waiting read of each
+  /// of 540 daemons puts 216 requests/s on an idle log.
+  duration log_wait = std::chrono::milliseconds(2500);
+  /// Pause after a read of the configuration that brought records.
+  duration configuration_read_pause{};
+  /// Members announce themselves within this time of their start.
+  duration join_spread = std::chrono::seconds(5);
+  /// A daemon that stops takes requests of callers for at least this long: peers learn of the
+  /// drain within one push (100 ms) and a round trip.
+  duration stop_linger = std::chrono::seconds(1);
   /// Membership addresses of other daemons, asked while the log is unavailable.
   std::vector<std::string> seeds;
   /// log4cxx level name, for example "info".
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -128,6 +128,11 @@
     result.draining_changed = true;
   }
   const std::uint64_t theirs = update.row.refutation;
+  if (theirs > row.refutation && row.draining && !update.row.draining) {
+    // Its own statement: another run of the upstream took the place of the one that left.
+    row.draining = false;
+    result.draining_changed = true;
+  }
   member_state state = row.state;
   switch (update.row.state) {
     case member_state::kLeft:
--- a/src/membership/membership_system.cc
+++ b/src/membership/membership_system.cc
@@ -4,7 +4,9 @@
 #include <bit>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "proto/membership.pb.h"
+#include "src/base/concat.h"
 #include "src/measuring/budget_account.h"
 #include "src/membership/datagram_port.h"
 #include "src/membership/member_codec.h"
@@ -14,6 +16,9 @@
 namespace bronzeroute {
 namespace {
 
+// Key of a member's records in the log.
+std::string MemberKey(member_id id) { return Concat("member-", absl::Hex(id.value)); }
+
 using proto::MemberDatagram;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -128,18 +133,13 @@
   return std::exchange(events_, {});
 }
 
-void membership_system::OnAnnouncement(std::string_view service, std::string_view address,
-                                       std::uint32_t slots, std::uint32_t connections,
-                                       time_point now) {
+void membership_system::OnAnnouncement(upstream_announcement announcement, time_point now) {
   Observe(now);
-  const bool is_new = !upstream_ || upstream_->service != service;
-  upstream_ = upstream_announcement{.service = std::string(service),
-                                    .address = std::string(address),
-                                    .slots = slots,
-                                    .connections = connections,
-                                    .gone_at = now + settings_.upstream_silence};
+  const bool is_new = !upstream_ || upstream_->service != announcement.service;
+  upstream_ = std::move(announcement);
+  upstream_->gone_at = now + settings_.upstream_silence;
   if (!is_new) return;
-  table_.Mutable(0).service = service;
+  table_.Mutable(0).service = upstream_->service;
   ChangeOwnDetails(now);
   Report(membership_event_kind::kUpstreamAnnounced, 0);
 }
@@ -164,6 +164,16 @@
   Report(membership_event_kind::kDraining, 0);
 }
 
+void membership_system::EndDrain(time_point now) {
+  Observe(now);
+  if (!self().draining || leaving_) return;
+  table_.Mutable(0).draining = false;
+  // Within one run, a record with a higher counter overrides the drain that peers know.
+  ++table_.Mutable(0).refutation;
+  table_.Refresh(0);
+  MarkChanged(0, false, true);
+}
+
 void membership_system::Leave(time_point now) {
   Observe(now);
   if (leaving_) return;
@@ -1013,7 +1023,8 @@
   pending_is_leave_ = leaving_;
   next_append_ = time_point::max();
   append_timeout_ = now + settings_.append_timeout;
-  log_.Append(settings_.stream, EncodeMemberLogRecord(table_.Update(0, true)), pending_token_);
+  log_.Append(settings_.stream, MemberKey(self().id),
+              EncodeMemberLogRecord(table_.Update(0, true)), pending_token_);
 }
 
 void membership_system::OnAppendResult(std::uint64_t token, bool appended, time_point now) {
--- a/src/membership/membership_system.h
+++ b/src/membership/membership_system.h
@@ -56,11 +56,12 @@
   /// may still have taken effect.
   void OnAppendResult(std::uint64_t token, bool appended, time_point now);
   /// The upstream beside this daemon announced itself; expected every 2 s.
-  void OnAnnouncement(std::string_view service, std::string_view address, std::uint32_t slots,
-                      std::uint32_t connections, time_point now);
+  void OnAnnouncement(upstream_announcement announcement, time_point now);
 
-  /// Tells peers that the owner takes no new work. It stays so until the end of the run.
+  /// Tells peers that the owner takes no new work.
   void Drain(time_point now);
+  /// Tells peers that the owner takes work again.
+  void EndDrain(time_point now);
   /// Tells peers and the log that this run ends. Keep ticking until `leave_recorded()`.
   void Leave(time_point now);
 
--- /dev/null
+++ b/src/membership/upstream_history.cc
@@ -0,0 +1,81 @@
+#include "src/membership/upstream_history.h"
+
+#include <chrono>
+#include <cstddef>
+#include <utility>
+
+#include "src/membership/upstream_announcement.h"
+
+namespace bronzeroute {
+namespace {
+
+// Late announcements are seconds old; an earlier run is remembered for much longer.
+constexpr auto kRemember = std::chrono::minutes(10);
+// Runs remembered; they end a few times a day.
+constexpr std::size_t kMaxRuns = 64;
+// A run whose clock went back looks like an earlier one. Late announcements come one by one, a
+// live run goes on.
+constexpr int kAnnouncementsOfALiveRun = 3;
+
+}  // namespace
+
+bool upstream_history::Accept(const upstream_announcement& announcement, time_point now) {
+  if (announcement.identity.empty()) return true;
+  Forget(now);
+  const auto found = runs_.find(announcement.identity);
+  if (found == runs_.end()) {
+    const auto before = runs_.find(current_);
+    if (before != runs_.end()) before->second.is_retired = true;
+    current_ = announcement.identity;
+    runs_[current_] = {.started_ms = announcement.started_ms,
+                       .sequence = announcement.sequence,
+                       .last_heard = now};
+    return true;
+  }
+  run& known = found->second;
+  const bool same_start = known.started_ms == announcement.started_ms;
+  if (same_start && announcement.sequence <= known.sequence) return false;
+  if (same_start && !known.is_retired) {
+    known.sequence = announcement.sequence;
+    known.last_heard = now;
+    known.contradicted = 0;
+    return announcement.identity == current_;
+  }
+  const bool is_later_start = !same_start && announcement.started_ms > known.started_ms;
+  if (!is_later_start) {
+    if (same_start) known.sequence = announcement.sequence;
+    if (++known.contradicted < kAnnouncementsOfALiveRun) return false;
+    // A run that left goes on announcing itself only until it ends.
+    if (same_start) return false;
+  }
+  const auto before = runs_.find(current_);
+  if (before != runs_.end() && current_ != announcement.identity) {
+    before->second.is_retired = true;
+  }
+  current_ = announcement.identity;
+  known = {.started_ms = announcement.started_ms,
+           .sequence = announcement.sequence,
+           .last_heard = now};
+  return true;
+}
+
+void upstream_history::Retire(std::string_view identity, time_point now) {
+  if (identity.empty()) return;
+  run& known = runs_[std::string(identity)];
+  known.is_retired = true;
+  known.last_heard = now;
+}
+
+bool upstream_history::IsRetired(std::string_view identity) const {
+  const auto found = runs_.find(std::string(identity));
+  return found != runs_.end() && found->second.is_retired;
+}
+
+void upstream_history::Forget(time_point now) {
+  if (runs_.size() < kMaxRuns) return;
+  absl::erase_if(runs_, [&](const auto& entry) {
+    return entry.first != current_ && entry.second.last_heard + kRemember < now;
+  });
+}
+
+}  // namespace bronzeroute
--- a/src/node/admission_adapter.h
+++ b/src/node/admission_adapter.h
@@ -25,9 +25,13 @@
 
   /// The upstream is gone: nothing is offered to it until `Configure`. Running work ends.
   void OnUpstreamGone() { service_.clear(); }
-  /// Another run of the upstream is there, which starts cold. A drain stays in force: peers
-  /// were told that this daemon takes no work until its end.
+  /// Another run of the upstream is there, which starts cold. A drain of the daemon stays in
+  /// force.
   void OnUpstreamReplaced(time_point now);
+  /// Takes work again after the upstream that left was replaced.
+  void EndDrain(time_point now) { system_.OnUpstreamReplaced(now); }
+  /// The upstream is slow until `warm_at`.
+  void SetWarmAt(time_point warm_at, time_point now) { system_.SetWarmAt(warm_at, now); }
 
   void SetListener(admission_listener* listener) override { listener_ = listener; }
   bool HasFreeSlot(std::string_view service, bool is_long, time_point now) override;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -81,6 +81,9 @@
   void OnUpstreamConnectFailed(const attempt_id& attempt, time_point now) {
     owner_.OnUpstreamConnectFailed(attempt, now);
   }
+  void OnUpstreamRefused(const attempt_id& attempt, time_point now) {
+    owner_.OnUpstreamRefused(attempt, now);
+  }
   void OnUpstreamAnswerHead(const attempt_id& attempt, int status, time_point now) {
     owner_.OnUpstreamAnswerHead(attempt, status, now);
   }
@@ -93,6 +96,7 @@
 
   /// Refuses new work for the upstream beside this process. Calls of callers go on.
   void Drain(time_point now) { owner_.Drain(now); }
+  void EndDrain() { owner_.EndDrain(); }
   /// The number of this run was raised above one seen.
   void RaiseRun(incarnation to) {
     entry_.RaiseRun(to);
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -16,16 +16,13 @@
 #include "src/node/runtime_ports.h"
 #include "src/node/runtime_settings.h"
 #include "src/platform/log_read.h"
+#include "src/routing/load_report.h"
 
 namespace bronzeroute {
 namespace {
 
 // Hints that came with probe messages reach routing at this period; hints on responses at once.
 constexpr auto kMembersPeriod = std::chrono::milliseconds(100);
-// A process that stops refuses work for at least this long before it leaves: peers learn of the
-// drain within one push (100 ms) and a round trip, and attempts that were on the way by then
-// are refused instead of lost.
-constexpr auto kStopLinger = std::chrono::seconds(1);
 // Time in which the leave reaches peers before the process ends; pushes go out every 100 ms.
 constexpr auto kLeaveTold = std::chrono::milliseconds(250);
 // Limits of the measuring budget until a document names them.
@@ -41,6 +38,7 @@
   result.seeds = settings.seeds;
   // Daemons of different environments that share a log must not become each other's candidates.
   result.stream = Concat("members.", settings.environment);
+  result.join_spread = settings.join_spread;
   return result;
 }
 
@@ -74,11 +72,17 @@
       membership_(self, MembershipSettings(settings), ports.datagrams, ports.log, budget_,
                   settings.seed, now),
       configuration_(
-          {.environment = settings.environment, .self = self.id, .seed = settings.seed},
+          {.environment = settings.environment,
+           .self = self.id,
+           .seed = settings.seed,
+           .form = settings.form,
+           .read_document = settings.read_document,
+           .read_pause = settings.configuration_read_pause,
+           .read_time = settings.log_read_time},
           ports.log, ports.configuration_peers),
       routing_(configuration_, settings.seed),
       members_(membership_, configuration_),
-      routes_(configuration_),
+      routes_(configuration_, settings.seed),
       node_(identity_,
             node_ports{.callers = ports.callers,
                        .peers = peers_,
@@ -87,7 +91,8 @@
                        .gate = admission_,
                        .members = members_,
                        .routes = routes_},
-            settings.seed) {
+            settings.seed),
+      stop_linger_(settings.stop_linger) {
   node_.SetCallObserver([this](const call_log_row& row) { CountCall(row); });
 }
 
@@ -164,22 +169,48 @@
   configuration_.OnSnapshotFailed(peer, now);
 }
 
-void node_runtime::OnAnnouncement(std::string_view service, std::string_view address,
-                                  std::uint32_t slots, std::uint32_t connections,
-                                  time_point now) {
-  membership_.OnAnnouncement(service, address, slots, connections, now);
+bool node_runtime::OnAnnouncement(upstream_announcement announcement, time_point now) {
+  if (!history_.Accept(announcement, now)) {
+    lines_.push_back(Concat("admit: ignored a late announcement of ", announcement.identity,
+                            " with sequence ", announcement.sequence));
+    return false;
+  }
+  const bool is_leaving = announcement.is_leaving;
+  const time_point warm_at = announcement.warm_at;
+  membership_.OnAnnouncement(std::move(announcement), now);
   ApplyUpstream(now);
+  if (warm_at != time_point{}) admission_.SetWarmAt(warm_at, now);
+  if (is_leaving) DrainUpstream(now);
+  ApplyMembers(now);
+  return true;
+}
+
+void node_runtime::OnUpstreamLeaving(std::string_view identity, time_point now) {
+  history_.Retire(identity, now);
+  if (identity == applied_identity_) DrainUpstream(now);
   ApplyMembers(now);
 }
 
+void node_runtime::OnUpstreamLoad(const load_report& /*report*/, time_point /*now*/) {}
+
+void node_runtime::DrainUpstream(time_point now) {
+  if (upstream_leaves_) return;
+  upstream_leaves_ = true;
+  lines_.push_back(Concat("admit: upstream ", applied_identity_, " leaves, taking no new work"));
+  node_.Drain(now);
+  admission_.Drain(now);
+  membership_.Drain(now);
+}
+
 void node_runtime::Drain(time_point now) {
+  drained_ = true;
   node_.Drain(now);
   admission_.Drain(now);
   membership_.Drain(now);
 }
 
 void node_runtime::Stop(time_point now) {
-  if (!stopping_) leave_at_ = now + kStopLinger;
+  if (!stopping_) leave_at_ = now + stop_linger_;
   stopping_ = true;
   Drain(now);
 }
@@ -257,13 +288,25 @@
 void node_runtime::ApplyUpstream(time_point now) {
   const upstream_announcement* upstream = membership_.upstream();
   const std::string address = upstream == nullptr ? "" : upstream->address;
-  if (address != applied_address_) {
+  const std::string identity = upstream == nullptr ? "" : upstream->identity;
+  const std::int64_t start = upstream == nullptr ? 0 : upstream->started_ms;
+  if (address != applied_address_ || identity != applied_identity_ || start != applied_start_) {
     // The first address is that of an upstream that Configure() starts cold.
     const bool is_replaced = !address.empty() && had_upstream_;
     had_upstream_ = had_upstream_ || !address.empty();
     applied_address_ = address;
-    links_.SetUpstream(address);
+    applied_identity_ = identity;
+    applied_start_ = start;
+    links_.SetUpstream(address, identity);
     if (is_replaced) admission_.OnUpstreamReplaced(now);
+    if (upstream_leaves_ && !address.empty()) {
+      upstream_leaves_ = false;
+      if (!drained_) {
+        node_.EndDrain();
+        admission_.EndDrain(now);
+        membership_.EndDrain(now);
+      }
+    }
     if (address.empty()) {
       admission_.OnUpstreamGone();
       applied_service_.clear();
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -19,6 +19,8 @@
 #include "src/measuring/service_metrics.h"
 #include "src/membership/member_row.h"
 #include "src/membership/membership_system.h"
+#include "src/membership/upstream_announcement.h"
+#include "src/membership/upstream_history.h"
 #include "src/node/admission_adapter.h"
 #include "src/node/member_directory_adapter.h"
 #include "src/node/metered_peer_port.h"
@@ -33,6 +35,7 @@
 struct call_log_row;
 struct caller_request;
 struct load_hint;
+struct load_report;
 struct log_read;
 struct runtime_ports;
 struct runtime_settings;
@@ -65,15 +68,22 @@
   void OnSnapshot(member_id peer, std::string_view record, time_point now);
   void OnSnapshotFailed(member_id peer, time_point now);
 
-  /// The upstream beside this daemon announced itself.
-  void OnAnnouncement(std::string_view service, std::string_view address, std::uint32_t slots,
-                      std::uint32_t connections, time_point now);
+  /// The upstream beside this daemon announced itself. False if the announcement is a late one
+  /// and was ignored.
+  bool OnAnnouncement(upstream_announcement announcement, time_point now);
+  /// The run of the upstream with `identity` leaves and announces itself no more.
+  void OnUpstreamLeaving(std::string_view identity, time_point now);
+  /// The upstream told its load beside an answer.
+  void OnUpstreamLoad(const load_report& report, time_point now);
 
-  /// The upstream leaves: refuses new work for it and tells the peers.
+  /// Refuses new work for the upstream until this process ends, and tells the peers.
   void Drain(time_point now);
   /// The process stops: drains, and leaves the membership.
   void Stop(time_point now);
   bool stopping() const { return stopping_; }
+  /// True if callers may send requests here: a configuration is in effect and the process does
+  /// not stop.
+  bool IsReady() const { return configuration_.version() >= 0 && !stopping_; }
   /// True once no call is open, peers had time to hear of the leave, and the log has its record
   /// or is out.
   bool MayExit() const;
@@ -95,6 +105,8 @@
   void ApplyConfiguration(time_point now);
   void SetObjectives(const document& current);
   void ApplyUpstream(time_point now);
+  /// Refuses new work for the current run of the upstream.
+  void DrainUpstream(time_point now);
   void ApplyMembers(time_point now);
   distance DistanceTo(member_id member) const;
   void CollectLines();
@@ -118,6 +130,14 @@
   /// Service and address of the upstream that admission and transport were told of.
   std::string applied_service_;
   std::string applied_address_;
+  std::string applied_identity_;
+  std::int64_t applied_start_ = 0;
+  upstream_history history_;
+  /// The current run of the upstream leaves.
+  bool upstream_leaves_ = false;
+  /// An operator drained this daemon, or it stops.
+  bool drained_ = false;
+  duration stop_linger_;
   bool had_upstream_ = false;
   std::uint32_t applied_slots_ = 0;
   std::uint32_t applied_connections_ = 0;
--- a/src/node/peer_link_port.h
+++ b/src/node/peer_link_port.h
@@ -16,7 +16,7 @@
   /// Closes the channels once the attempts on them are over.
   virtual void ClosePeer(member_id peer) = 0;
   /// The upstream beside this daemon takes requests at `address`; empty if it is gone.
-  virtual void SetUpstream(std::string_view address) = 0;
+  virtual void SetUpstream(std::string_view address, std::string_view identity) = 0;
 };
 
 }  // namespace bronzeroute
--- a/src/node/route_directory_adapter.cc
+++ b/src/node/route_directory_adapter.cc
@@ -1,32 +1,84 @@
 #include "src/node/route_directory_adapter.h"
 
+#include <cmath>
 #include <memory>
+#include <string_view>
 
+#include "src/base/concat.h"
+#include "src/calls/caller_request.h"
 #include "src/configuration/configuration_system.h"
 #include "src/configuration/find_route.h"
 
 namespace bronzeroute {
+namespace {
 
-route_decision route_directory_adapter::Find(std::string_view service, std::string_view method,
-                                             std::string_view path) {
+// Multiples of the golden ratio fall evenly over 0 to 1, so that each target of a route gets its
+// share also of a few requests.
+constexpr double kGoldenRatio = 0.6180339887498949;
+// Sequences kept; a document has few routes with several targets.
+constexpr std::size_t kMaxPlaces = 1024;
+
+std::string_view ServiceOfPath(std::string_view path) {
+  if (path.starts_with('/')) path.remove_prefix(1);
+  return path.substr(0, path.find_first_of("/?"));
+}
+
+}  // namespace
+
+const std::string& route_directory_adapter::NextTarget(const host_route& route) {
+  if (route.targets.size() == 1) return route.targets.front().service;
+  if (places_.size() >= kMaxPlaces) places_.clear();
+  const auto [found, is_new] = places_.try_emplace(Concat(route.host, route.prefix), 0.0);
+  double& place = found->second;
+  if (is_new) place = std::uniform_real_distribution<double>(0, 1)(random_);
+  place = std::fmod(place + kGoldenRatio, 1.0);
+  double total = 0;
+  for (const route_target& target : route.targets) total += target.weight;
+  double rest = place * total;
+  for (const route_target& target : route.targets) {
+    rest -= target.weight;
+    if (rest < 0) return target.service;
+  }
+  return route.targets.back().service;
+}
+
+route_decision route_directory_adapter::Find(const caller_request& request) {
   route_decision decision;
   const std::shared_ptr<const document> current = configuration_.current();
   if (current == nullptr) {
     decision.error = error_kind::kNotReady;
     return decision;
   }
-  const service_spec* spec = current->FindService(service);
+  decision.config_version = configuration_.version();
+  if (!current->host_routes.empty()) {
+    const host_route* const route = current->FindHostRoute(request.host, request.path);
+    if (route == nullptr) {
+      decision.error = error_kind::kUnknownRoute;
+      return decision;
+    }
+    decision.service = NextTarget(*route);
+    decision.is_protected = route->is_protected;
+    decision.is_long = route->is_long;
+    decision.is_marked_short = !route->is_long;
+    decision.time_limit = route->time_limit;
+    decision.limits_caller = true;
+    decision.objective_latency = route->objective_latency;
+    decision.max_attempts = route->max_attempts;
+    decision.priority = route->priority;
+    return decision;
+  }
+  decision.service = ServiceOfPath(request.path);
+  const service_spec* spec = current->FindService(decision.service);
   if (spec == nullptr) {
     decision.error = error_kind::kUnknownService;
     return decision;
   }
-  const route_spec route = FindRoute(*spec, method, path);
+  const route_spec route = FindRoute(*spec, request.method, request.path);
   decision.is_protected = route.is_protected;
   decision.is_long = route.is_long;
   decision.is_marked_short =
-      !route.is_long && MatchRoute(spec->routes, method, path) != nullptr;
+      !route.is_long && MatchRoute(spec->routes, request.method, request.path) != nullptr;
   decision.time_limit = route.time_limit;
-  decision.config_version = configuration_.version();
   return decision;
 }
 
--- a/src/node/runtime_settings.h
+++ b/src/node/runtime_settings.h
@@ -4,6 +4,10 @@
 #include <string>
 #include <vector>
 
+#include "src/base/time.h"
+#include "src/configuration/configuration_form.h"
+#include "src/configuration/document_reader.h"
+
 namespace bronzeroute {
 
 /// What a `node_runtime` is told at the start besides its own addresses.
@@ -14,6 +18,16 @@
   std::vector<std::string> seeds;
   /// Seed of all random choices.
   std::uint64_t seed = 0;
+  configuration_form form = configuration_form::kPublications;
+  document_reader read_document = ReadTomlDocument;
+  /// Pause after a read of the configuration that brought records.
+  duration configuration_read_pause{};
+  /// Longest time that a read of the log may take, its wait included.
+  duration log_read_time = std::chrono::seconds(10);
+  /// Members announce themselves within this time of their start, spread evenly.
+  duration join_spread = std::chrono::seconds(5);
+  /// A process that stops takes requests of callers for at least this long.
+  duration stop_linger = std::chrono::seconds(1);
 };
 
 }  // namespace bronzeroute
--- a/src/platform/http_log_port.cc
+++ b/src/platform/http_log_port.cc
@@ -1,11 +1,11 @@
 #include "src/platform/http_log_port.h"
 
-#include <pplx/threadpool.h>
-
 #include <chrono>
 #include <string>
 #include <utility>
 
+#include "src/transport/event_loop.h"
+
 namespace bronzeroute {
 namespace {
 
@@ -15,13 +15,12 @@
 constexpr std::chrono::milliseconds kTimeout(5000);
 constexpr int kReadLimit = 200;
 
-// Calls `deliver` with the listener on the pool, unless the port is gone.
+// Calls `deliver` with the listener on the event loop, unless the port is gone.
 template <typename Deliver>
 void Post(std::weak_ptr<const log_listener> listener, Deliver deliver) {
-  crossplat::threadpool::shared_instance().service().post(
-      [listener = std::move(listener), deliver = std::move(deliver)] {
-        if (const auto alive = listener.lock()) deliver(*alive);
-      });
+  PostToLoop([listener = std::move(listener), deliver = std::move(deliver)] {
+    if (const auto alive = listener.lock()) deliver(*alive);
+  });
 }
 
 }  // namespace
@@ -30,8 +29,8 @@
     : client_(address, kTimeout),
       listener_(std::make_shared<const log_listener>(std::move(listener))) {}
 
-void http_log_port::Append(std::string_view stream, std::string_view data,
-                           std::uint64_t token) {
+void http_log_port::Append(std::string_view stream, std::string_view /*key*/,
+                           std::string_view data, std::uint64_t token) {
   client_.Append(stream, data)
       .then([weak = std::weak_ptr(listener_),
              token](const absl::StatusOr<std::int64_t>& offset) {
--- a/src/platform/http_log_port.h
+++ b/src/platform/http_log_port.h
@@ -11,14 +11,14 @@
 namespace bronzeroute {
 
 /// The log port of a daemon. Never blocks; every call leads to one call of the listener on the
-/// cpprestsdk pool, unless the port was destroyed meanwhile. With a pool of one thread, call
-/// and destroy it on that thread.
+/// event loop, unless the port was destroyed meanwhile. Call and destroy it there.
 class http_log_port : public log_port {
  public:
   /// `address` of the log is "ip:port".
   http_log_port(std::string_view address, log_listener listener);
 
-  void Append(std::string_view stream, std::string_view data, std::uint64_t token) override;
+  void Append(std::string_view stream, std::string_view key, std::string_view data,
+              std::uint64_t token) override;
   void Read(std::string_view stream, std::int64_t from) override;
 
  private:
--- a/src/platform/log_listener.h
+++ b/src/platform/log_listener.h
@@ -10,7 +10,7 @@
 
 namespace bronzeroute {
 
-/// Receives the results of an `http_log_port`, on the cpprestsdk pool.
+/// Receives the results of an `http_log_port`, on the event loop.
 struct log_listener {
   std::function<void(const log_read& read)> on_read;
   std::function<void(const std::string& stream, const absl::Status& error)> on_read_failed;
--- a/src/transport/caller_headers.cc
+++ b/src/transport/caller_headers.cc
@@ -11,6 +11,7 @@
 #include "src/calls/caller_request.h"
 #include "src/transport/absl_text.h"
 #include "src/transport/exchange.h"
+#include "src/transport/http_dialect.h"
 
 namespace bronzeroute {
 namespace {
@@ -31,13 +32,37 @@
   });
 }
 
-}  // namespace
+bool Is(std::string_view name, std::string_view known) {
+  return !known.empty() && absl::EqualsIgnoreCase(AbslText(name), AbslText(known));
+}
 
-error_kind ParseCallerHeaders(const exchange& from, time_point now, caller_request& request) {
+/// Reads the product's own fields.
+error_kind ParseOwnField(std::string_view name, const std::string& value,
+                         caller_request& request) {
   constexpr std::uint64_t kMaxCount = std::numeric_limits<std::uint32_t>::max();
+  std::uint64_t number = 0;
+  if (Is(name, "Bronzeroute-Try")) {
+    if (!ParseNumber(value, 1, kMaxCount, number)) return error_kind::kBadHeader;
+    request.caller_try = static_cast<std::uint32_t>(number);
+  } else if (Is(name, "Bronzeroute-Depth")) {
+    if (!ParseNumber(value, 0, kMaxCount, number)) return error_kind::kBadHeader;
+    request.depth = static_cast<std::uint32_t>(number);
+  } else if (Is(name, "Idempotency-Key")) {
+    if (value.size() > kMaxKeyBytes) return error_kind::kFieldTooLarge;
+    if (!IsKey(value)) return error_kind::kBadHeader;
+    request.key = value;
+  }
+  return error_kind::kNone;
+}
+
+}  // namespace
+
+error_kind ParseCallerHeaders(const exchange& from, const http_dialect& dialect, time_point now,
+                              caller_request& request) {
   request.exchange = from.id;
   request.method = from.method;
   request.path = from.path;
+  request.host = from.host;
   request.content_length = from.content_length;
   std::size_t head_bytes = from.path.size() + from.method.size();
   if (from.path.size() > kMaxPathBytes) return error_kind::kFieldTooLarge;
@@ -49,23 +74,18 @@
   }
   for (const auto& [name, value] : from.headers) {
     std::uint64_t number = 0;
-    if (absl::EqualsIgnoreCase(name, "Bronzeroute-Deadline-Ms")) {
+    if (Is(name, dialect.deadline)) {
       if (!ParseNumber(value, 0, kMaxDeadlineMs, number)) return error_kind::kBadHeader;
       request.deadline = now + std::chrono::milliseconds(number);
-    } else if (absl::EqualsIgnoreCase(name, "Bronzeroute-Try")) {
-      if (!ParseNumber(value, 1, kMaxCount, number)) return error_kind::kBadHeader;
-      request.caller_try = static_cast<std::uint32_t>(number);
-    } else if (absl::EqualsIgnoreCase(name, "Bronzeroute-Depth")) {
-      if (!ParseNumber(value, 0, kMaxCount, number)) return error_kind::kBadHeader;
-      request.depth = static_cast<std::uint32_t>(number);
-    } else if (absl::EqualsIgnoreCase(name, "Idempotency-Key")) {
-      if (value.size() > kMaxKeyBytes) return error_kind::kFieldTooLarge;
-      if (!IsKey(value)) return error_kind::kBadHeader;
-      request.key = value;
-    } else if (absl::EqualsIgnoreCase(name, "Content-Length")) {
+    } else if (Is(name, dialect.request_id)) {
+      request.request_id = value;
+    } else if (Is(name, "Content-Length")) {
       if (!ParseNumber(value, 0, std::numeric_limits<std::uint64_t>::max(), number)) {
         return error_kind::kBadHeader;
       }
+    } else if (dialect.has_own_fields) {
+      const error_kind kind = ParseOwnField(name, value, request);
+      if (kind != error_kind::kNone) return kind;
     }
   }
   return error_kind::kNone;
--- a/src/transport/caller_headers.h
+++ b/src/transport/caller_headers.h
@@ -10,6 +10,7 @@
 
 struct caller_request;
 struct exchange;
+struct http_dialect;
 
 /// Limits of a caller's request. A larger field is answered with `field_too_large`.
 inline constexpr std::size_t kMaxPathBytes = 8192;
@@ -20,6 +21,7 @@
 inline constexpr std::uint64_t kMaxDeadlineMs = 86'400'000;
 
 /// Fills `request` from the head of `from`. Returns kNone, kBadHeader or kFieldTooLarge.
-error_kind ParseCallerHeaders(const exchange& from, time_point now, caller_request& request);
+error_kind ParseCallerHeaders(const exchange& from, const http_dialect& dialect, time_point now,
+                              caller_request& request);
 
 }  // namespace bronzeroute
--- a/src/transport/caller_server.h
+++ b/src/transport/caller_server.h
@@ -2,34 +2,41 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/status.h>
-#include <cpprest/http_listener.h>
 
 #include <memory>
+#include <string>
 #include <string_view>
 
+#include "src/base/time.h"
 #include "src/calls/caller_port.h"
+#include "src/transport/http_request_handler.h"
+#include "src/transport/http_server.h"
 
 namespace bronzeroute {
 
 class exchange_table;
 class http_router;
 class transport_events;
-struct answer_stream;
+struct http_answer;
+struct http_dialect;
 
 /// The HTTP server for callers.
-class caller_server : public caller_port {
+class caller_server : public caller_port, private http_request_handler {
  public:
-  /// `local` answers paths below "/.bronzeroute/". All three must outlive the server.
-  caller_server(exchange_table& exchanges, transport_events& events, const http_router& local);
-  ~caller_server() override;
-  caller_server(const caller_server&) = delete;
-  caller_server& operator=(const caller_server&) = delete;
+  /// `local` answers paths below "/.bronzeroute/". All must outlive the server.
+  caller_server(exchange_table& exchanges, transport_events& events, const http_router& local,
+                const http_dialect& dialect);
 
   /// Listens on `address` ("ip:port"). Not on the event loop.
-  absl::Status Start(std::string_view address);
+  absl::Status Start(std::string_view address) { return server_.Start(address); }
   /// Closes the listener; open exchanges are cut. Not on the event loop.
   void Stop();
 
+  /// On the event loop, like everything below.
+  http_server& server() { return server_; }
+  /// The service beside this daemon, which requests of its machine carry to upstreams.
+  void SetCallerService(std::string_view service) { caller_service_ = service; }
+
   void AnswerError(exchange_id exchange, const call_id& call, error_kind kind,
                    int recorded_status) override;
   /// Without an answer of `attempt` the caller gets `answer_lost`: it may have run, and the
@@ -40,21 +47,22 @@
  private:
   struct caller_exchange;
 
-  void Accept(const web::http::http_request& request);
-  void BodyRead(exchange_id id, bool complete);
+  void OnRequest(const std::shared_ptr<http_connection>& connection,
+                 const std::shared_ptr<exchange>& row) override;
+  void OnClientGone(const exchange& row) override;
+  void OnAnswered(const exchange& row) override;
   void Announce(caller_exchange& row);
-  void Reply(const std::shared_ptr<caller_exchange>& row,
-             const web::http::http_response& response, bool is_relay);
-  void ReplyError(const std::shared_ptr<caller_exchange>& row, const call_id& call,
-                  error_kind kind, int recorded_status);
+  void ReplaceFields(exchange& row) const;
+  void ReplyError(caller_exchange& row, const call_id& call, error_kind kind,
+                  int recorded_status);
 
   exchange_table& exchanges_;
   transport_events& events_;
   const http_router& local_;
-  std::unique_ptr<web::http::experimental::listener::http_listener> listener_;
+  const http_dialect& dialect_;
+  http_server server_;
+  std::string caller_service_;
   absl::flat_hash_map<exchange_id, std::shared_ptr<caller_exchange>> rows_;
-  // Continuations hold a weak reference and do nothing once the server is gone.
-  std::shared_ptr<caller_server*> self_;
 };
 
 }  // namespace bronzeroute
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -1,54 +1,36 @@
 #include "src/transport/event_loop.h"
 
-#include <pplx/pplx.h>
-#include <pplx/threadpool.h>
-
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
 #include <chrono>
+#include <ctime>
 #include <future>
-#include <memory>
 #include <mutex>
 #include <thread>
-#include <utility>
 
 namespace bronzeroute {
-namespace {
-
-// Runs the library's tasks on the loop, except for those started by another thread, which run
-// there at once. Closing a listener is such a task: it waits for connections that only the loop
-// can end, and would block the loop for good.
-class loop_scheduler final : public pplx::scheduler_interface {
- public:
-  explicit loop_scheduler(std::thread::id loop) : loop_(loop) {}
-
-  void schedule(pplx::TaskProc_t task, void* argument) override {
-    if (std::this_thread::get_id() != loop_) {
-      task(argument);
-      return;
-    }
-    LoopService().post([task, argument] { task(argument); });
-  }
-
- private:
-  std::thread::id loop_;
-};
-
-}  // namespace
 
 void StartEventLoop() {
   static std::once_flag once;
   std::call_once(once, [] {
-    crossplat::threadpool::initialize_with_threads(1);
-    std::thread::id loop;
-    RunOnLoop([&loop] { loop = std::this_thread::get_id(); });
-    pplx::set_ambient_scheduler(std::make_shared<loop_scheduler>(loop));
+    // Ends with the process: tests and programs leave it running on purpose.
+    std::thread([] {
+      const auto work = boost::asio::make_work_guard(LoopService());
+      LoopService().run();
+    }).detach();
   });
 }
 
-boost::asio::io_service& LoopService() {
-  return crossplat::threadpool::shared_instance().service();
+boost::asio::io_context& LoopService() {
+  // Never destroyed: the thread may still use it while the process ends. One thread runs it, so
+  // the hint spares the locks between threads.
+  static auto* const service = new boost::asio::io_context(1);
+  return *service;
 }
 
-void PostToLoop(std::function<void()> task) { LoopService().post(std::move(task)); }
+void PostToLoop(std::function<void()> task) {
+  boost::asio::post(LoopService(), std::move(task));
+}
 
 void RunOnLoop(const std::function<void()>& task) {
   std::promise<void> done;
@@ -60,8 +42,10 @@
 }
 
 time_point MonotonicNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
   return time_point(std::chrono::duration_cast<duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 }  // namespace bronzeroute
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -27,6 +27,8 @@
   exchange_id id;
   std::string method;
   std::string path;
+  /// Value of the Host field.
+  std::string host;
   header_list headers;
   std::optional<std::uint64_t> content_length;
   std::uint32_t depth = 0;
--- a/src/transport/header_list.cc
+++ b/src/transport/header_list.cc
@@ -47,17 +47,11 @@
   return result;
 }
 
-bool IsDaemonRequestField(std::string_view name) {
-  static constexpr std::array<std::string_view, 3> kNames = {
-      "Bronzeroute-Deadline-Ms", "Bronzeroute-Depth", "Bronzeroute-Call"};
-  return Contains(kNames, name);
-}
-
-bool IsDaemonAnswerField(std::string_view name) {
-  static constexpr std::array<std::string_view, 4> kNames = {
-      "Bronzeroute-Execution", "Bronzeroute-Error", "Bronzeroute-Call",
-      "Bronzeroute-Recorded-Status"};
-  return Contains(kNames, name);
+const std::string* FindField(const header_list& from, std::string_view name) {
+  const auto found = std::ranges::find_if(from, [name](const auto& field) {
+    return absl::EqualsIgnoreCase(field.first, AbslText(name));
+  });
+  return found == from.end() ? nullptr : &found->second;
 }
 
 }  // namespace bronzeroute
--- a/src/transport/header_list.h
+++ b/src/transport/header_list.h
@@ -17,10 +17,7 @@
 /// out, also the ones that a Connection field names.
 header_list EndToEndFields(const header_list& from);
 
-/// True for a field that only a daemon may set on a request to an upstream.
-bool IsDaemonRequestField(std::string_view name);
-
-/// True for a field that only a daemon may set on an answer to a caller.
-bool IsDaemonAnswerField(std::string_view name);
+/// Value of the field `name`, or null. The first one counts.
+const std::string* FindField(const header_list& from, std::string_view name);
 
 }  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/http_connection.cc
@@ -0,0 +1,316 @@
+#include "src/transport/http_connection.h"
+
+#include <absl/strings/match.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/socket_base.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/field.hpp>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "src/base/error_answer.h"
+#include "src/transport/error_body.h"
+#include "src/transport/event_loop.h"
+#include "src/transport/exchange.h"
+#include "src/transport/http_request_handler.h"
+#include "src/transport/http_server.h"
+
+namespace bronzeroute {
+namespace {
+
+namespace http = boost::beast::http;
+
+// Time for which the rest of a body is read and dropped after an early answer, so that the
+// client reads the answer instead of a reset.
+constexpr auto kDropTime = std::chrono::seconds(2);
+// Bytes that a client may send ahead of its next request before reading stops.
+constexpr std::size_t kAheadBytes = std::size_t{64} * 1024;
+constexpr unsigned kHttp11 = 11;
+
+std::string Text(boost::beast::string_view from) { return {from.data(), from.size()}; }
+
+bool IsBodiless(int status) { return status / 100 == 1 || status == 204 || status == 304; }
+
+}  // namespace
+
+http_connection::http_connection(boost::asio::ip::tcp::socket socket, http_server& server)
+    : socket_(std::move(socket)), server_(&server) {}
+
+void http_connection::Start() {
+  NextRequest();
+  Parse();
+}
+
+void http_connection::NextRequest() {
+  phase_ = phase::kIdle;
+  row_ = nullptr;
+  writer_ = nullptr;
+  replied_ = false;
+  written_ = false;
+  deadline_ = MonotonicNow() + server_->limits().idle_time;
+}
+
+void http_connection::Read() {
+  if (reading_ || closed_ || reader_.buffer().size() >= kAheadBytes) return;
+  reading_ = true;
+  socket_.async_read_some(
+      reader_.buffer().prepare(internal::kReadBytes),
+      [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+        self->reading_ = false;
+        self->OnRead(error, count);
+      });
+}
+
+void http_connection::OnRead(const boost::system::error_code& error, std::size_t count) {
+  if (closed_) return;
+  if (error) {
+    OnClientGone();
+    return;
+  }
+  reader_.buffer().commit(count);
+  Parse();
+}
+
+void http_connection::Parse() {
+  while (!closed_) {
+    switch (phase_) {
+      case phase::kIdle:
+        if (reader_.buffer().size() == 0) {
+          Read();
+          return;
+        }
+        reader_.Begin(server_->limits().head_bytes, server_->limits().body_bytes);
+        phase_ = phase::kHead;
+        deadline_ = MonotonicNow() + server_->limits().head_time;
+        break;
+      case phase::kHead:
+        if (!ParseHead()) return;
+        break;
+      case phase::kBody:
+        if (!ParseBody()) return;
+        break;
+      case phase::kWatch:
+        if (!written_) {
+          Read();
+          return;
+        }
+        if (!keep_alive_ || close_when_idle_) {
+          Close();
+          return;
+        }
+        NextRequest();
+        break;
+    }
+  }
+}
+
+bool http_connection::ParseHead() {
+  switch (reader_.ReadHead()) {
+    case internal::read_step::kDone:
+      phase_ = phase::kBody;
+      TakeHead();
+      return !closed_;
+    case internal::read_step::kBad:
+      RejectHead();
+      return false;
+    default:
+      Read();
+      return false;
+  }
+}
+
+bool http_connection::ParseBody() {
+  const auto row = row_;
+  switch (reader_.ReadBody(row->body.get())) {
+    case internal::read_step::kDone:
+      phase_ = phase::kWatch;
+      row->body->End();
+      return !closed_;
+    case internal::read_step::kBad:
+      OnClientGone();
+      return false;
+    case internal::read_step::kNeedsBytes:
+      Read();
+      return false;
+    case internal::read_step::kNeedsRoom:
+      break;
+  }
+  return false;
+}
+
+void http_connection::TakeHead() {
+  const auto& message = reader_.message().get();
+  row_ = std::make_shared<exchange>();
+  row_->method = Text(message.method_string());
+  row_->path = Text(message.target());
+  for (const auto& field : message) {
+    row_->headers.emplace_back(Text(field.name_string()), Text(field.value()));
+    if (field.name() == http::field::host) row_->host = Text(field.value());
+  }
+  if (!reader_.message().chunked()) {
+    const auto length = reader_.message().content_length();
+    row_->content_length = length.has_value() ? *length : 0;
+  }
+  row_->body = std::make_shared<byte_pipe>(kPipeBytes, kKeptBodyBytes);
+  row_->body->SetWriter([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    // The parser may be what made room; it goes on by itself.
+    if (self != nullptr && !self->closed_ && self->phase_ == phase::kBody && !self->reading_) {
+      PostToLoop([self] {
+        if (self->phase_ == phase::kBody && !self->reading_) self->Parse();
+      });
+    }
+  });
+  keep_alive_ = message.keep_alive();
+  is_head_ = message.method() == http::verb::head;
+  is_old_client_ = message.version() < kHttp11;
+  is_unframed_ = false;
+  if (!reader_.message().is_done() &&
+      absl::EqualsIgnoreCase(Text(message[http::field::expect]), "100-continue")) {
+    // A few bytes that a fresh socket buffer takes at once; a failure shows on the next read.
+    boost::system::error_code ignored;
+    boost::asio::write(socket_, boost::asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25),
+                       ignored);
+  }
+  server_->handler().OnRequest(shared_from_this(), row_);
+}
+
+void http_connection::RejectHead() {
+  const auto& error = reader_.error();
+  error_kind kind = error_kind::kBadHeader;
+  if (error == http::error::header_limit) kind = error_kind::kFieldTooLarge;
+  if (error == http::error::body_limit) kind = error_kind::kBodyTooLarge;
+  row_ = std::make_shared<exchange>();
+  row_->body = std::make_shared<byte_pipe>(0);
+  row_->body->Discard();
+  phase_ = phase::kWatch;
+  keep_alive_ = false;
+  http_answer answer = TextAnswer(AnswerFor(kind).http_status, "application/json", ErrorBody(kind, {}, 0));
+  answer.headers.emplace_back("Bronzeroute-Error", std::string(AnswerFor(kind).name));
+  Reply(answer);
+}
+
+void http_connection::Reply(const http_answer& answer) {
+  if (closed_ || row_ == nullptr || replied_) return;
+  replied_ = true;
+  row_->body->Discard();
+  // Bytes of a body that nobody reads any more are dropped for a while.
+  if (phase_ == phase::kBody) deadline_ = MonotonicNow() + kDropTime;
+  writer::message message;
+  message.version(kHttp11);
+  message.result(static_cast<unsigned>(answer.status));
+  bool has_length = false;
+  for (const auto& [name, value] : answer.headers) {
+    has_length = has_length || absl::EqualsIgnoreCase(name, "Content-Length");
+    message.insert(name, value);
+  }
+  const bool has_body = !is_head_ && !IsBodiless(answer.status);
+  if (!has_length && has_body) {
+    if (answer.body == nullptr) {
+      message.set(http::field::content_length, "0");
+    } else if (is_old_client_) {
+      is_unframed_ = true;
+      keep_alive_ = false;
+    } else {
+      message.chunked(true);
+    }
+  }
+  // An answer that only describes a body is the last one on its connection: some clients take
+  // the next answer for that body.
+  if (is_head_ || answer.status == 304 || server_->closing()) keep_alive_ = false;
+  message.keep_alive(keep_alive_);
+  writer_ = std::make_shared<writer>(
+      socket_, std::move(message), has_body ? answer.body : nullptr,
+      [weak = weak_from_this()](writer::end how) {
+        if (const auto self = weak.lock()) self->OnWritten(how);
+      });
+  if (!has_body) writer_->SplitHead();
+  writer_->Start();
+}
+
+void http_connection::OnWritten(writer::end how) {
+  if (closed_) return;
+  if (how == writer::end::kBroken) {
+    OnClientGone();
+    return;
+  }
+  if (how == writer::end::kCut && is_unframed_) {
+    Cut();
+    return;
+  }
+  written_ = true;
+  server_->handler().OnAnswered(*row_);
+  if (how == writer::end::kCut) {
+    // The length or the missing last chunk shows the cut; what was sent still arrives.
+    Close();
+    return;
+  }
+  if (!keep_alive_ || close_when_idle_) {
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    if (phase_ == phase::kWatch) {
+      Close();
+      return;
+    }
+  }
+  // A body that is still coming is dropped up to its end first.
+  if (phase_ == phase::kWatch || !reading_) Parse();
+}
+
+void http_connection::Cut() {
+  if (closed_) return;
+  // A reset also tells a client whose answer has no length.
+  boost::system::error_code ignored;
+  socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  const auto row = row_;
+  Close();
+  if (row != nullptr && !written_) server_->handler().OnAnswered(*row);
+}
+
+void http_connection::OnClientGone() {
+  const auto row = row_;
+  const bool is_open = row != nullptr && !written_;
+  Close();
+  if (!is_open) return;
+  row->body->Fail();
+  if (server_ != nullptr) server_->handler().OnClientGone(*row);
+}
+
+void http_connection::CloseWhenIdle() {
+  close_when_idle_ = true;
+  keep_alive_ = false;
+  if (phase_ == phase::kIdle) Close();
+}
+
+void http_connection::Abandon() {
+  if (row_ != nullptr) row_->body->Discard();
+  closed_ = true;
+  server_ = nullptr;
+  if (writer_ != nullptr) writer_->Abandon();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+void http_connection::Close() {
+  if (closed_) return;
+  closed_ = true;
+  if (writer_ != nullptr) writer_->Abandon();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  server_->Forget(*this);
+}
+
+void http_connection::Tick(time_point now) {
+  if (closed_ || now < deadline_) return;
+  const bool is_dropping = phase_ == phase::kBody && replied_;
+  if (phase_ == phase::kIdle || phase_ == phase::kHead) {
+    Close();
+  } else if (is_dropping && written_) {
+    Close();
+  }
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/http_fetcher.cc
@@ -0,0 +1,201 @@
+#include "src/transport/http_fetcher.h"
+
+#include <absl/status/status.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <chrono>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "src/transport/event_loop.h"
+#include "src/transport/http_address.h"
+
+namespace bronzeroute {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+// Unacknowledged bytes end the connection after this time, so that a service that went silent
+// is not waited for.
+constexpr unsigned kUnackedMs = 3000;
+// Time for which an idle connection is kept; services close theirs after some seconds.
+constexpr auto kKeepTime = std::chrono::seconds(4);
+constexpr unsigned kHttp11 = 11;
+
+}  // namespace
+
+struct http_fetcher::connection {
+  connection() : socket(LoopService()) {}
+  tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+  time_point kept_until;
+};
+
+class http_fetcher::run : public std::enable_shared_from_this<run> {
+ public:
+  run(http_fetcher& owner, fetch_request request, done on_done)
+      : owner_(&owner), on_done_(std::move(on_done)), deadline_(request.deadline) {
+    message_.method_string(request.method);
+    message_.target(request.target);
+    message_.version(kHttp11);
+    message_.set(http::field::host, owner.address_);
+    message_.keep_alive(true);
+    if (request.method != "GET") {
+      message_.set(http::field::content_type, request.content_type);
+      message_.body() = std::move(request.body);
+      message_.prepare_payload();
+    }
+  }
+
+  void Start() {
+    const time_point now = MonotonicNow();
+    while (!owner_->kept_.empty()) {
+      connection_ = owner_->kept_.back();
+      owner_->kept_.pop_back();
+      if (connection_->kept_until > now && IsQuiet()) {
+        Send();
+        return;
+      }
+    }
+    Connect();
+  }
+
+  time_point deadline() const { return deadline_; }
+  void GiveUp() {
+    End(sent_ ? absl::DeadlineExceededError("no answer in time")
+              : absl::UnavailableError("no connection in time"));
+  }
+  void Abandon() {
+    owner_ = nullptr;
+    Close();
+  }
+
+ private:
+  bool IsQuiet() {
+    char byte = 0;
+    return connection_->buffer.size() == 0 &&
+           recv(connection_->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  void Connect() {
+    connection_ = std::make_shared<connection>();
+    const auto address = ParseAddress(owner_->address_);
+    if (!address.ok()) {
+      PostToLoop([self = shared_from_this(), error = address.status()] { self->End(error); });
+      return;
+    }
+    connection_->socket.async_connect(
+        tcp::endpoint(address->first, address->second),
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (self->owner_ == nullptr) return;
+          if (error) {
+            self->End(absl::UnavailableError(error.message()));
+            return;
+          }
+          self->SetOptions();
+          self->Send();
+        });
+  }
+
+  void SetOptions() {
+    boost::system::error_code ignored;
+    connection_->socket.set_option(tcp::no_delay(true), ignored);
+    const unsigned limit = kUnackedMs;
+    setsockopt(connection_->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit,
+               sizeof limit);
+  }
+
+  void Send() {
+    sent_ = true;
+    http::async_write(connection_->socket, message_,
+                      [self = shared_from_this()](const boost::system::error_code& error,
+                                                  std::size_t /*count*/) {
+                        if (self->owner_ == nullptr) return;
+                        if (error) {
+                          self->End(absl::UnknownError(error.message()));
+                        } else {
+                          self->Receive();
+                        }
+                      });
+  }
+
+  void Receive() {
+    answer_.emplace();
+    answer_->body_limit(owner_->answer_limit_);
+    http::async_read(connection_->socket, connection_->buffer, *answer_,
+                     [self = shared_from_this()](const boost::system::error_code& error,
+                                                 std::size_t /*count*/) {
+                       if (self->owner_ == nullptr) return;
+                       if (error) {
+                         self->End(absl::UnknownError(error.message()));
+                       } else {
+                         self->Take();
+                       }
+                     });
+  }
+
+  void Take() {
+    fetch_answer answer{static_cast<int>(answer_->get().result_int()),
+                        std::move(answer_->get().body())};
+    if (answer_->get().keep_alive() && connection_->buffer.size() == 0) {
+      connection_->kept_until = MonotonicNow() + kKeepTime;
+      owner_->kept_.push_back(std::exchange(connection_, nullptr));
+    }
+    End(std::move(answer));
+  }
+
+  void End(const absl::StatusOr<fetch_answer>& result) {
+    if (owner_ == nullptr) return;
+    const auto self = shared_from_this();
+    std::erase(std::exchange(owner_, nullptr)->running_, self);
+    Close();
+    on_done_(result);
+  }
+
+  void Close() {
+    if (connection_ == nullptr) return;
+    boost::system::error_code ignored;
+    connection_->socket.close(ignored);
+  }
+
+  http_fetcher* owner_;
+  done on_done_;
+  time_point deadline_;
+  http::request<http::string_body> message_;
+  std::optional<http::response_parser<http::string_body>> answer_;
+  std::shared_ptr<connection> connection_;
+  bool sent_ = false;
+};
+
+http_fetcher::http_fetcher(std::string address, std::size_t answer_limit)
+    : address_(std::move(address)), answer_limit_(answer_limit) {}
+
+http_fetcher::~http_fetcher() {
+  for (const auto& each : running_) each->Abandon();
+}
+
+void http_fetcher::Fetch(fetch_request request, done on_done) {
+  const auto fresh = std::make_shared<run>(*this, std::move(request), std::move(on_done));
+  running_.push_back(fresh);
+  fresh->Start();
+}
+
+void http_fetcher::Tick(time_point now) {
+  std::vector<std::shared_ptr<run>> late;
+  for (const auto& each : running_) {
+    if (each->deadline() <= now) late.push_back(each);
+  }
+  for (const auto& each : late) each->GiveUp();
+  std::erase_if(kept_, [now](const auto& each) { return each->kept_until <= now; });
+}
+
+}  // namespace bronzeroute
--- a/src/transport/http_router.cc
+++ b/src/transport/http_router.cc
@@ -1,14 +1,13 @@
 #include "src/transport/http_router.h"
 
-#include <exception>
-#include <memory>
 #include <utility>
 
 #include "src/base/error_answer.h"
 #include "src/base/error_kind.h"
-#include "src/transport/bounded_buffer.h"
 #include "src/transport/byte_pipe.h"
 #include "src/transport/error_body.h"
+#include "src/transport/exchange.h"
+#include "src/transport/http_connection.h"
 
 namespace bronzeroute {
 namespace {
@@ -19,16 +18,9 @@
   return {AnswerFor(kind).http_status, "application/json", ErrorBody(kind, {}, 0)};
 }
 
-void Reply(const web::http::http_request& request, const local_answer& answer) {
-  web::http::http_response response(static_cast<web::http::status_code>(answer.status));
-  response.set_body(answer.body, answer.content_type);
-  request.reply(response).then([](const pplx::task<void>& done) {
-    try {
-      done.get();
-    } catch (const std::exception&) {
-      // The peer left; nothing waits for the answer any more.
-    }
-  });
+void Reply(http_connection& connection, local_answer answer) {
+  connection.Reply(
+      TextAnswer(answer.status, std::move(answer.content_type), std::move(answer.body)));
 }
 
 }  // namespace
@@ -46,30 +38,26 @@
   return ErrorAnswer(error_kind::kUnknownEndpoint);
 }
 
-void http_router::Serve(const web::http::http_request& request) const {
-  // One byte more than allowed, so that an oversized body shows.
-  auto body = std::make_shared<byte_pipe>(kMaxBody + 1);
-  body->SetReader([raw = body.get()] {
-    if (raw->Available() > kMaxBody) raw->Discard();
-  });
-  request._get_impl()->set_outstream(bounded_buffer::Writer(body), true);
-  request.content_ready().then([this, request,
-                                body](const pplx::task<web::http::http_request>& ready) {
-    try {
-      ready.get();
-    } catch (const std::exception&) {
-      Reply(request, ErrorAnswer(error_kind::kCancelled));
-      return;
-    }
-    if (body->discarding()) {
-      Reply(request, ErrorAnswer(error_kind::kFieldTooLarge));
+void http_router::Serve(const std::shared_ptr<http_connection>& connection,
+                        const std::shared_ptr<exchange>& row) const {
+  const auto proceed = [this, weak = std::weak_ptr(connection), raw = row.get()] {
+    const auto live = weak.lock();
+    if (live == nullptr || raw->body->discarding()) return;
+    if (raw->body->Available() > kMaxBody) {
+      Reply(*live, ErrorAnswer(error_kind::kFieldTooLarge));
       return;
     }
-    local_request local{request.method(), request.request_uri().path(),
-                        request.request_uri().query(), std::string(body->Available(), '\0')};
-    body->Take(local.body.data(), local.body.size());
-    Reply(request, Answer(local));
-  });
+    if (!raw->body->ended()) return;
+    const std::size_t mark = raw->path.find('?');
+    local_request local{raw->method, raw->path.substr(0, mark),
+                        mark == std::string::npos ? "" : raw->path.substr(mark + 1),
+                        std::string(raw->body->Available(), '\0')};
+    raw->body->Take(local.body.data(), local.body.size());
+    Reply(*live, Answer(local));
+  };
+  // The callback lives in the row's own pipe, so it must not own the row.
+  row->body->SetReader(proceed);
+  proceed();
 }
 
 }  // namespace bronzeroute
--- a/src/transport/http_router.h
+++ b/src/transport/http_router.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include <cpprest/http_msg.h>
-
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,6 +11,9 @@
 
 namespace bronzeroute {
 
+class http_connection;
+struct exchange;
+
 /// Maps method and path of a request for the daemon itself to the function that answers it.
 class http_router {
  public:
@@ -23,8 +25,9 @@
   /// The answer to `request`; `unknown_endpoint` if no handler was added for it.
   local_answer Answer(const local_request& request) const;
 
-  /// Reads the body, at most 64 KiB, and replies. Call it from the listener's handler.
-  void Serve(const web::http::http_request& request) const;
+  /// Reads the body of `row`, at most 64 KiB, and replies on `connection`.
+  void Serve(const std::shared_ptr<http_connection>& connection,
+             const std::shared_ptr<exchange>& row) const;
 
  private:
   struct entry {
--- /dev/null
+++ b/src/transport/http_server.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/status.h>
+
+#include <cstddef>
+#include <memory>
+#include <string_view>
+
+#include "src/base/time.h"
+#include "src/transport/http_limits.h"
+
+namespace bronzeroute {
+
+class http_connection;
+class http_request_handler;
+
+/// Accepts connections on one address and hands their requests to a handler.
+class http_server {
+ public:
+  /// `handler` must outlive the server.
+  explicit http_server(http_request_handler& handler);
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  /// Listens on `address` ("ip:port"). Not on the event loop.
+  absl::Status Start(std::string_view address);
+  /// Closes the listener and all connections without further calls of the handler. Not on the
+  /// event loop.
+  void Stop();
+
+  /// On the event loop, like everything below. Answers end their connection from now on.
+  void BeginClosing();
+  bool closing() const { return closing_; }
+  /// Takes the connections that wait to be accepted, then stops listening; idle connections
+  /// are closed.
+  void EndListening();
+
+  void SetLimits(const http_limits& limits) { limits_ = limits; }
+  const http_limits& limits() const { return limits_; }
+  /// Enforces time limits of connections. Call it about every 10 ms.
+  void Tick(time_point now);
+  std::size_t connections() const { return connections_.size(); }
+
+  /// For `http_connection`.
+  http_request_handler& handler() { return handler_; }
+  void Forget(http_connection& connection);
+
+ private:
+  struct listener;
+
+  void Accept(const std::shared_ptr<listener>& from);
+
+  http_request_handler& handler_;
+  http_limits limits_;
+  std::shared_ptr<listener> listener_;
+  absl::flat_hash_map<http_connection*, std::shared_ptr<http_connection>> connections_;
+  time_point next_sweep_;
+  bool closing_ = false;
+  bool started_ = false;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/transport/message_reader.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <optional>
+
+#include "src/transport/byte_pipe.h"
+
+namespace bronzeroute::internal {
+
+/// Bytes that one read takes from a socket.
+inline constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+
+enum class read_step {
+  /// More bytes of the socket are needed.
+  kNeedsBytes,
+  /// The pipe has no room; go on once it has.
+  kNeedsRoom,
+  /// The head, or the whole message, was read.
+  kDone,
+  /// The bytes are no message; see `error()`.
+  kBad,
+};
+
+/// Parses messages from the bytes of one connection, the bodies into pipes.
+template <bool IsRequest>
+class message_reader {
+ public:
+  using parser = boost::beast::http::parser<IsRequest, boost::beast::http::buffer_body>;
+
+  /// Forgets the last message; bytes that were received after it stay.
+  void Begin(std::size_t head_limit, std::uint64_t body_limit) {
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(head_limit));
+    // Without a limit, Boost 1.74 rejects every body with a length.
+    constexpr auto kNoLimit = std::numeric_limits<std::uint64_t>::max();
+    parser_->body_limit(body_limit == 0 ? kNoLimit : body_limit);
+    parser_->eager(false);
+    error_ = {};
+  }
+
+  /// The message is an answer to HEAD: it has no body, whatever its fields say.
+  void SkipBody() { parser_->skip(true); }
+
+  read_step ReadHead() {
+    while (!parser_->is_header_done()) {
+      if (buffer_.size() == 0) return read_step::kNeedsBytes;
+      const std::size_t used = parser_->put(buffer_.data(), error_);
+      buffer_.consume(used);
+      if (error_ == boost::beast::http::error::need_more) {
+        error_ = {};
+        if (used == 0) return read_step::kNeedsBytes;
+      }
+      if (error_) return read_step::kBad;
+    }
+    return read_step::kDone;
+  }
+
+  /// Moves body bytes into `body`, or drops them if it is null.
+  read_step ReadBody(byte_pipe* body) {
+    std::array<char, kReadBytes> bytes;
+    while (!parser_->is_done()) {
+      std::size_t room = bytes.size();
+      if (body != nullptr && !body->discarding()) room = std::min(room, body->Room());
+      if (room == 0) return read_step::kNeedsRoom;
+      if (buffer_.size() == 0) return read_step::kNeedsBytes;
+      auto& target = parser_->get().body();
+      target.data = bytes.data();
+      target.size = room;
+      const std::size_t used = parser_->put(buffer_.data(), error_);
+      buffer_.consume(used);
+      const std::size_t count = room - target.size;
+      target.data = nullptr;
+      if (body != nullptr && count > 0) body->Append({bytes.data(), count});
+      if (error_ == boost::beast::http::error::need_buffer) error_ = {};
+      if (error_ == boost::beast::http::error::need_more) {
+        error_ = {};
+        if (used == 0 && count == 0) return read_step::kNeedsBytes;
+      }
+      if (error_) return read_step::kBad;
+    }
+    return read_step::kDone;
+  }
+
+  /// The connection ended in order. True if that completes the message.
+  bool FinishAtEnd() {
+    if (!parser_.has_value() || !parser_->is_header_done()) return false;
+    parser_->put_eof(error_);
+    return !error_ && parser_->is_done();
+  }
+
+  parser& message() { return *parser_; }
+  const boost::system::error_code& error() const { return error_; }
+  /// Bytes received and not yet parsed.
+  boost::beast::flat_buffer& buffer() { return buffer_; }
+
+ private:
+  boost::beast::flat_buffer buffer_;
+  std::optional<parser> parser_;
+  boost::system::error_code error_;
+};
+
+}  // namespace bronzeroute::internal
--- a/src/transport/peer_codec.cc
+++ b/src/transport/peer_codec.cc
@@ -76,6 +76,10 @@
   if (row.content_length.has_value()) to.set_content_length(*row.content_length);
   to.set_remaining_us(
       static_cast<std::uint64_t>(std::max<std::int64_t>(0, (head.deadline - now).count())));
+  to.set_objective_us(
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, (head.objective - now).count())));
+  to.set_priority(head.priority);
+  to.set_request_id(head.request_id);
   to.set_config_version(head.config_version);
   WriteHeaders(EndToEndFields(row.headers), to);
 }
@@ -98,6 +102,9 @@
   // A day at most, so that no remote value can overflow the clock.
   constexpr std::uint64_t kMaxRemainingUs = 86'400'000'000;
   head.deadline = now + duration(std::min(from.remaining_us(), kMaxRemainingUs));
+  head.objective = now + duration(std::min(from.objective_us(), kMaxRemainingUs));
+  head.priority = from.priority();
+  head.request_id = from.request_id();
   head.config_version = from.config_version();
   row.method = head.method;
   row.path = head.path;
--- a/src/transport/transport.cc
+++ b/src/transport/transport.cc
@@ -1,10 +1,13 @@
 #include "src/transport/transport.h"
 
+#include <utility>
+
 namespace bronzeroute {
 
-transport::transport(transport_events& events)
-    : callers_(exchanges_, events, caller_endpoints_),
-      upstream_(exchanges_, events),
+transport::transport(transport_events& events, http_dialect dialect)
+    : dialect_(std::move(dialect)),
+      callers_(exchanges_, events, caller_endpoints_, dialect_),
+      upstream_(exchanges_, events, dialect_),
       peers_(exchanges_, events),
       datagrams_(events),
       admin_(admin_endpoints_) {}
@@ -22,14 +25,16 @@
 void transport::Stop() {
   callers_.Stop();
   admin_.Stop();
-  StopLinks();
-}
-
-void transport::StopLinks() {
   peers_.client().Stop();
   peers_.server().Stop();
   upstream_.Stop();
   datagrams_.Stop();
 }
 
+void transport::Tick(time_point now) {
+  callers_.server().Tick(now);
+  admin_.Tick(now);
+  upstream_.Tick(now);
+}
+
 }  // namespace bronzeroute
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -4,9 +4,11 @@
 
 #include <string>
 
+#include "src/base/time.h"
 #include "src/transport/admin_server.h"
 #include "src/transport/caller_server.h"
 #include "src/transport/exchange_table.h"
+#include "src/transport/http_dialect.h"
 #include "src/transport/http_router.h"
 #include "src/transport/peer_transport.h"
 #include "src/transport/udp_socket.h"
@@ -29,7 +31,7 @@
 class transport {
  public:
   /// `events` must outlive the transport.
-  explicit transport(transport_events& events);
+  explicit transport(transport_events& events, http_dialect dialect = {});
   ~transport() { Stop(); }
   transport(const transport&) = delete;
   transport& operator=(const transport&) = delete;
@@ -38,10 +40,8 @@
   absl::Status Start(const listen_addresses& addresses);
   /// Closes everything and waits until no event can follow. Open exchanges are cut.
   void Stop();
-  /// Closes all but the HTTP listeners, for a process that ends right after. The library waits
-  /// for its connections when the last listener closes, on the one thread that would end them,
-  /// so an idle connection of a caller would keep the process from ending.
-  void StopLinks();
+  /// Enforces time limits of connections. Call it about every 10 ms, on the event loop.
+  void Tick(time_point now);
 
   /// Number of exchanges that are not over; a daemon that leaves waits for 0.
   std::size_t open_exchanges() const { return exchanges_.size(); }
@@ -57,6 +57,7 @@
   http_router& caller_endpoints() { return caller_endpoints_; }
 
  private:
+  http_dialect dialect_;
   exchange_table exchanges_;
   http_router admin_endpoints_;
   http_router caller_endpoints_;
--- a/src/transport/transport_events.h
+++ b/src/transport/transport_events.h
@@ -11,6 +11,7 @@
 
 struct attempt_head;
 struct caller_request;
+struct load_report;
 struct owner_report;
 
 /// Receives every event of the transport, on the event loop. Implemented by the node's driver.
@@ -59,6 +60,15 @@
   virtual void OnUpstreamLost(exchange_id exchange, const attempt_id& attempt,
                               time_point now) = 0;
 
+  /// The upstream stated that it did not run the request.
+  virtual void OnUpstreamRefused(exchange_id exchange, const attempt_id& attempt,
+                                 time_point now) = 0;
+  /// The upstream told its load beside an answer.
+  virtual void OnUpstreamLoad(const load_report& report, time_point now) = 0;
+  /// An answer to another request came where that to `attempt` was due; it was dropped.
+  virtual void OnStrayAnswer(exchange_id exchange, const attempt_id& attempt,
+                             time_point now) = 0;
+
   /// A membership datagram came from `from` ("ip:port").
   virtual void OnDatagram(std::string_view from, std::string_view payload, time_point now) = 0;
 };
--- /dev/null
+++ b/src/transport/upstream_attempt.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <boost/system/error_code.hpp>
+#include <cstddef>
+#include <memory>
+
+#include "src/base/attempt_id.h"
+#include "src/base/time.h"
+#include "src/transport/message_reader.h"
+#include "src/transport/message_writer.h"
+
+namespace bronzeroute {
+
+class upstream_client;
+struct answer_stream;
+struct exchange;
+struct upstream_connection;
+
+/// One request to the upstream, from the choice of a connection to the end of its answer.
+class upstream_attempt : public std::enable_shared_from_this<upstream_attempt> {
+ public:
+  upstream_attempt(upstream_client& owner, std::shared_ptr<exchange> row,
+                   const attempt_id& attempt, time_point deadline, bool fresh_connection);
+
+  void Start();
+  /// Closes the connection and reports the end, later.
+  void Cancel();
+  /// Closes the connection; no event follows.
+  void Abandon();
+
+  const attempt_id& attempt() const { return attempt_; }
+  exchange_id exchange_of() const;
+
+ private:
+  using writer = internal::message_writer<true>;
+
+  void Connect();
+  void OnConnected(const boost::system::error_code& error);
+  void Send();
+  void OnSent(writer::end how);
+  void Read();
+  void OnRead(const boost::system::error_code& error, std::size_t count);
+  void Parse();
+  bool ParseHead();
+  bool ParseBody();
+  /// Takes the head that was parsed; false if the attempt ended.
+  bool TakeHead();
+  void AnnounceHead();
+  void Complete();
+  /// The connection ended. `in_order` if the upstream closed it, false for a reset.
+  void OnConnectionEnd(bool in_order);
+  /// The answer cannot be used: the request may have run, its answer is lost or cut.
+  void Lose();
+  /// Closes the connection, or keeps it for the next request.
+  void Release(bool keep);
+  bool Finish();
+
+  upstream_client* owner_;
+  std::shared_ptr<exchange> row_;
+  attempt_id attempt_;
+  time_point deadline_;
+  bool fresh_connection_;
+  std::shared_ptr<upstream_connection> connection_;
+  std::shared_ptr<writer> writer_;
+  std::shared_ptr<answer_stream> answer_;
+  bool reading_ = false;
+  bool parsing_ = false;
+  bool in_body_ = false;
+  bool sent_ = false;
+  bool head_told_ = false;
+  /// The message at hand is the late answer to an earlier request; it is dropped.
+  bool is_stray_ = false;
+  bool is_refusal_ = false;
+  bool saw_stray_ = false;
+  bool got_any_ = false;
+  bool may_resend_ = false;
+  bool over_ = false;
+};
+
+}  // namespace bronzeroute
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -1,57 +1,71 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
-#include <cpprest/http_client.h>
 
 #include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
+#include "src/base/attempt_id.h"
+#include "src/base/time.h"
 #include "src/calls/upstream_port.h"
 
 namespace bronzeroute {
 
 class exchange_table;
 class transport_events;
+class upstream_attempt;
+struct http_dialect;
+struct upstream_connection;
 
-/// HTTP requests to the upstream beside this daemon.
+/// The HTTP client towards the upstream beside this daemon.
 class upstream_client : public upstream_port {
  public:
-  /// Both must outlive the client.
-  upstream_client(exchange_table& exchanges, transport_events& events);
+  /// All must outlive the client.
+  upstream_client(exchange_table& exchanges, transport_events& events,
+                  const http_dialect& dialect);
   ~upstream_client() override;
   upstream_client(const upstream_client&) = delete;
   upstream_client& operator=(const upstream_client&) = delete;
 
-  /// Sets the address ("ip:port") that the upstream announced; empty if it is gone. Running
-  /// requests stay with the old one.
-  void SetUpstream(std::string_view address);
-  /// Cancels all requests; no more events follow. Not on the event loop.
+  /// Cancels everything without further events. Not on the event loop.
   void Stop();
 
-  /// Reports `OnUpstreamConnectFailed` if there is no upstream, or if the request's body was
-  /// read by an earlier attempt and is no longer kept.
+  /// Requests go to `address` ("ip:port") from now on; empty for none. `identity` is sent along
+  /// where the deployment has a field for it.
+  void SetUpstream(std::string_view address, std::string_view identity);
+
   void StartUpstream(exchange_id exchange, const attempt_id& attempt, time_point deadline,
                      bool fresh_connection) override;
   void CancelUpstream(exchange_id exchange, const attempt_id& attempt) override;
 
+  /// Closes kept connections whose time is over. Call it about every 10 ms.
+  void Tick(time_point now);
+
+  /// For `upstream_attempt`.
+  transport_events& events() { return events_; }
+  const http_dialect& dialect() const { return dialect_; }
+  const std::string& address() const { return address_; }
+  const std::string& identity() const { return identity_; }
+  /// A kept connection that is still open, or null.
+  std::shared_ptr<upstream_connection> TakeKept();
+  void Keep(const std::shared_ptr<upstream_connection>& connection);
+  void Forget(const upstream_attempt& attempt);
+
  private:
-  struct running_request;
   using key = std::pair<exchange_id, attempt_id>;
 
-  std::shared_ptr<web::http::client::http_client> NewClient() const;
-  void HeadArrived(const key& id, const pplx::task<web::http::http_response>& arrived);
-  void BodyEnded(const key& id, bool complete);
-  void ReportConnectFailed(const key& id);
-
   exchange_table& exchanges_;
   transport_events& events_;
+  const http_dialect& dialect_;
   std::string address_;
-  // Keeps connections for requests that may be repeated.
-  std::shared_ptr<web::http::client::http_client> pooled_;
-  absl::flat_hash_map<key, std::shared_ptr<running_request>> running_;
-  std::shared_ptr<upstream_client*> self_;
+  std::string identity_;
+  absl::flat_hash_map<key, std::shared_ptr<upstream_attempt>> running_;
+  /// Idle connections, the one used last at the end.
+  std::vector<std::shared_ptr<upstream_connection>> kept_;
+  bool used_ = false;
 };
 
 }  // namespace bronzeroute
--- a/tests/transport/call_path_test.cc
+++ b/tests/transport/call_path_test.cc
@@ -66,8 +66,8 @@
   const std::string& head = upstream.head;
   EXPECT_TRUE(head.starts_with("POST /orders/1?a=b%20c&d=%2F HTTP/1.1\r\n")) << head;
   for (const std::string present :
-       {"Host:shop", "Content-Type:application/x-odd", "X-Kept:yes", "Bronzeroute-Depth:4",
-        "Bronzeroute-Call:0000000000000001-7-1", "Bronzeroute-Deadline-Ms:"}) {
+       {"Host: shop", "Content-Type: application/x-odd", "X-Kept: yes", "Bronzeroute-Depth: 4",
+        "Bronzeroute-Call: 0000000000000001-7-1", "Bronzeroute-Deadline-Ms: "}) {
     EXPECT_NE(head.find(present), std::string::npos) << present << " in " << head;
   }
   EXPECT_EQ(head.find("X-Own"), std::string::npos) << head;
