Structured logs; a stop that callers cannot delay

Ruled out: owners (the broken requests were all taken by the stopping entry). Change: after the linger no request is taken; stop.limit_ms ends the process before the grace time. Test: planned_stop.CallersThatGoOnSendingDoNotKeepDaemonRunning. Structured lines on standard output for each ended call, each ended attempt and each change of belief, bounded by a budget of bytes and never blocking; log4cxx is gone: its console appender waits for the reader.

--- /dev/null
+++ b/src/calls/owner_log_row.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "src/base/attempt_id.h"
+#include "src/base/error_kind.h"
+#include "src/base/time.h"
+
+namespace bronzeroute {
+
+/// How one attempt ended at its owner.
+struct owner_log_row {
+  attempt_id id;
+  std::string_view request_id;
+  std::string_view service;
+  bool is_local = false;
+  bool is_protected = false;
+  /// The entry cancelled the attempt, or its link broke.
+  bool is_abandoned = false;
+  /// The attempt was handed to the upstream.
+  bool was_started = false;
+  std::int64_t config_version = -1;
+  time_point arrived{};
+  /// When it got its slot; meaningless unless `was_started`.
+  time_point started{};
+  time_point ended{};
+  time_point deadline{};
+  /// What the entry was told; kNone if an answer was passed on.
+  error_kind result = error_kind::kNone;
+  /// HTTP status of the upstream's answer, 0 if there was none.
+  int status = 0;
+  bool complete = true;
+};
+
+}  // namespace bronzeroute
--- a/src/calls/owner_system.h
+++ b/src/calls/owner_system.h
@@ -2,8 +2,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -17,6 +19,7 @@
 #include "src/calls/key_table.h"
 #include "src/calls/local_owner.h"
 #include "src/calls/owner_counters.h"
+#include "src/calls/owner_log_row.h"
 #include "src/calls/self_identity.h"
 #include "src/calls/upstream_outcome.h"
 
@@ -78,6 +81,10 @@
     keys_.RaiseRun(to);
   }
 
+  using observer = std::function<void(const owner_log_row&)>;
+  /// `on_end` sees every attempt once, when it ends or is refused.
+  void SetObserver(observer on_end) { on_end_ = std::move(on_end); }
+
   bool IsDraining() const { return drain_deadline_.has_value(); }
   bool IsIdle() const { return rows_.empty(); }
   std::size_t open_attempts() const { return rows_.size(); }
@@ -96,6 +103,8 @@
     /// HTTP status of the response, 0 before its head.
     int status = 0;
     row_state state = row_state::kQueued;
+    time_point arrived{};
+    time_point started{};
   };
 
   void Accept(exchange_id exchange, const attempt_head& head, bool is_local, time_point now);
@@ -112,6 +121,7 @@
   void Refuse(const attempt_id& id, error_kind kind, upstream_outcome outcome, time_point now);
   void SendRefusal(exchange_id exchange, const attempt_id& id, bool is_local, error_kind kind,
                    int recorded_status, time_point now);
+  void Observe(const attempt_row& row, error_kind result, bool complete, time_point now) const;
   void SendFinish(const attempt_row& row, bool complete, time_point now);
   /// Refuses queued attempts for which `pick` returns an error kind.
   template <typename Pick>
@@ -130,6 +140,7 @@
   std::optional<time_point> drain_deadline_;
   std::optional<time_point> last_tick_;
   owner_counters counters_;
+  observer on_end_;
 };
 
 extern template class basic_owner_system<call_rules>;
--- a/src/calls/owner_system_impl.h
+++ b/src/calls/owner_system_impl.h
@@ -66,7 +66,10 @@
     }
   }
   rows_.insert_or_assign(id,
-                         attempt_row{.exchange = exchange, .head = head, .is_local = is_local});
+                         attempt_row{.exchange = exchange,
+                                     .head = head,
+                                     .is_local = is_local,
+                                     .arrived = now});
   by_exchange_[exchange] = id;
   if (IsDraining()) {
     Refuse(id, error_kind::kDraining, upstream_outcome::kNotStarted, now);
@@ -99,6 +102,7 @@
 void basic_owner_system<Rules>::Start(const attempt_id& id, time_point now) {
   attempt_row& row = rows_.find(id)->second;
   row.state = row_state::kStarted;
+  row.started = now;
   // This process may have been frozen since the attempt arrived, so everything that allowed the
   // work is checked again. A cancelled attempt has no row any more.
   error_kind kind = error_kind::kNone;
@@ -169,6 +173,7 @@
     gate_.Cancel(exchange, now);
     const attempt_row removed = Remove(id, upstream_outcome::kNotStarted, now);
     EndKey(removed, key_state::kNotRun, 0, now);
+    Observe(removed, error_kind::kCancelled, false, now);
     return;
   }
   // Protected work goes on, so that its key row gets a definite result.
@@ -240,6 +245,7 @@
     outcome = row->status >= 500 ? upstream_outcome::kFailed : upstream_outcome::kAnswered;
   }
   const attempt_row removed = Remove(attempt, outcome, now);
+  Observe(removed, error_kind::kNone, complete, now);
   SendFinish(removed, complete, now);
 }
 
@@ -257,6 +263,7 @@
   if (row == nullptr) return;
   const bool is_answering = row->state == row_state::kAnswering;
   const attempt_row removed = Remove(attempt, OutcomeOfLoss(*row, now), now);
+  Observe(removed, is_answering ? error_kind::kNone : error_kind::kAnswerLost, false, now);
   if (is_answering) {
     SendFinish(removed, false, now);
     return;
@@ -289,6 +296,7 @@
                                        upstream_outcome outcome, time_point now) {
   EndKey(rows_.find(id)->second, key_state::kNotRun, 0, now);
   const attempt_row row = Remove(id, outcome, now);
+  Observe(row, kind, false, now);
   if (row.is_abandoned) return;
   SendRefusal(row.exchange, id, row.is_local, kind, 0, now);
 }
@@ -306,6 +314,27 @@
   }
 }
 
+template <typename Rules>
+void basic_owner_system<Rules>::Observe(const attempt_row& row, error_kind result,
+                                        bool complete, time_point now) const {
+  if (!on_end_) return;
+  on_end_({.id = row.head.id,
+           .request_id = row.head.request_id,
+           .service = row.head.service,
+           .is_local = row.is_local,
+           .is_protected = row.head.is_protected,
+           .is_abandoned = row.is_abandoned,
+           .was_started = row.state != row_state::kQueued,
+           .config_version = row.head.config_version,
+           .arrived = row.arrived,
+           .started = row.started,
+           .ended = now,
+           .deadline = row.head.deadline,
+           .result = result,
+           .status = row.status,
+           .complete = complete});
+}
+
 template <typename Rules>
 void basic_owner_system<Rules>::SendFinish(const attempt_row& row, bool complete,
                                            time_point now) {
--- a/src/calls/target_reason.h
+++ b/src/calls/target_reason.h
@@ -12,6 +12,19 @@
   kKeyHome,
 };
 
+/// The name in logs.
+constexpr std::string_view TargetReasonName(target_reason reason) {
+  switch (reason) {
+    case target_reason::kOwnUpstreamFree:
+      return "own";
+    case target_reason::kChosen:
+      return "chosen";
+    case target_reason::kKeyHome:
+      break;
+  }
+  return "key_home";
+}
+
 /// "own upstream is free", "chosen by load" or "home of the key".
 constexpr std::string_view TargetReasonText(target_reason reason) {
   switch (reason) {
--- a/src/configuration/configuration_system.cc
+++ b/src/configuration/configuration_system.cc
@@ -113,6 +113,7 @@
   if (settings_.form == configuration_form::kVersionedDocuments) {
     if (snapshot->version > in_effect_.version && snapshot->parsed != nullptr) {
       in_effect_ = *std::move(snapshot);
+      from_peer_ = true;
     }
   } else if (snapshot->version > in_effect_.version) {
     const bool restored = snapshot->parsed != nullptr && fold_.Restore(*snapshot);
@@ -124,6 +125,7 @@
     // An anchored fold that read further and did not accept this version is right about it.
     if (snapshot->parsed != nullptr && (restored || !fold_.anchored())) {
       in_effect_ = *std::move(snapshot);
+      from_peer_ = true;
     } else {
       unusable_version_ = std::max(unusable_version_, snapshot->version);
     }
@@ -179,6 +181,7 @@
       result.value = verdict::kStaleBase;
     } else {
       result.value = verdict::kAccepted;
+      from_peer_ = false;
       in_effect_.version = parsed->version;
       in_effect_.as_of = parsed->version;
       in_effect_.bytes = record.data;
@@ -216,6 +219,7 @@
   } else if (head.version > in_effect_.version) {
     if (head.parsed != nullptr) {
       in_effect_ = head;
+      from_peer_ = false;
     } else {
       unusable_version_ = std::max(unusable_version_, head.version);
     }
--- a/src/configuration/configuration_system.h
+++ b/src/configuration/configuration_system.h
@@ -54,6 +54,8 @@
   std::int64_t version() const { return in_effect_.version; }
   /// The document in effect with its bytes and digest.
   const configuration_snapshot& in_effect() const { return in_effect_; }
+  /// Where the version in effect came from: "log" or "peer".
+  std::string_view source() const { return from_peer_ ? "peer" : "log"; }
   /// Reply to a peer that has `known_version`: a snapshot record, or empty if that is as new.
   std::string SnapshotFor(std::int64_t known_version) const;
   /// What stands between this daemon and the newest configuration; empty if nothing does.
@@ -88,6 +90,7 @@
 
   configuration_fold fold_;
   configuration_snapshot in_effect_;
+  bool from_peer_ = false;
   std::vector<record_verdict> verdicts_;
   /// Highest version that cannot be taken over from peers.
   std::int64_t unusable_version_ = -1;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -1,5 +1,6 @@
 #include "src/daemon/daemon.h"
 
+#include <absl/strings/str_format.h>
 #include <xxhash.h>
 
 #include <chrono>
@@ -12,7 +13,8 @@
 #include "src/calls/call_id_text.h"
 #include "src/calls/caller_request.h"
 #include "src/daemon/admin_endpoints.h"
-#include "src/daemon/logging.h"
+#include "src/logging/log_line.h"
+#include "src/logging/log_writer.h"
 #include "src/node/runtime_ports.h"
 #include "src/node/runtime_settings.h"
 #include "src/transport/event_loop.h"
@@ -29,6 +31,8 @@
 // request.
 constexpr auto kLastRequests = std::chrono::milliseconds(200);
 
+// Number of the format of log lines; a change of the meaning of fields raises it.
+constexpr int kLogFormat = 1;
 // A read of the log is given up this long after its wait is over.
 constexpr auto kReadSlack = std::chrono::seconds(8);
 
@@ -68,8 +72,9 @@
 
 }  // namespace
 
-daemon::daemon(const settings& options, const daemon_parts& parts)
-    : settings_(options),
+daemon::daemon(const settings& options, const daemon_parts& parts, log_writer& events)
+    : events_(events),
+      settings_(options),
       self_(SelfRow(options)),
       parts_(parts),
       transport_(*this, parts.dialect),
@@ -83,7 +88,8 @@
                              .datagrams = transport_.datagrams(),
                              .log = *log_,
                              .configuration_peers = *this,
-                             .links = *this},
+                             .links = *this,
+                             .events = &events},
                MonotonicNow()),
       timer_(LoopService()) {
   AddEndpoints();
@@ -107,7 +113,15 @@
     transport_.callers().SetCallerService(settings_.service);
     Tick();
   });
-  LogInfo(Concat("daemon: listening for callers on ", settings_.callers_address));
+  RunOnLoop([this] {
+    log_line line(log_weight::kState, "daemon", "started");
+    line.Add("version", BRONZEROUTE_VERSION)
+        .Add("log_format", kLogFormat)
+        .Add("callers", settings_.callers_address)
+        .Add("member", absl::StrFormat("%016x", self_.id.value))
+        .Add("run", self_.run.value);
+    events_.Write(line);
+  });
   return absl::OkStatus();
 }
 
@@ -124,30 +138,36 @@
 
 void daemon::BeginStop() {
   RunOnLoop([this] {
-    LogInfo("daemon: stopping, work in flight goes on");
+    events_.Write({log_weight::kState, "daemon", "stopping"});
     runtime_.Stop(MonotonicNow());
     transport_.callers().server().BeginClosing();
   });
 }
 
 void daemon::Reload(const settings& changed) {
-  LogInfo("daemon: settings were read again");
   const bool needs_restart = changed.callers_address != settings_.callers_address ||
                              changed.peers_address != settings_.peers_address ||
                              changed.membership_address != settings_.membership_address ||
                              changed.admin_address != settings_.admin_address ||
                              changed.environment != settings_.environment;
   if (needs_restart) {
-    LogWarning("daemon: changed addresses or environment take effect at the next start");
+    LogReload("addresses or environment", "at the next start");
   }
   if (changed.log_address != settings_.log_address) {
-    LogWarning("daemon: a changed address of the log takes effect at the next start");
+    LogReload("address of the log", "at the next start");
   }
   if (changed.service != settings_.service) {
     settings_.service = changed.service;
     transport_.callers().SetCallerService(settings_.service);
-    LogInfo(Concat("daemon: requests of this machine now come from ", settings_.service));
+    LogReload("service", "now");
   }
+  LogReload("settings", "read");
+}
+
+void daemon::LogReload(std::string_view what, std::string_view effect) {
+  log_line line(log_weight::kState, "daemon", "reloaded");
+  line.Add("what", what).Add("effect", effect);
+  events_.Write(line);
 }
 
 void daemon::Close() {
@@ -180,27 +200,30 @@
   runtime_.Tick(now);
   ApplyLimits();
   transport_.peers().server().SetConfigVersion(runtime_.configuration().version());
-  for (const std::string& line : runtime_.TakeLines()) {
-    LogInfo(line);
-  }
-  if (runtime_.stopping() && transport_.open_exchanges() == 0) {
-    if (stop_limit_ == time_point{}) {
-      stop_limit_ = now + kLeaveLimit;
-    }
-    if (runtime_.MayExit() || now >= stop_limit_) {
-      EndCallers(now);
-    }
-  }
+  if (runtime_.stopping()) TickStop(now);
+  events_.Tick(now);
   ScheduleTick();
 }
 
-void daemon::EndCallers(time_point now) {
-  if (end_at_ == time_point{}) {
+void daemon::TickStop(time_point now) {
+  if (stop_began_ == time_point{}) stop_began_ = now;
+  // Callers that go on sending must not keep the process from ending: after the linger no
+  // request is taken any more, and those taken before are finished.
+  if (!callers_ended_ && now >= stop_began_ + settings_.stop_linger) {
+    callers_ended_ = true;
     transport_.callers().server().EndListening();
     end_at_ = now + kLastRequests;
-  } else if (now >= end_at_) {
+    events_.Write({log_weight::kState, "daemon", "callers_ended"});
+  }
+  if (settings_.stop_limit > duration(0) && now >= stop_began_ + settings_.stop_limit) {
+    log_line line(log_weight::kState, "daemon", "stop_limit_reached");
+    line.Add("open_requests", transport_.open_exchanges());
+    events_.Write(line);
     stopped_ = true;
   }
+  if (!callers_ended_ || now < end_at_ || transport_.open_exchanges() > 0) return;
+  if (leave_limit_ == time_point{}) leave_limit_ = now + kLeaveLimit;
+  if (runtime_.MayExit() || now >= leave_limit_) stopped_ = true;
 }
 
 void daemon::ApplyLimits() {
@@ -219,7 +242,9 @@
 
 void daemon::AddEndpoints() {
   AddAdminEndpoints(transport_.admin_endpoints(), runtime_, settings_);
-  if (parts_.add_endpoints) parts_.add_endpoints(announcement_endpoints_, runtime_);
+  if (parts_.add_endpoints) {
+    parts_.add_endpoints(announcement_endpoints_, runtime_, events_);
+  }
   AddReadyEndpoint(ready_endpoints_, runtime_);
   AddCallerEndpoints(transport_.caller_endpoints(), runtime_);
 }
@@ -321,8 +346,9 @@
 
 void daemon::OnStrayAnswer(exchange_id /*exchange*/, const attempt_id& attempt,
                            time_point /*now*/) {
-  LogWarning(Concat("call: dropped an answer to another request at attempt ", attempt.number,
-                    " of call ", FormatCallId(attempt.call)));
+  log_line line(log_weight::kProblem, "call", "stray_answer_dropped");
+  line.Add("call", FormatCallId(attempt.call)).Add("attempt", attempt.number);
+  events_.Write(line);
 }
 
 void daemon::OnDatagram(std::string_view from, std::string_view payload, time_point now) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -20,12 +20,15 @@
 
 namespace bronzeroute {
 
+class log_writer;
+
 /// One daemon: the decision logic joined to its sockets, the log and the clock.
 class daemon final : private transport_events,
                      private configuration_peer_port,
                      private peer_link_port {
  public:
-  daemon(const settings& options, const daemon_parts& parts);
+  /// `events` must outlive the daemon.
+  daemon(const settings& options, const daemon_parts& parts, log_writer& events);
   ~daemon() override;
   daemon(const daemon&) = delete;
   daemon& operator=(const daemon&) = delete;
@@ -34,8 +37,9 @@
   absl::Status Start();
   /// Begins a graceful shutdown: no new work, work in flight ends, then `stopped` turns true.
   void BeginStop();
-  /// True once nothing is open and the leave record is written. On the event loop.
-  bool stopped() const { return stopped_ && transport_.open_exchanges() == 0; }
+  /// True once nothing is open and the leave record is written, or the time to stop is over. On
+  /// the event loop.
+  bool stopped() const { return stopped_; }
   /// Closes everything. Not on the event loop.
   void Close();
   /// Takes changed settings; those that need a restart are logged. On the event loop.
@@ -80,11 +84,14 @@
   log_listener MakeLogListener();
   void ScheduleTick();
   void Tick();
-  /// Closes the callers' listener, then ends when its last connections were served.
-  void EndCallers(time_point now);
+  /// Ends the callers' listener after the linger, and the process once nothing is open.
+  void TickStop(time_point now);
   /// Passes on what an owner said beside its answer.
   void NoteReport(const answer_identity& from, const owner_report& report, time_point now);
 
+  void LogReload(std::string_view what, std::string_view effect);
+
+  log_writer& events_;
   settings settings_;
   member_row self_;
   daemon_parts parts_;
@@ -97,9 +104,13 @@
   std::unique_ptr<log_port> log_;
   node_runtime runtime_;
   boost::asio::steady_timer timer_;
-  time_point stop_limit_{};
-  /// Set once no further connection of a caller is accepted.
+  time_point stop_began_{};
+  /// No further connection of a caller is accepted.
+  bool callers_ended_ = false;
+  /// End of the time for requests on connections accepted last.
   time_point end_at_{};
+  /// End of the wait for the leave record.
+  time_point leave_limit_{};
   bool closed_ = false;
   std::atomic<bool> stopped_{false};
 };
--- a/src/daemon/daemon_parts.h
+++ b/src/daemon/daemon_parts.h
@@ -14,6 +14,7 @@
 namespace bronzeroute {
 
 class http_router;
+class log_sink;
 class node_runtime;
 struct settings;
 
@@ -26,7 +27,7 @@
   /// Opens the client of the log service; its results go to the listener.
   std::function<std::unique_ptr<log_port>(const settings&, log_listener)> open_log;
   /// Endpoints that the deployment asks of a daemon on the address `announcements`.
-  std::function<void(http_router&, node_runtime&)> add_endpoints;
+  std::function<void(http_router&, node_runtime&, log_sink&)> add_endpoints;
 };
 
 }  // namespace bronzeroute
--- a/src/daemon/parse_settings.cc
+++ b/src/daemon/parse_settings.cc
@@ -24,10 +24,12 @@
 constexpr auto kLogKeys =
     std::to_array<std::string_view>({"address", "wait_ms", "read_pause_ms"});
 constexpr auto kMembershipKeys = std::to_array<std::string_view>({"join_spread_ms"});
-constexpr auto kStopKeys = std::to_array<std::string_view>({"linger_ms"});
+constexpr auto kStopKeys = std::to_array<std::string_view>({"linger_ms", "limit_ms"});
 // Longest span that a setting in milliseconds may name: ten minutes.
 constexpr std::int64_t kMaxMs = 600'000;
-constexpr auto kLoggingKeys = std::to_array<std::string_view>({"level"});
+constexpr auto kLoggingKeys = std::to_array<std::string_view>({"level", "bytes_per_second"});
+constexpr std::int64_t kMinLogBytes = 1'000;
+constexpr std::int64_t kMaxLogBytes = 10'000'000;
 constexpr auto kEnvironments = std::to_array<std::string_view>({"trial", "production"});
 constexpr auto kLevels = std::to_array<std::string_view>({"debug", "info", "warn", "error"});
 constexpr std::string_view kAddressRule = "an IP address and port, for example \"10.0.0.1:80\"";
@@ -67,13 +69,15 @@
     const toml::table* stop = Section(root, "stop", kEmpty);
     CheckKeys(*stop, "stop.", kStopKeys);
     result.stop_linger = Milliseconds(*stop, "stop.", "linger_ms", result.stop_linger);
+    result.stop_limit = Milliseconds(*stop, "stop.", "limit_ms", result.stop_limit);
     ReadSeeds(root, result);
-    const toml::table* logging = Table(root, "logging");
-    if (logging != nullptr) {
-      CheckKeys(*logging, "logging.", kLoggingKeys);
-      const std::string level = OneOf(*logging, "logging.", "level", false, kLevels);
-      result.log_level = level.empty() ? result.log_level : level;
-    }
+    const toml::table* logging = Section(root, "logging", kEmpty);
+    CheckKeys(*logging, "logging.", kLoggingKeys);
+    // Earlier settings files name a level; all lines are written now, within the budget.
+    OneOf(*logging, "logging.", "level", false, kLevels);
+    result.log_bytes_per_second = static_cast<std::size_t>(
+        Integer(*logging, "logging.", "bytes_per_second", kMinLogBytes, kMaxLogBytes,
+                static_cast<std::int64_t>(result.log_bytes_per_second)));
     return result;
   }
 
--- a/src/daemon/run_daemon.cc
+++ b/src/daemon/run_daemon.cc
@@ -1,6 +1,7 @@
 #include "src/daemon/run_daemon.h"
 
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <csignal>
@@ -10,7 +11,6 @@
 #include <exception>
 #include <fstream>
 #include <iostream>
-#include <memory>
 #include <optional>
 #include <sstream>
 #include <string>
@@ -18,8 +18,9 @@
 #include "src/base/concat.h"
 #include "src/daemon/daemon.h"
 #include "src/daemon/daemon_parts.h"
-#include "src/daemon/logging.h"
 #include "src/daemon/parse_settings.h"
+#include "src/logging/log_line.h"
+#include "src/logging/log_writer.h"
 #include "src/transport/event_loop.h"
 
 namespace bronzeroute {
@@ -76,51 +77,57 @@
   }
 };
 
-void Reload(daemon& running, const std::string& file) {
+void Reload(daemon& running, log_writer& events, const std::string& file) {
   std::stringstream errors;
   const auto changed = ReadSettings(file, errors);
-  if (!changed) {
-    LogError(Concat("daemon: changed settings are faulty, the earlier ones stay: ",
-                    errors.str()));
-    return;
-  }
-  RunOnLoop([&] { running.Reload(*changed); });
+  RunOnLoop([&] {
+    if (changed) {
+      running.Reload(*changed);
+      return;
+    }
+    // The earlier settings stay in force.
+    log_line line(log_weight::kState, "daemon", "faulty_settings_ignored");
+    events.Write(line.Add("errors", errors.str()));
+  });
 }
 
 /// Serves until a signal asks to stop.
-void Serve(daemon& running, const sigset_t& signals, const std::string& file) {
+void Serve(daemon& running, log_writer& events, const sigset_t& signals,
+           const std::string& file) {
   file_state seen(file);
   for (;;) {
     const int received = sigtimedwait(&signals, nullptr, &kSettingsPoll);
     if (received == SIGTERM || received == SIGINT) return;
     const file_state now(file);
-    if (received == SIGHUP || !(now == seen)) Reload(running, file);
+    if (received == SIGHUP || !(now == seen)) Reload(running, events, file);
     seen = now;
   }
 }
 
 [[noreturn]] void Run(const settings& options, const daemon_parts& parts,
                       const std::string& file) {
-  StartLogging(options.log_level);
   // All threads inherit the mask, so that the signals are left to the wait below.
   const sigset_t signals = HandledSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   StartEventLoop();
-  auto running = std::make_unique<daemon>(options, parts);
+  // Both live as long as the process.
+  auto* const events = new log_writer(STDOUT_FILENO, options.log_bytes_per_second);
+  auto* const running = new daemon(options, parts, *events);
   const absl::Status status = running->Start();
   if (!status.ok()) {
-    LogError(Concat("daemon: cannot start: ", status.message()));
+    std::cerr << "daemon: cannot start: " << status.message() << std::endl;
     std::_Exit(kExitStartFailed);
   }
-  Serve(*running, signals, file);
+  Serve(*running, *events, signals, file);
   running->BeginStop();
   for (;;) {
     nanosleep(&kStopPoll, nullptr);
     // Checked and ended on the loop, so that no request can begin between the two.
-    RunOnLoop([&running] {
+    RunOnLoop([running, events] {
       if (running->stopped()) {
-        LogInfo("daemon: stopped");
+        events->Write({log_weight::kState, "daemon", "stopped"});
+        events->Tick(MonotonicNow());
         std::_Exit(kExitOk);
       }
     });
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -37,10 +38,13 @@
   /// A daemon that stops takes requests of callers for at least this long: peers learn of the
   /// drain within one push (100 ms) and a round trip.
   duration stop_linger = std::chrono::seconds(1);
+  /// A daemon that stops ends after this time even if requests are open; 0 for no limit.
+  duration stop_limit{};
   /// Membership addresses of other daemons, asked while the log is unavailable.
   std::vector<std::string> seeds;
-  /// log4cxx level name, for example "info".
-  std::string log_level = "info";
+  /// Bytes of log lines that a daemon writes a second at most, over ten seconds. 64 KB hold two
+  /// lines for each of about 100 requests a second.
+  std::size_t log_bytes_per_second = 64'000;
 };
 
 }  // namespace bronzeroute
--- /dev/null
+++ b/src/logging/log_budget.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "src/base/time.h"
+#include "src/logging/log_weight.h"
+
+namespace bronzeroute {
+
+/// Bounds the bytes of log lines a second. Lines of less weight may use only a part of what is
+/// there, so that they are dropped first.
+class log_budget {
+ public:
+  /// Refills with `bytes_per_second`; a quiet process may save up for two seconds.
+  explicit log_budget(std::size_t bytes_per_second);
+
+  /// True, and charged, if a line of `bytes` may be written; otherwise it counts as dropped.
+  bool TryCharge(log_weight weight, std::size_t bytes, time_point now);
+  /// Lines of `weight` dropped since the start.
+  std::uint64_t dropped(log_weight weight) const {
+    return dropped_[static_cast<std::size_t>(weight)];
+  }
+  /// Lines dropped since the last call.
+  std::uint64_t TakeDropped();
+
+ private:
+  void Refill(time_point now);
+
+  std::size_t bytes_per_second_;
+  double available_;
+  time_point filled_{};
+  std::array<std::uint64_t, 3> dropped_{};
+  std::uint64_t untold_ = 0;
+};
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/logging/log_writer.cc
@@ -0,0 +1,86 @@
+#include "src/logging/log_writer.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <chrono>
+
+#include "absl/strings/str_format.h"
+#include "src/logging/log_line.h"
+
+namespace bronzeroute {
+namespace {
+
+// Bytes held for a reader that is slow. Several seconds of a full budget.
+constexpr std::size_t kMaxHeld = std::size_t{256} * 1024;
+// Period of the line that says how many lines were dropped.
+constexpr auto kSummaryPeriod = std::chrono::seconds(5);
+// Bytes of time and line end that are added to each line.
+constexpr std::size_t kFrameBytes = 32;
+
+std::string_view WeightName(log_weight weight) {
+  switch (weight) {
+    case log_weight::kSuccess:
+      return "debug";
+    case log_weight::kProblem:
+      return "warn";
+    case log_weight::kState:
+      break;
+  }
+  return "info";
+}
+
+// The time of day, so that lines of several processes can be put side by side.
+std::string TimeOfDay() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+  return absl::StrFormat("%d.%03d", ms / 1000, ms % 1000);
+}
+
+}  // namespace
+
+log_writer::log_writer(int descriptor, std::size_t bytes_per_second)
+    : descriptor_(descriptor), budget_(bytes_per_second) {
+  const int flags = fcntl(descriptor, F_GETFL);
+  if (flags >= 0) fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+void log_writer::Write(const log_line& line) {
+  const auto now = time_point(std::chrono::duration_cast<duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+  const std::size_t bytes = line.text().size() + kFrameBytes;
+  if (!budget_.TryCharge(line.weight(), bytes, now) || held_.size() + bytes > kMaxHeld) {
+    ++dropped_;
+    return;
+  }
+  Append(line);
+}
+
+void log_writer::Append(const log_line& line) {
+  held_ += absl::StrFormat("ts=%s level=%s %s\n", TimeOfDay(),
+                           std::string(WeightName(line.weight())), line.text());
+}
+
+void log_writer::Tick(time_point now) {
+  if (now >= next_summary_) {
+    next_summary_ = now + kSummaryPeriod;
+    const std::uint64_t untold = budget_.TakeDropped();
+    if (untold > 0 && held_.size() < kMaxHeld) {
+      log_line line(log_weight::kState, "log", "lines_dropped");
+      line.Add("count", untold).Add("total", dropped_);
+      Append(line);
+    }
+  }
+  Flush();
+}
+
+void log_writer::Flush() {
+  while (!held_.empty()) {
+    const ssize_t count = write(descriptor_, held_.data(), held_.size());
+    // A full pipe, or none: the lines are held for the next tick.
+    if (count <= 0) return;
+    held_.erase(0, static_cast<std::size_t>(count));
+  }
+}
+
+}  // namespace bronzeroute
--- a/src/membership/membership_event.cc
+++ b/src/membership/membership_event.cc
@@ -1,52 +1,46 @@
 #include "src/membership/membership_event.h"
 
-#include <string_view>
-
 namespace bronzeroute {
 
-std::string DescribeEvent(const membership_event& event) {
-  const auto line = [&event](std::string_view what) {
-    return "member: " + event.peer_address + " run " + std::to_string(event.run.value) + " " +
-           std::string(what);
-  };
+std::string_view EventName(membership_event_kind kind) {
   using enum membership_event_kind;
-  switch (event.kind) {
+  switch (kind) {
     case kJoined:
-      return line("joined");
+      return "member_joined";
     case kNewRun:
-      return line("restarted");
+      return "member_restarted";
     case kSuspect:
-      return line("is suspect");
+      return "member_suspect";
     case kAlive:
-      return line("is alive");
+      return "member_alive";
     case kDead:
-      return line("is dead");
+      return "member_dead";
     case kLeft:
-      return line("left");
+      return "member_left";
     case kDraining:
-      return line("is draining");
+      return "member_draining";
     case kDetailsChanged:
-      return line("changed its details");
+      return "member_details_changed";
     case kForgotten:
-      return line("is forgotten");
+      return "member_forgotten";
     case kWoke:
-      return "member: slept " + std::to_string(event.number) + " ms, announcing again";
+      return "woke_after_ms";
     case kRefuted:
-      return "member: refuted a suspicion, counter " + std::to_string(event.number);
+      return "suspicion_refuted";
     case kOwnRunRaised:
-      return line("is the own run, raised above one seen");
+      return "own_run_raised";
     case kUpstreamAnnounced:
-      return line("has its upstream");
+      return "upstream_announced";
     case kUpstreamGone:
-      return line("lost its upstream");
+      return "upstream_gone";
     case kLogOut:
-      return "member: log unavailable";
+      return "log_lost";
     case kLogBack:
-      return "member: log available";
+      return "log_regained";
     case kNewerConfiguration:
       break;
   }
-  return line("has configuration version " + std::to_string(event.number));
+  return "newer_configuration_heard";
 }
 
 }  // namespace bronzeroute
--- a/src/membership/membership_event.h
+++ b/src/membership/membership_event.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "src/base/strong_id.h"
 
@@ -40,7 +41,7 @@
   std::int64_t number = 0;
 };
 
-/// A log line for the event with the prefix "member:".
-std::string DescribeEvent(const membership_event& event);
+/// The name of the event in logs, for example "member_joined".
+std::string_view EventName(membership_event_kind kind);
 
 }  // namespace bronzeroute
--- /dev/null
+++ b/src/node/decision_log.cc
@@ -0,0 +1,125 @@
+#include "src/node/decision_log.h"
+
+#include "absl/strings/str_format.h"
+#include "src/base/error_answer.h"
+#include "src/calls/call_id_text.h"
+#include "src/calls/call_log_row.h"
+#include "src/calls/owner_log_row.h"
+#include "src/configuration/record_verdict.h"
+#include "src/logging/log_line.h"
+#include "src/logging/log_sink.h"
+#include "src/membership/membership_event.h"
+
+namespace bronzeroute {
+namespace {
+
+constexpr int kServerError = 500;
+
+std::string MemberText(member_id id) { return absl::StrFormat("%016x", id.value); }
+
+/// Each attempt as "member:reason:result:after_ms:took_ms:hint_age_ms".
+std::string AttemptsText(const call_log_row& row) {
+  std::string text;
+  for (const call_log_row::attempt& attempt : row.attempts) {
+    const std::chrono::duration<double, std::milli> after = attempt.sent - row.received;
+    const std::chrono::duration<double, std::milli> took = attempt.ended - attempt.sent;
+    absl::StrAppendFormat(&text, "%s%s:%s:%s:%.1f:%.1f", text.empty() ? "" : ",",
+                          MemberText(attempt.target.id),
+                          std::string(TargetReasonName(attempt.reason)),
+                          std::string(AnswerFor(attempt.result).name), after.count(),
+                          took.count());
+    const auto age = attempt.choice.chosen_hint_age();
+    if (age) {
+      const std::chrono::duration<double, std::milli> ms = *age;
+      absl::StrAppendFormat(&text, ":%.0f", ms.count());
+    }
+  }
+  return text;
+}
+
+}  // namespace
+
+void decision_log::OnCallEnded(const call_log_row& row) {
+  if (sink_ == nullptr) return;
+  const bool is_served = row.result == error_kind::kNone && row.status < kServerError;
+  log_line line(is_served && row.attempts.size() < 2 ? log_weight::kSuccess
+                                                     : log_weight::kProblem,
+                "call", "call_ended");
+  line.Add("request", row.request_id)
+      .Add("call", FormatCallId(row.id))
+      .Add("service", row.service)
+      .Add("protected", row.is_protected)
+      .Add("config", row.config_version)
+      .Add("allowed_ms", row.deadline - row.received)
+      .Add("took_ms", row.ended - row.received)
+      .Add("attempts", AttemptsText(row));
+  if (row.caller_left) {
+    line.Add("outcome", "caller_left");
+  } else {
+    line.Add("outcome", AnswerFor(row.result).name);
+  }
+  line.Add("status", row.status).Add("execution", ExecutionName(AnswerFor(row.result).state));
+  sink_->Write(line);
+}
+
+void decision_log::OnAttemptEnded(const owner_log_row& row, std::size_t running,
+                                  std::size_t queued) {
+  if (sink_ == nullptr) return;
+  const bool is_served =
+      row.result == error_kind::kNone && row.complete && row.status < kServerError;
+  log_line line(is_served ? log_weight::kSuccess : log_weight::kProblem, "admit",
+                "attempt_ended");
+  line.Add("request", row.request_id)
+      .Add("call", FormatCallId(row.id.call))
+      .Add("attempt", row.id.number)
+      .Add("service", row.service)
+      .Add("local", row.is_local)
+      .Add("config", row.config_version)
+      .Add("waited_ms", (row.was_started ? row.started : row.ended) - row.arrived)
+      .Add("ran_ms", row.was_started ? row.ended - row.started : duration(0))
+      .Add("left_ms", row.deadline - row.ended)
+      .Add("running", running)
+      .Add("queued", queued)
+      .Add("started", row.was_started)
+      .Add("abandoned", row.is_abandoned)
+      .Add("outcome", AnswerFor(row.result).name)
+      .Add("status", row.status)
+      .Add("complete", row.complete);
+  sink_->Write(line);
+}
+
+void decision_log::OnMembership(const membership_event& event) {
+  if (sink_ == nullptr) return;
+  log_line line(log_weight::kState, "member", EventName(event.kind));
+  line.Add("member", MemberText(event.id))
+      .Add("peer", event.peer_address)
+      .Add("run", event.run.value);
+  if (event.number != 0) line.Add("number", event.number);
+  sink_->Write(line);
+}
+
+void decision_log::OnConfigurationRecord(const record_verdict& verdict) {
+  if (sink_ == nullptr) return;
+  log_line line(log_weight::kState, "config", "record_read");
+  line.Add("offset", verdict.offset)
+      .Add("version_before", verdict.version_before)
+      .Add("verdict", VerdictName(verdict.value));
+  sink_->Write(line);
+}
+
+void decision_log::OnConfigurationInEffect(std::int64_t version, std::string_view source) {
+  if (sink_ == nullptr) return;
+  log_line line(log_weight::kState, "config", "in_effect");
+  line.Add("version", version).Add("source", source);
+  sink_->Write(line);
+}
+
+void decision_log::OnUpstream(std::string_view event, std::string_view identity,
+                              std::string_view address, std::uint64_t sequence) {
+  if (sink_ == nullptr) return;
+  log_line line(log_weight::kState, "admit", event);
+  line.Add("identity", identity).Add("address", address).Add("sequence", sequence);
+  sink_->Write(line);
+}
+
+}  // namespace bronzeroute
--- /dev/null
+++ b/src/node/decision_log.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace bronzeroute {
+
+class log_sink;
+struct call_log_row;
+struct membership_event;
+struct owner_log_row;
+struct record_verdict;
+
+/// Writes a structured line for each decision on a request, and for each change of what the
+/// process believes. docs/OPERATIONS.md lists the events and their fields.
+class decision_log {
+ public:
+  /// Without a sink nothing is written.
+  explicit decision_log(log_sink* sink) : sink_(sink) {}
+
+  /// A call of a caller ended at this entry.
+  void OnCallEnded(const call_log_row& row);
+  /// An attempt ended at this owner.
+  void OnAttemptEnded(const owner_log_row& row, std::size_t running, std::size_t queued);
+  void OnMembership(const membership_event& event);
+  void OnConfigurationRecord(const record_verdict& verdict);
+  void OnConfigurationInEffect(std::int64_t version, std::string_view source);
+  void OnUpstream(std::string_view event, std::string_view identity, std::string_view address,
+                  std::uint64_t sequence);
+
+ private:
+  log_sink* sink_;
+};
+
+}  // namespace bronzeroute
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -116,6 +116,11 @@
     entry_.log().SetObserver(std::move(on_end));
   }
 
+  /// `on_end` sees every attempt at the upstream beside this process once, when it ends.
+  void SetAttemptObserver(typename basic_owner_system<Rules>::observer on_end) {
+    owner_.SetObserver(std::move(on_end));
+  }
+
   const basic_entry_system<Rules>& entry() const { return entry_; }
   const basic_owner_system<Rules>& owner() const { return owner_; }
 
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -83,6 +83,7 @@
       routing_(configuration_, settings.seed),
       members_(membership_, configuration_),
       routes_(configuration_, settings.seed),
+      decisions_(ports.events),
       node_(identity_,
             node_ports{.callers = ports.callers,
                        .peers = peers_,
@@ -93,7 +94,13 @@
                        .routes = routes_},
             settings.seed),
       stop_linger_(settings.stop_linger) {
-  node_.SetCallObserver([this](const call_log_row& row) { CountCall(row); });
+  node_.SetCallObserver([this](const call_log_row& row) {
+    CountCall(row);
+    decisions_.OnCallEnded(row);
+  });
+  node_.SetAttemptObserver([this](const owner_log_row& row) {
+    decisions_.OnAttemptEnded(row, admission_.system().running(), admission_.system().queued());
+  });
 }
 
 distance node_runtime::DistanceTo(member_id member) const {
@@ -171,8 +178,8 @@
 
 bool node_runtime::OnAnnouncement(upstream_announcement announcement, time_point now) {
   if (!history_.Accept(announcement, now)) {
-    lines_.push_back(Concat("admit: ignored a late announcement of ", announcement.identity,
-                            " with sequence ", announcement.sequence));
+    decisions_.OnUpstream("late_announcement_ignored", announcement.identity,
+                          announcement.address, announcement.sequence);
     return false;
   }
   const bool is_leaving = announcement.is_leaving;
@@ -196,7 +203,7 @@
 void node_runtime::DrainUpstream(time_point now) {
   if (upstream_leaves_) return;
   upstream_leaves_ = true;
-  lines_.push_back(Concat("admit: upstream ", applied_identity_, " leaves, taking no new work"));
+  decisions_.OnUpstream("upstream_leaves", applied_identity_, applied_address_, 0);
   node_.Drain(now);
   admission_.Drain(now);
   membership_.Drain(now);
@@ -264,7 +271,7 @@
   SetObjectives(*current);
   budget_.SetLimits(current->measuring_bytes_per_second,
                     std::chrono::milliseconds(current->measuring_upstream_ms_per_second));
-  lines_.push_back(Concat("config: version ", applied_version_, " is in effect"));
+  decisions_.OnConfigurationInEffect(applied_version_, configuration_.source());
   // The limits of the service may have changed.
   applied_service_.clear();
   ApplyUpstream(now);
@@ -298,6 +305,8 @@
     applied_identity_ = identity;
     applied_start_ = start;
     links_.SetUpstream(address, identity);
+    decisions_.OnUpstream("upstream_in_use", identity, address,
+                          upstream == nullptr ? 0 : upstream->sequence);
     if (is_replaced) admission_.OnUpstreamReplaced(now);
     if (upstream_leaves_ && !address.empty()) {
       upstream_leaves_ = false;
@@ -330,7 +339,7 @@
 }
 
 void node_runtime::ApplyMembers(time_point now) {
-  CollectLines();
+  TakeEvents();
   if (!members_changed_) {
     return;
   }
@@ -362,19 +371,14 @@
   configuration_.OnMembers(alive);
 }
 
-void node_runtime::CollectLines() {
+void node_runtime::TakeEvents() {
   for (const membership_event& event : membership_.TakeEvents()) {
-    lines_.push_back(DescribeEvent(event));
+    decisions_.OnMembership(event);
     members_changed_ = true;
   }
   for (const record_verdict& each : configuration_.TakeVerdicts()) {
-    lines_.push_back(Concat("config: record ", each.offset, " is ", VerdictName(each.value)));
+    decisions_.OnConfigurationRecord(each);
   }
 }
 
-std::vector<std::string> node_runtime::TakeLines() {
-  CollectLines();
-  return std::exchange(lines_, {});
-}
-
 }  // namespace bronzeroute
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -22,6 +22,7 @@
 #include "src/membership/upstream_announcement.h"
 #include "src/membership/upstream_history.h"
 #include "src/node/admission_adapter.h"
+#include "src/node/decision_log.h"
 #include "src/node/member_directory_adapter.h"
 #include "src/node/metered_peer_port.h"
 #include "src/node/node.h"
@@ -98,8 +99,6 @@
   const service_metrics& metrics() const { return metrics_; }
   /// Members that are alive and serve something, this one included.
   std::size_t ServingMembers() const;
-  /// Log lines since the last call, oldest first, each with the prefix of its part.
-  std::vector<std::string> TakeLines();
 
  private:
   void ApplyConfiguration(time_point now);
@@ -109,7 +108,7 @@
   void DrainUpstream(time_point now);
   void ApplyMembers(time_point now);
   distance DistanceTo(member_id member) const;
-  void CollectLines();
+  void TakeEvents();
   /// Counts an ended call for the service levels.
   void CountCall(const call_log_row& row);
 
@@ -124,8 +123,8 @@
   routing_adapter routing_;
   member_directory_adapter members_;
   route_directory_adapter routes_;
+  decision_log decisions_;
   node node_;
-  std::vector<std::string> lines_;
   std::int64_t applied_version_ = -1;
   /// Service and address of the upstream that admission and transport were told of.
   std::string applied_service_;
--- a/src/node/runtime_ports.h
+++ b/src/node/runtime_ports.h
@@ -6,6 +6,7 @@
 class configuration_peer_port;
 class datagram_port;
 class log_port;
+class log_sink;
 class peer_link_port;
 class peer_port;
 class upstream_port;
@@ -19,6 +20,8 @@
   log_port& log;
   configuration_peer_port& configuration_peers;
   peer_link_port& links;
+  /// Takes the lines on decisions, or null.
+  log_sink* events = nullptr;
 };
 
 }  // namespace bronzeroute
--- a/src/routing/choice_explanation.h
+++ b/src/routing/choice_explanation.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "src/base/time.h"
 #include "src/routing/choice_reason.h"
 #include "src/routing/explained_candidate.h"
 
@@ -15,6 +17,8 @@
   std::string_view policy;
   choice_reason reason = choice_reason::kNoMembers;
   std::vector<explained_candidate> candidates;
+  /// Age of the hint on the chosen member, if there was one.
+  std::optional<duration> chosen_hint_age;
 
   /// One line for the choice and one for each candidate.
   std::string ToText() const;
--- a/src/routing/choice_summary.h
+++ b/src/routing/choice_summary.h
@@ -2,11 +2,13 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "src/base/strong_id.h"
+#include "src/base/time.h"
 #include "src/routing/candidate_fate.h"
 #include "src/routing/choice_explanation.h"
 #include "src/routing/choice_reason.h"
@@ -26,6 +28,8 @@
 
   bool empty() const { return policy_.empty(); }
   std::size_t size() const { return rows_.size(); }
+  /// Age of the hint on the chosen member, if there was one.
+  std::optional<duration> chosen_hint_age() const { return chosen_hint_age_; }
   /// The text of the explanation, and the number of members left out.
   std::string ToText(std::string_view service) const;
 
@@ -46,6 +50,7 @@
   choice_reason reason_ = choice_reason::kNoMembers;
   std::uint32_t left_out_ = 0;
   std::vector<row> rows_;
+  std::optional<duration> chosen_hint_age_;
 };
 
 }  // namespace bronzeroute
--- a/src/routing/routing_system.h
+++ b/src/routing/routing_system.h
@@ -80,6 +80,9 @@
     result.member = candidates[pick].id;
     result.run = candidates[pick].run;
     result.is_trial = eligible.trial;
+    if (candidates[pick].hint_received != time_point{}) {
+      explanation.chosen_hint_age = now - candidates[pick].hint_received;
+    }
     for (const candidate& row : candidates) {
       const auto explained =
           std::ranges::find(explanation.candidates, row.id, &explained_candidate::id);
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -109,6 +109,9 @@
     listener_->acceptor.close(error);
     listener_ = nullptr;
   }
+  std::vector<std::shared_ptr<http_connection>> all;
+  for (const auto& [key, connection] : connections_) all.push_back(connection);
+  for (const auto& connection : all) connection->CloseWhenIdle();
 }
 
 void http_server::Stop() {
--- a/tests/node/runtime_world.h
+++ b/tests/node/runtime_world.h
@@ -565,7 +565,6 @@
       MakeCore(at);
     }
     at.core->Tick(now_);
-    static_cast<void>(at.core->TakeLines());
     if (!at.core->stopping()) return;
     const bool at_once = options.broken == broken_part::kStopsAtOnce;
     if (!at_once && !at.core->calls().IsIdle()) return;
--- a/tests/process/stop_test.cc
+++ b/tests/process/stop_test.cc
@@ -3,11 +3,13 @@
 // After gtest, whose names clash with a macro of this library.
 #include <cpprest/http_client.h>
 
+#include <atomic>
 #include <csignal>
 #include <cstddef>
 #include <fstream>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "tests/process/call_oracle.h"
@@ -128,6 +130,30 @@
       deployment::WaitFor([this] { return !deployment_.pair(kFirst).daemon->IsRunning(); }));
 }
 
+// Guards against a daemon that never ends because callers go on sending: the platform would kill
+// it in the middle of their requests.
+TEST_F(planned_stop, CallersThatGoOnSendingDoNotKeepDaemonRunning) {
+  Deploy();
+  std::atomic<bool> done = false;
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < 8; ++caller) {
+    callers.emplace_back([&] {
+      while (!done) {
+        const raw_response response =
+            SendRaw(deployment_.pair(kFirst).callers,
+                    {.method = "GET", .path = "/orders/1", .headers = {}, .body_bytes = 0});
+        EXPECT_TRUE(!response.connected || response.complete);
+      }
+    });
+  }
+  ASSERT_TRUE(deployment::WaitFor([this] { return deployment_.Runs(kFirst) >= 20; }));
+  deployment_.pair(kFirst).daemon->Signal(SIGTERM);
+  EXPECT_TRUE(
+      deployment::WaitFor([this] { return !deployment_.pair(kFirst).daemon->IsRunning(); }));
+  done = true;
+  for (std::thread& caller : callers) caller.join();
+}
+
 // Guards against an entry that accepts a connection during its planned stop and then ends
 // without a response.
 TEST_F(planned_stop, StoppingEntryAnswersEveryConnection) {
