--- a/src/admission/admission_system.cc
+++ b/src/admission/admission_system.cc
@@ -10,6 +10,9 @@
 namespace bronzeroute {
 namespace {
 
+// Keeps a product such as 5 * 0.8 from falling below the whole number that it is.
+constexpr double kSlotRounding = 1e-9;
+
 offer_result Refused(error_kind kind, bool is_long = false) {
   return {.state = offer_state::kRefused, .kind = kind, .is_long = is_long};
 }
@@ -24,7 +27,10 @@
   const duration elapsed = now - warmup_start_;
   configured_ = true;
   service_ = spec.name;
-  slots_ = std::min(spec.max_slots, announced_slots);
+  const std::uint32_t slots = std::min(spec.max_slots, announced_slots);
+  slots_ = slots == 0 ? 0
+                      : std::max(1U, static_cast<std::uint32_t>(
+                                         std::floor(slots * spec.slot_share + kSlotRounding)));
   connections_ = std::min(spec.max_connections, announced_connections);
   queue_limit_ = spec.queue_limit;
   long_share_ = spec.long_share;
@@ -139,7 +145,7 @@
   if (QueueOf(is_long).empty() && MayStart(is_long, now)) {
     // A free slot is used even if the mean says that the deadline is too short: otherwise a
     // mean that has grown too large could refuse all work and would never be corrected.
-    Start(exchange, route, is_long, false);
+    Start(exchange, route, head.route_id, is_long, false);
   } else {
     const error_kind kind = Enqueue(exchange, head, route, is_long, now);
     result.kind = kind;
@@ -154,12 +160,24 @@
   queue& entries = QueueOf(is_long);
   const bool full = entries.size() >= queue_limit_;
   if (is_long && (full || AtCrest(now))) return error_kind::kOverloaded;
-  const time_point start = now + ExpectedWait(is_long, entries.size(), now);
-  if (start + classifier_.Expected(is_long, route) >= head.deadline) {
+  // Work of a higher rank goes first; among equals, what came first.
+  const auto place = std::ranges::upper_bound(entries, head.priority, {}, &queue_row::priority);
+  const auto ahead = static_cast<std::size_t>(place - entries.begin());
+  const time_point start = now + ExpectedWait(is_long, ahead, now);
+  // An answer after the objective is worth little: the slot goes to work that is still in time.
+  const time_point limit =
+      head.objective == time_point{} ? head.deadline : std::min(head.objective, head.deadline);
+  if (start + classifier_.Expected(is_long, route, head.route_id) >= limit) {
     return error_kind::kDeadlineTooShort;
   }
   if (full && !MakeRoom(head.deadline)) return error_kind::kOverloaded;
-  entries.push_back({.exchange = exchange, .route = route, .deadline = head.deadline});
+  // The queue may have changed.
+  const auto at = std::ranges::upper_bound(entries, head.priority, {}, &queue_row::priority);
+  entries.insert(at, {.exchange = exchange,
+                      .route = route,
+                      .route_id = head.route_id,
+                      .priority = head.priority,
+                      .deadline = head.deadline});
   return error_kind::kNone;
 }
 
@@ -170,7 +188,7 @@
     return Refused(error_kind::kUpstreamEjected, is_long);
   }
   health_.BeginTrial();
-  Start(exchange, route, is_long, true);
+  Start(exchange, route, head.route_id, is_long, true);
   return {.state = offer_state::kStarted, .is_long = is_long};
 }
 
@@ -190,10 +208,12 @@
   return true;
 }
 
-void admission_system::Start(exchange_id exchange, std::size_t route, bool is_long,
-                             bool is_trial) {
-  running_.emplace(exchange,
-                   running_row{.route = route, .is_long = is_long, .is_trial = is_trial});
+void admission_system::Start(exchange_id exchange, std::size_t route, std::uint64_t route_id,
+                             bool is_long, bool is_trial) {
+  running_.emplace(exchange, running_row{.route = route,
+                                         .route_id = route_id,
+                                         .is_long = is_long,
+                                         .is_trial = is_trial});
   if (is_long) ++running_long_;
 }
 
@@ -207,7 +227,7 @@
   switch (outcome.result) {
     case upstream_result::kAnswered:
       // Only answered requests count: fast failures would make the upstream look fast.
-      classifier_.Observe(row.is_long, row.route, outcome.service_time);
+      classifier_.Observe(row.is_long, row.route, row.route_id, outcome.service_time);
       if (row.is_trial) {
         health_.OnTrialSucceeded();
       } else {
@@ -293,7 +313,7 @@
   if (entries.empty() || !MayStart(is_long, now)) return false;
   const queue_row row = entries.front();
   entries.pop_front();
-  Start(row.exchange, row.route, is_long, false);
+  Start(row.exchange, row.route, row.route_id, is_long, false);
   notices_.push_back({row.exchange, error_kind::kNone});
   return true;
 }
--- a/src/admission/admission_system.h
+++ b/src/admission/admission_system.h
@@ -77,12 +77,15 @@
  private:
   struct running_row {
     std::size_t route = 0;
+    std::uint64_t route_id = 0;
     bool is_long = false;
     bool is_trial = false;
   };
   struct queue_row {
     exchange_id exchange;
     std::size_t route = 0;
+    std::uint64_t route_id = 0;
+    std::uint32_t priority = 0;
     time_point deadline;
   };
   struct notice {
@@ -114,7 +117,8 @@
   /// the short work with the least remaining time (kQueueTimeout). False if the newcomer is
   /// that work.
   bool MakeRoom(time_point deadline);
-  void Start(exchange_id exchange, std::size_t route, bool is_long, bool is_trial);
+  void Start(exchange_id exchange, std::size_t route, std::uint64_t route_id, bool is_long,
+             bool is_trial);
   void RefuseQueued(error_kind kind);
   void DropExpired(time_point now);
   void StartQueued(time_point now);
--- a/src/admission/work_classifier.cc
+++ b/src/admission/work_classifier.cc
@@ -7,6 +7,12 @@
 #include "src/configuration/find_route.h"
 
 namespace bronzeroute {
+namespace {
+
+// Routes by host whose means are kept.
+constexpr std::size_t kMaxHostRoutes = 4096;
+
+}  // namespace
 
 bool work_classifier::Configure(const service_spec& spec) {
   std::vector<route_row> rows;
@@ -39,12 +45,19 @@
 }
 
 bool work_classifier::IsLong(const attempt_head& head, std::size_t route) const {
+  // The entry knows the route by host; the rows here are those of the service.
+  if (head.route_id != 0) return head.is_long;
   const bool unmarked = route + 1 == routes_.size();
   if (head.is_long || routes_[route].marked_long || routes_[route].costly) return true;
   return head.content_length ? *head.content_length > kLongBodyBytes : unmarked;
 }
 
-duration work_classifier::Expected(bool is_long, std::size_t route) const {
+duration work_classifier::Expected(bool is_long, std::size_t route,
+                                   std::uint64_t route_id) const {
+  const auto by_host = by_host_.find(route_id);
+  if (by_host != by_host_.end() && by_host->second.count() >= kMinObservations) {
+    return by_host->second.Mean();
+  }
   const service_time_mean& mean = routes_[route].mean;
   return mean.count() >= kMinObservations ? mean.Mean() : MeanOf(is_long);
 }
@@ -56,7 +69,13 @@
   return duration(static_cast<duration::rep>(kLongCostFactor) * short_mean.count());
 }
 
-void work_classifier::Observe(bool is_long, std::size_t route, duration service_time) {
+void work_classifier::Observe(bool is_long, std::size_t route, std::uint64_t route_id,
+                              duration service_time) {
+  if (route_id != 0) {
+    // Routes come and go with the configuration; the few in use are learned again.
+    if (by_host_.size() >= kMaxHostRoutes) by_host_.clear();
+    by_host_[route_id].Add(service_time);
+  }
   (is_long ? long_mean_ : short_mean_).Add(service_time);
   if (route >= routes_.size()) return;
   // A large body on a cheap route says nothing about the cost of the route.
--- a/src/admission/work_classifier.h
+++ b/src/admission/work_classifier.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "src/admission/service_time_mean.h"
 #include "src/base/time.h"
 #include "src/configuration/service_spec.h"
@@ -39,11 +40,12 @@
 
   bool IsLong(const attempt_head& head, std::size_t route) const;
 
-  /// Expected service time of work of the class on the route.
-  duration Expected(bool is_long, std::size_t route) const;
+  /// Expected service time of work of the class on the route. `route_id` names a route by host.
+  duration Expected(bool is_long, std::size_t route, std::uint64_t route_id = 0) const;
   duration MeanOf(bool is_long) const;
 
-  void Observe(bool is_long, std::size_t route, duration service_time);
+  void Observe(bool is_long, std::size_t route, std::uint64_t route_id,
+               duration service_time);
 
  private:
   struct route_row {
@@ -62,6 +64,8 @@
   std::vector<route_row> routes_{1};
   service_time_mean short_mean_;
   service_time_mean long_mean_;
+  /// Means of routes by host.
+  absl::flat_hash_map<std::uint64_t, service_time_mean> by_host_;
 };
 
 }  // namespace bronzeroute
--- a/src/calls/attempt_head.h
+++ b/src/calls/attempt_head.h
@@ -29,6 +29,8 @@
   time_point deadline;
   /// Time until which an answer is worth its full value.
   time_point objective{};
+  /// Number of the route by host, 0 if there is none.
+  std::uint64_t route_id = 0;
   /// Rank of the request, 0 for the most important.
   std::uint32_t priority = 0;
   /// The caller's own id of the request, empty if the deployment has none.
--- a/src/calls/entry_system.h
+++ b/src/calls/entry_system.h
@@ -94,6 +94,7 @@
     std::uint32_t attempts_admitted = 0;
     std::uint32_t max_admitted = kMaxAttempts;
     std::uint32_t priority = 0;
+    std::uint64_t route_id = 0;
     time_point objective;
     std::vector<member_id> excluded;
     error_kind last_refusal = error_kind::kNone;
--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -96,6 +96,7 @@
                                                : !route.is_marked_short);
   row.log.config_version = route.config_version;
   row.priority = route.priority;
+  row.route_id = route.route_id;
   row.max_admitted = route.max_attempts == 0 ? kMaxAttempts : route.max_attempts;
   row.log.deadline =
       std::min({request.deadline.value_or(now + route.time_limit), now + kMaxTimeLimit,
@@ -175,6 +176,7 @@
                             .content_length = row.content_length,
                             .deadline = row.log.deadline,
                             .objective = row.objective,
+                            .route_id = row.route_id,
                             .priority = row.priority,
                             .request_id = row.log.request_id,
                             .config_version = row.log.config_version};
--- a/src/calls/route_decision.h
+++ b/src/calls/route_decision.h
@@ -25,6 +25,8 @@
   duration objective_latency{};
   /// Upstreams to which the request may be sent; 0 leaves the entry's own limit in place.
   std::uint32_t max_attempts = 0;
+  /// Number of the route by host, the same at all daemons; 0 if there is none.
+  std::uint64_t route_id = 0;
   /// Rank of the request, 0 for the most important.
   std::uint32_t priority = 0;
   std::int64_t config_version = -1;
--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -30,7 +30,7 @@
   /// The route of a request, or null. Only after `IndexRoutes`.
   const host_route* FindHostRoute(std::string_view host, std::string_view path) const;
   /// To be called once `host_routes` is complete.
-  void IndexRoutes() { index_ = route_index(host_routes); }
+  void IndexRoutes();
 
  private:
   route_index index_;
--- a/src/configuration/host_route.h
+++ b/src/configuration/host_route.h
@@ -27,6 +27,8 @@
   duration objective_latency{};
   /// Largest number of upstreams to which one request is sent.
   std::uint32_t max_attempts = 1;
+  /// Hash of host and prefix, never 0. Filled in by `document::IndexRoutes`.
+  std::uint64_t id = 0;
   /// Rank among the routes, 0 for the most important.
   std::uint32_t priority = 0;
 };
--- a/src/configuration/service_spec.h
+++ b/src/configuration/service_spec.h
@@ -17,6 +17,8 @@
   /// Upper limits per upstream; an announcement may stay below them.
   std::uint32_t max_slots = 0;
   std::uint32_t max_connections = 0;
+  /// Share of the slots that is filled: some upstreams slow down when they are nearly full.
+  double slot_share = 1;
   /// Requests waiting at one owner, short and long each.
   std::uint32_t queue_limit = 0;
   /// Share of the slots that long work may hold, 0 to 1.
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -67,6 +67,8 @@
           .configuration_read_pause = options.configuration_read_pause,
           .log_read_time = options.log_wait + kReadSlack,
           .join_spread = options.join_spread,
+          .slot_share = options.slot_share,
+          .costs = options.costs,
           .stop_linger = options.stop_linger};
 }
 
--- a/src/daemon/parse_settings.cc
+++ b/src/daemon/parse_settings.cc
@@ -17,13 +17,17 @@
 
 constexpr auto kRootKeys = std::to_array<std::string_view>(
     {"environment", "region", "availability_zone", "service", "addresses", "log", "seeds",
-     "membership", "stop", "logging"});
+     "membership", "admission", "routing", "stop", "logging"});
 constexpr auto kAddressKeys =
     std::to_array<std::string_view>(
         {"callers", "peers", "membership", "admin", "announcements", "ready"});
 constexpr auto kLogKeys =
     std::to_array<std::string_view>({"address", "wait_ms", "read_pause_ms"});
 constexpr auto kMembershipKeys = std::to_array<std::string_view>({"join_spread_ms"});
+constexpr auto kAdmissionKeys = std::to_array<std::string_view>({"slot_share"});
+constexpr auto kRoutingKeys =
+    std::to_array<std::string_view>({"zone_us_per_byte", "region_us_per_byte"});
+constexpr double kMaxUsPerByte = 1000;
 constexpr auto kStopKeys = std::to_array<std::string_view>({"linger_ms", "limit_ms"});
 // Longest span that a setting in milliseconds may name: ten minutes.
 constexpr std::int64_t kMaxMs = 600'000;
@@ -66,6 +70,16 @@
     CheckKeys(*membership, "membership.", kMembershipKeys);
     result.join_spread =
         Milliseconds(*membership, "membership.", "join_spread_ms", result.join_spread);
+    const toml::table* admission = Section(root, "admission", kEmpty);
+    CheckKeys(*admission, "admission.", kAdmissionKeys);
+    result.slot_share =
+        Fraction(*admission, "admission.", "slot_share", 0.1, 1, result.slot_share);
+    const toml::table* routing = Section(root, "routing", kEmpty);
+    CheckKeys(*routing, "routing.", kRoutingKeys);
+    result.costs.between_zones_us = Fraction(*routing, "routing.", "zone_us_per_byte", 0,
+                                             kMaxUsPerByte, result.costs.between_zones_us);
+    result.costs.between_regions_us = Fraction(*routing, "routing.", "region_us_per_byte", 0,
+                                               kMaxUsPerByte, result.costs.between_regions_us);
     const toml::table* stop = Section(root, "stop", kEmpty);
     CheckKeys(*stop, "stop.", kStopKeys);
     result.stop_linger = Milliseconds(*stop, "stop.", "linger_ms", result.stop_linger);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "src/base/time.h"
+#include "src/routing/transfer_cost.h"
 
 namespace bronzeroute {
 
@@ -42,6 +43,10 @@
   duration stop_limit{};
   /// Membership addresses of other daemons, asked while the log is unavailable.
   std::vector<std::string> seeds;
+  /// Share of an upstream's slots that is filled.
+  double slot_share = 1;
+  /// What a byte that leaves a zone or a region is worth in microseconds of waiting.
+  transfer_cost costs;
   /// Bytes of log lines that a daemon writes a second at most, over ten seconds. 64 KB hold two
   /// lines for each of about 100 requests a second.
   std::size_t log_bytes_per_second = 64'000;
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -80,7 +80,7 @@
            .read_pause = settings.configuration_read_pause,
            .read_time = settings.log_read_time},
           ports.log, ports.configuration_peers),
-      routing_(configuration_, settings.seed),
+      routing_(configuration_, settings.seed, settings.costs),
       members_(membership_, configuration_),
       routes_(configuration_, settings.seed),
       decisions_(ports.events),
@@ -93,7 +93,8 @@
                        .members = members_,
                        .routes = routes_},
             settings.seed),
-      stop_linger_(settings.stop_linger) {
+      stop_linger_(settings.stop_linger),
+      slot_share_(settings.slot_share) {
   node_.SetCallObserver([this](const call_log_row& row) {
     CountCall(row);
     decisions_.OnCallEnded(row);
@@ -335,7 +336,9 @@
   applied_service_ = upstream->service;
   applied_slots_ = upstream->slots;
   applied_connections_ = upstream->connections;
-  admission_.Configure(*spec, *upstream, MayRunIn(*spec, membership_.self().region), now);
+  service_spec limits = *spec;
+  limits.slot_share = slot_share_;
+  admission_.Configure(limits, *upstream, MayRunIn(*spec, membership_.self().region), now);
 }
 
 void node_runtime::ApplyMembers(time_point now) {
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -137,6 +137,7 @@
   /// An operator drained this daemon, or it stops.
   bool drained_ = false;
   duration stop_linger_;
+  double slot_share_;
   bool had_upstream_ = false;
   std::uint32_t applied_slots_ = 0;
   std::uint32_t applied_connections_ = 0;
--- a/src/node/route_directory_adapter.cc
+++ b/src/node/route_directory_adapter.cc
@@ -65,6 +65,7 @@
     decision.objective_latency = route->objective_latency;
     decision.max_attempts = route->max_attempts;
     decision.priority = route->priority;
+    decision.route_id = route->id;
     return decision;
   }
   decision.service = ServiceOfPath(request.path);
--- a/src/node/routing_adapter.h
+++ b/src/node/routing_adapter.h
@@ -19,8 +19,9 @@
 class routing_adapter final : public upstream_chooser {
  public:
   /// `configuration` must outlive the adapter.
-  routing_adapter(const configuration_system& configuration, std::uint64_t seed)
-      : configuration_(configuration), system_(seed) {}
+  routing_adapter(const configuration_system& configuration, std::uint64_t seed,
+                  transfer_cost costs)
+      : configuration_(configuration), system_(seed, {}, costs) {}
 
   std::optional<member_target> Choose(std::string_view service, const choice_request& request,
                                       std::span<const member_id> excluded,
--- a/src/node/runtime_settings.h
+++ b/src/node/runtime_settings.h
@@ -7,6 +7,7 @@
 #include "src/base/time.h"
 #include "src/configuration/configuration_form.h"
 #include "src/configuration/document_reader.h"
+#include "src/routing/transfer_cost.h"
 
 namespace bronzeroute {
 
@@ -26,6 +27,9 @@
   duration log_read_time = std::chrono::seconds(10);
   /// Members announce themselves within this time of their start, spread evenly.
   duration join_spread = std::chrono::seconds(5);
+  /// Share of an upstream's slots that is filled.
+  double slot_share = 1;
+  transfer_cost costs{};
   /// A process that stops takes requests of callers for at least this long.
   duration stop_linger = std::chrono::seconds(1);
 };
--- a/src/routing/choice_context.h
+++ b/src/routing/choice_context.h
@@ -4,6 +4,7 @@
 
 #include "src/base/time.h"
 #include "src/routing/choice_request.h"
+#include "src/routing/transfer_cost.h"
 
 namespace bronzeroute {
 
@@ -11,6 +12,7 @@
 struct choice_context {
   choice_request request;
   time_point now;
+  transfer_cost costs;
   /// Means over the hints of the service's members.
   double mean_occupancy = 0;
   double mean_service_time_us = 0;
--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -219,6 +219,7 @@
   result.any_member = true;
   result.context.request = request;
   result.context.now = now;
+  result.context.costs = costs_;
   result.context.turn = group.turns++;
 
   double hints = 0;
--- a/src/routing/hint_table.h
+++ b/src/routing/hint_table.h
@@ -27,6 +27,8 @@
 /// ejections. Candidates are indexed by service.
 class hint_table {
  public:
+  explicit hint_table(transfer_cost costs = {}) : costs_(costs) {}
+
   /// Takes the members. Rows of members that stay in the same run keep what is known of them.
   void OnMembers(std::span<const member_row> members, member_id own, std::string_view region,
                  std::string_view availability_zone, time_point now);
@@ -85,6 +87,7 @@
                         std::span<const member_id> excluded) const;
   bool IsTrialDue(const entry& item, const choice_request& request, time_point now) const;
 
+  transfer_cost costs_;
   std::vector<entry> entries_;
   absl::flat_hash_map<member_id, std::size_t> index_;
   std::vector<service_entry> services_;
--- a/src/routing/routing_system.h
+++ b/src/routing/routing_system.h
@@ -24,8 +24,9 @@
 template <choice_policy Policy>
 class routing_system {
  public:
-  explicit routing_system(std::uint64_t seed, Policy policy = Policy())
-      : policy_(std::move(policy)), random_(seed) {}
+  explicit routing_system(std::uint64_t seed, Policy policy = Policy(),
+                          transfer_cost costs = {})
+      : policy_(std::move(policy)), random_(seed), table_(costs) {}
 
   void OnMembers(std::span<const member_row> members, member_id own, std::string_view region,
                  std::string_view availability_zone, time_point now) {
--- a/src/routing/score_function.cc
+++ b/src/routing/score_function.cc
@@ -15,9 +15,7 @@
 constexpr duration kRegionRoundTrip{24000};
 constexpr duration kSameZoneRoundTrip{200};
 
-// A body of 1 MiB to another region must save about 20 ms: the link of 4,000 Mbit/s would carry
-// it in 2 ms, but it is shared by all traffic and billed.
-constexpr double kBilledUsPerByte = 0.02;
+// Bytes of a request of unknown length and of its answer.
 constexpr std::uint64_t kAssumedShortBody = 4 << 10;
 constexpr std::uint64_t kAssumedLongBody = 4 << 20;
 
@@ -68,11 +66,16 @@
   const double slots = std::max<double>(row.hint.effective_slots, 1);
   score result;
   result.round_trip = static_cast<double>(TypicalRoundTrip(row.where).count());
-  if (row.where == distance::kOtherRegion) {
+  const double us_per_byte =
+      row.where == distance::kOtherRegion  ? context.costs.between_regions_us
+      : row.where == distance::kSameRegion ? context.costs.between_zones_us
+                                           : 0;
+  if (us_per_byte > 0) {
     const std::uint64_t assumed =
         context.request.is_long ? kAssumedLongBody : kAssumedShortBody;
-    result.billed_bytes = kBilledUsPerByte *
-                          static_cast<double>(context.request.content_length.value_or(assumed));
+    const std::uint64_t body = context.request.content_length.value_or(assumed);
+    result.billed_bytes =
+        us_per_byte * static_cast<double>(body + context.request.answer_bytes);
   }
   const double mean = context.mean_service_time_us;
   const double turn = service_time > kSlowFactor * mean ? service_time : mean;
--- a/src/transport/peer_codec.cc
+++ b/src/transport/peer_codec.cc
@@ -80,6 +80,7 @@
       static_cast<std::uint64_t>(std::max<std::int64_t>(0, (head.objective - now).count())));
   to.set_priority(head.priority);
   to.set_request_id(head.request_id);
+  to.set_route_id(head.route_id);
   to.set_config_version(head.config_version);
   WriteHeaders(EndToEndFields(row.headers), to);
 }
@@ -105,6 +106,7 @@
   head.objective = now + duration(std::min(from.objective_us(), kMaxRemainingUs));
   head.priority = from.priority();
   head.request_id = from.request_id();
+  head.route_id = from.route_id();
   head.config_version = from.config_version();
   row.method = head.method;
   row.path = head.path;
