--- /dev/null
+++ b/tests/admission/rank_test.cc
@@ -0,0 +1,71 @@
+#include <gtest/gtest.h>
+
+#include "tests/admission/admission_fixture.h"
+
+namespace bronzeroute {
+namespace {
+
+using testing::InSequence;
+
+class RankTest : public admission_fixture {
+ protected:
+  static attempt_head Ranked(std::uint32_t priority) {
+    attempt_head head = Read(At(seconds(10)));
+    head.priority = priority;
+    head.route_id = 1 + priority;
+    return head;
+  }
+  void FillSlots() {
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+      ASSERT_EQ(Offer(id, Ranked(1)).state, offer_state::kStarted);
+    }
+  }
+};
+
+// Guards against an urgent call that waits behind work of a lower rank.
+TEST_F(RankTest, HigherRankLeavesTheQueueFirst) {
+  FillSlots();
+  EXPECT_EQ(Offer(11, Ranked(2)).state, offer_state::kQueued);
+  EXPECT_EQ(Offer(12, Ranked(1)).state, offer_state::kQueued);
+  EXPECT_EQ(Offer(13, Ranked(0)).state, offer_state::kQueued);
+  EXPECT_EQ(Offer(14, Ranked(1)).state, offer_state::kQueued);
+  const InSequence order;
+  for (const std::uint64_t id : {13, 12, 14, 11}) {
+    EXPECT_CALL(listener_, OnQueuedStarted(exchange_id{id}));
+  }
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    Answer(id, milliseconds(5));
+  }
+}
+
+// Guards against a slot spent on an answer that comes after it is worth anything, while other
+// work is still in time; a free slot is used all the same.
+TEST_F(RankTest, WorkThatWouldMissItsObjectiveIsNotQueued) {
+  attempt_head late = Ranked(1);
+  late.objective = At(milliseconds(1));
+  EXPECT_EQ(Offer(1, late).state, offer_state::kStarted);
+  for (std::uint64_t id = 2; id <= 6; ++id) Offer(id, Ranked(1));
+  const offer_result refused = Offer(11, late);
+  EXPECT_EQ(refused.state, offer_state::kRefused);
+  EXPECT_EQ(refused.kind, error_kind::kDeadlineTooShort);
+  attempt_head in_time = Ranked(1);
+  in_time.objective = At(seconds(1));
+  EXPECT_EQ(Offer(12, in_time).state, offer_state::kQueued);
+}
+
+// Guards against an upstream that is filled up to where it slows down.
+TEST_F(RankTest, OnlyTheShareOfTheSlotsIsFilled) {
+  service_spec spec = OrdersSpec();
+  for (const auto& [share, slots] : {std::pair{0.8, 4U}, {0.5, 3U}, {0.1, 1U}, {1.0, 6U}}) {
+    spec.slot_share = share;
+    system_.Configure(spec, 6, 20, At({}));
+    EXPECT_EQ(system_.EffectiveSlots(At({})), slots) << share;
+  }
+  spec.max_slots = 5;
+  spec.slot_share = 0.8;
+  system_.Configure(spec, 5, 20, At({}));
+  EXPECT_EQ(system_.EffectiveSlots(At({})), 4U);
+}
+
+}  // namespace
+}  // namespace bronzeroute
--- /dev/null
+++ b/tests/platform/read_announcement_test.cc
@@ -0,0 +1,61 @@
+#include "platform/read_announcement.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+
+namespace bronzeroute::platform {
+namespace {
+
+constexpr time_point kNow{std::chrono::seconds(100)};
+
+std::string Report(const std::string& info, const std::string& status,
+                   const std::string& more = "") {
+  return R"({"address":"10.128.0.9:8080","info":{)" + info + R"(},"status":{)" + status + "}" +
+         more + "}";
+}
+
+constexpr char kInfo[] = R"("service":"huvo11a","version":"v1","zone":"bkk-a","slots":9)";
+constexpr char kStatus[] = R"("state":"ready","sequence":4,"coldLeftMs":1500)";
+
+// Guards against a field that is lost or taken for another one.
+TEST(ReadAnnouncement, TakesEveryField) {
+  const auto read =
+      ReadAnnouncement("i-7f3a91c2", Report(kInfo, kStatus, R"(,"born":1774519957076)"), kNow);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->identity, "i-7f3a91c2");
+  EXPECT_EQ(read->address, "10.128.0.9:8080");
+  EXPECT_EQ(read->service, "huvo11a");
+  EXPECT_EQ(read->slots, 9U);
+  EXPECT_EQ(read->sequence, 4U);
+  EXPECT_EQ(read->started_ms, 1774519957076);
+  EXPECT_FALSE(read->is_leaving);
+  EXPECT_EQ(read->warm_at, kNow + std::chrono::milliseconds(1500));
+}
+
+TEST(ReadAnnouncement, KnowsAnUpstreamThatLeaves) {
+  const auto read = ReadAnnouncement(
+      "i-1", Report(kInfo, R"("state":"draining","sequence":5,"coldLeftMs":0)"), kNow);
+  ASSERT_TRUE(read);
+  EXPECT_TRUE(read->is_leaving);
+}
+
+// Guards against a report of another writer that makes an upstream usable or ends the process.
+TEST(ReadAnnouncement, RejectsWhatNamesNoUpstream) {
+  for (const std::string& text :
+       {std::string(), std::string("\xff\x00{", 3), std::string("[1]"),
+        Report(R"("service":7,"slots":9)", kStatus), Report(R"("slots":9)", kStatus),
+        Report(R"("service":"a","slots":0)", kStatus),
+        Report(R"("service":"a","slots":"9")", kStatus),
+        Report(R"("service":"a","slots":2.5)", kStatus),
+        Report(kInfo, R"("state":"odd","sequence":4,"coldLeftMs":0)"),
+        Report(kInfo, R"("state":"ready","sequence":-4,"coldLeftMs":0)"),
+        Report(kInfo, R"("state":"ready","coldLeftMs":0)"),
+        Report(kInfo, kStatus, R"(,"born":"yesterday")")}) {
+    EXPECT_FALSE(ReadAnnouncement("i-1", text, kNow)) << text;
+  }
+}
+
+}  // namespace
+}  // namespace bronzeroute::platform
--- /dev/null
+++ b/tests/platform/store_log_port_test.cc
@@ -0,0 +1,141 @@
+#include "platform/store_log_port.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "tests/platform/store_stand_in.h"
+
+namespace bronzeroute::platform {
+namespace {
+
+constexpr char kConfiguration[] = "config.production";
+constexpr char kMembers[] = "members.production";
+
+class StoreLogPortTest : public testing::Test {
+ protected:
+  StoreLogPortTest() {
+    RunOnLoop([this] {
+      port_ = std::make_unique<store_log_port>(
+          store_.address(), std::chrono::seconds(20),
+          log_listener{[this](const log_read& read) { Note([&] { reads_.push_back(read); }); },
+                       [this](const std::string& stream, const absl::Status&) {
+                         Note([&] { failures_.push_back(stream); });
+                       },
+                       [this](std::uint64_t, const absl::StatusOr<std::int64_t>& offset) {
+                         Note([&] { appended_.push_back(offset.value_or(-1)); });
+                       }});
+    });
+  }
+  ~StoreLogPortTest() override {
+    RunOnLoop([this] { port_ = nullptr; });
+  }
+
+  void Note(const std::function<void()>& change) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    change();
+    changed_.notify_all();
+  }
+  void Await(const std::function<bool()>& condition) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    ASSERT_TRUE(changed_.wait_for(lock, std::chrono::seconds(30), condition));
+  }
+  void Read(const char* stream) {
+    RunOnLoop([&] { port_->Read(stream, 0); });
+  }
+
+  store_stand_in store_;
+  std::unique_ptr<store_log_port> port_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<log_read> reads_;
+  std::vector<std::string> failures_;
+  std::vector<std::int64_t> appended_;
+};
+
+// Guards against a start that misses what was written before it, and against a second read that
+// polls instead of waiting.
+TEST_F(StoreLogPortTest, TakesTheNewestRecordsAndThenWaits) {
+  RunOnLoop([&] {
+    store_.Put("keyed.op", "config", "old");
+    store_.Put("keyed.op", "other", "x");
+    store_.Put("keyed.op", "config", "new");
+  });
+  Read(kConfiguration);
+  Await([&] { return reads_.size() == 1; });
+  ASSERT_EQ(reads_[0].records.size(), 1U);
+  EXPECT_EQ(reads_[0].records[0].data, "new");
+  EXPECT_EQ(reads_[0].next, 3);
+  Read(kConfiguration);
+  RunOnLoop([&] { store_.Put("keyed.op", "config", "newer"); });
+  Await([&] { return reads_.size() == 2; });
+  ASSERT_EQ(reads_[1].records.size(), 1U);
+  EXPECT_EQ(reads_[1].records[0].data, "newer");
+  EXPECT_EQ(store_.calls, 2);
+}
+
+// Guards against members beyond the first page that are never found.
+TEST_F(StoreLogPortTest, ReadsAllPagesOfNewestRecords) {
+  RunOnLoop([&] {
+    store_.page_items = 2;
+    for (const std::string key : {"a", "b", "c", "d", "e"}) {
+      store_.Put("keyed.members", key, "row " + key);
+    }
+  });
+  Read(kMembers);
+  Await([&] { return reads_.size() == 1; });
+  ASSERT_EQ(reads_[0].records.size(), 5U);
+  EXPECT_EQ(reads_[0].records[4].data, "row e");
+}
+
+// Guards against a reader that is stuck after the store dropped its history.
+TEST_F(StoreLogPortTest, StartsOverAfterTheHistoryIsGone) {
+  RunOnLoop([&] { store_.Put("keyed.members", "a", "first"); });
+  Read(kMembers);
+  Await([&] { return reads_.size() == 1; });
+  RunOnLoop([&] {
+    store_.Put("keyed.members", "b", "second");
+    store_.Compact("keyed.members");
+  });
+  Read(kMembers);
+  Await([&] { return reads_.size() == 2; });
+  EXPECT_EQ(reads_[1].records.size(), 2U);
+}
+
+// Guards against a refusal, or an answer that never comes, that is taken for success.
+TEST_F(StoreLogPortTest, ReportsRefusalsAndLostAnswers) {
+  RunOnLoop([&] { store_.refuse_with = 429; });
+  Read(kMembers);
+  Await([&] { return failures_.size() == 1; });
+  RunOnLoop([&] { port_->Append(kMembers, "me", "row", 1); });
+  Await([&] { return appended_.size() == 1; });
+  EXPECT_EQ(appended_[0], -1);
+  RunOnLoop([&] {
+    store_.refuse_with.reset();
+    store_.loses_answers = true;
+    port_->Append(kMembers, "me", "row", 2);
+  });
+  // The virtual clock of the port: an hour later nothing is waited for any more.
+  RunOnLoop([&] { port_->Tick(MonotonicNow() + std::chrono::hours(1)); });
+  Await([&] { return appended_.size() == 2; });
+  EXPECT_EQ(appended_[1], -1);
+}
+
+TEST_F(StoreLogPortTest, AppendsUnderItsKey) {
+  RunOnLoop([&] { port_->Append(kMembers, "me", std::string("\0row", 4), 1); });
+  Await([&] { return appended_.size() == 1; });
+  EXPECT_EQ(appended_[0], 0);
+  Read(kMembers);
+  Await([&] { return reads_.size() == 1; });
+  ASSERT_EQ(reads_[0].records.size(), 1U);
+  EXPECT_EQ(reads_[0].records[0].data, std::string("\0row", 4));
+}
+
+}  // namespace
+}  // namespace bronzeroute::platform
--- /dev/null
+++ b/tests/platform/store_stand_in.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+
+#include <charconv>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "platform/store_records.h"
+#include "src/transport/event_loop.h"
+#include "src/transport/exchange.h"
+#include "src/transport/http_connection.h"
+#include "src/transport/http_request_handler.h"
+#include "src/transport/http_server.h"
+#include "tests/transport/raw_socket.h"
+
+namespace bronzeroute::platform {
+
+/// The part of the users' store that a daemon uses, written from their page: append, waiting
+/// read and the newest record of each key, of topics with one partition. Switch its faults on
+/// the event loop.
+class store_stand_in : private http_request_handler {
+ public:
+  store_stand_in() : server_(*this), address_("127.0.0.1:" + std::to_string(FreePort())) {
+    StartEventLoop();
+    status = server_.Start(address_);
+  }
+  ~store_stand_in() override { server_.Stop(); }
+
+  const std::string& address() const { return address_; }
+  absl::Status status;
+
+  /// Answers everything with this status, if set.
+  std::optional<int> refuse_with;
+  /// Appends take effect and are not answered.
+  bool loses_answers = false;
+  /// Items of one page of newest records.
+  std::size_t page_items = 500;
+  int calls = 0;
+
+  void Put(const std::string& topic, const std::string& key, const std::string& value) {
+    std::vector<keyed_record>& records = topics_[topic].records;
+    records.push_back({End(topic), key, value});
+    AnswerWaiting();
+  }
+  /// Deletes the history; the newest record of each key stays readable by key.
+  void Compact(const std::string& topic) {
+    topics_[topic].first = End(topic);
+    for (auto& each : std::exchange(waiting_, {})) {
+      if (each.topic == topic) Reply(*each.connection, 410, "{\"first\":0}");
+    }
+  }
+
+ private:
+  struct topic_state {
+    std::vector<keyed_record> records;
+    std::int64_t first = 0;
+  };
+  struct waiting_read {
+    std::shared_ptr<http_connection> connection;
+    std::string topic;
+    std::int64_t from;
+  };
+
+  std::int64_t End(const std::string& topic) {
+    return static_cast<std::int64_t>(topics_[topic].records.size());
+  }
+
+  void OnRequest(const std::shared_ptr<http_connection>& connection,
+                 const std::shared_ptr<exchange>& row) override {
+    ++calls;
+    if (row->content_length == 0) {
+      Serve(connection, *row);
+      return;
+    }
+    row->body->SetReader([this, connection, row = std::weak_ptr(row)] {
+      const auto live = row.lock();
+      if (live != nullptr && live->body->ended()) Serve(connection, *live);
+    });
+  }
+  void OnClientGone(const exchange& /*row*/) override {}
+  void OnAnswered(const exchange& /*row*/) override {}
+
+  static std::string Parameter(const std::string& path, const std::string& name) {
+    const std::size_t at = path.find(name + "=");
+    if (at == std::string::npos) return {};
+    const std::size_t begin = at + name.size() + 1;
+    return path.substr(begin, path.find('&', begin) - begin);
+  }
+
+  void Serve(const std::shared_ptr<http_connection>& connection, exchange& row) {
+    if (refuse_with) {
+      Reply(*connection, *refuse_with, "{}");
+      return;
+    }
+    const std::string topic = Parameter(row.path, "topic");
+    if (row.path.starts_with("/api/log-append")) {
+      std::string body(row.body->Available(), '\0');
+      row.body->Take(body.data(), body.size());
+      const auto key_size = static_cast<unsigned char>(body.at(4));
+      Put(topic, body.substr(5, key_size), body.substr(5 + key_size));
+      if (loses_answers) return;
+      Reply(*connection, 200,
+            absl::StrCat("{\"offset\":", End(topic) - 1, ",\"end\":", End(topic), "}"));
+    } else if (row.path.starts_with("/api/log-newest")) {
+      Reply(*connection, 200, Newest(topic, Parameter(row.path, "after")));
+    } else if (row.path.starts_with("/api/log-read")) {
+      waiting_.push_back({connection, topic, std::stoll(Parameter(row.path, "from"))});
+      AnswerWaiting();
+    } else {
+      Reply(*connection, 404, "{}");
+    }
+  }
+
+  std::string Newest(const std::string& topic, const std::string& after) {
+    std::map<std::string, keyed_record> newest;
+    for (const keyed_record& record : topics_[topic].records) newest[record.key] = record;
+    std::string items;
+    std::size_t count = 0;
+    bool more = false;
+    for (const auto& [key, record] : newest) {
+      if (key <= after || record.value.empty()) continue;
+      if (count++ == page_items) {
+        more = true;
+        break;
+      }
+      absl::StrAppend(&items, items.empty() ? "" : ",", "{\"key\":\"", key, "\",\"value\":\"",
+                      absl::Base64Escape(record.value), "\",\"offset\":", record.offset, "}");
+    }
+    return absl::StrCat("{\"items\":[", items, "],\"more\":", more ? "true" : "false",
+                        ",\"end\":", End(topic), "}");
+  }
+
+  void AnswerWaiting() {
+    std::vector<waiting_read> rest;
+    for (waiting_read& each : std::exchange(waiting_, {})) {
+      const topic_state& topic = topics_[each.topic];
+      if (each.from < topic.first) {
+        Reply(*each.connection, 410, absl::StrCat("{\"first\":", topic.first, "}"));
+      } else if (each.from < End(each.topic)) {
+        std::string body = Number(End(each.topic), 8) + Number(topic.first, 8);
+        for (std::int64_t at = each.from; at < End(each.topic); ++at) {
+          const keyed_record& record = topic.records[static_cast<std::size_t>(at)];
+          body += EncodeRecord(record.key, record.value);
+        }
+        Reply(*each.connection, 200, body);
+      } else {
+        rest.push_back(std::move(each));
+      }
+    }
+    waiting_ = std::move(rest);
+  }
+
+  static std::string Number(std::int64_t value, int size) {
+    std::string text;
+    for (int i = size - 1; i >= 0; --i) text += static_cast<char>(value >> (8 * i) & 0xff);
+    return text;
+  }
+
+  static void Reply(http_connection& connection, int status, std::string body) {
+    connection.Reply(TextAnswer(status, "application/json", std::move(body)));
+  }
+
+  http_server server_;
+  std::string address_;
+  std::map<std::string, topic_state> topics_;
+  std::vector<waiting_read> waiting_;
+};
+
+}  // namespace bronzeroute::platform
--- /dev/null
+++ b/tests/transport/dialect_test.cc
@@ -0,0 +1,220 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <string>
+
+#include "tests/transport/raw_socket.h"
+#include "tests/transport/raw_upstream.h"
+#include "tests/transport/test_daemon.h"
+
+namespace bronzeroute {
+namespace {
+
+http_dialect OtherDialect() {
+  http_dialect dialect;
+  dialect.deadline = "X-Left";
+  dialect.request_id = "X-Id";
+  dialect.caller_service = "X-From";
+  dialect.expected_upstream = "X-Expect";
+  dialect.not_run = "X-Not-Run";
+  dialect.load = "X-Load";
+  dialect.seal = "X-Seal";
+  dialect.has_own_fields = false;
+  return dialect;
+}
+
+std::string Request(const std::string& id, const std::string& fields = "") {
+  return "GET /orders HTTP/1.1\r\nHost: a\r\nX-Id: " + id + "\r\nX-Left: 5000\r\n" + fields +
+         "\r\n";
+}
+
+std::string Answer(const std::string& status, const std::string& fields,
+                   const std::string& body) {
+  return "HTTP/1.1 " + status + "\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string Ask(const test_daemon& daemon, const std::string& request) {
+  const raw_socket caller = raw_socket::Connect(daemon.callers_port());
+  caller.Send(request);
+  std::string answer = caller.ReceiveUntil("\r\n\r\n");
+  const std::size_t at = answer.find("Content-Length: ");
+  if (at != std::string::npos) answer += caller.ReceiveExactly(std::stoul(answer.substr(at + 16)));
+  return answer;
+}
+
+class DialectTest : public testing::Test {
+ protected:
+  DialectTest() : daemon_(1, nullptr, OtherDialect()) {
+    RunOnLoop([this] { daemon_.sockets().callers().SetCallerService("shop"); });
+  }
+  void Use(const std::string& address) {
+    RunOnLoop([&] { daemon_.sockets().upstream().SetUpstream(address, "run-7"); });
+  }
+
+  test_daemon daemon_;
+};
+
+// Guards against a request that any upstream at the address would run, and against a caller
+// that names a service of its own choice.
+TEST_F(DialectTest, UpstreamLearnsWhoIsMeantAndWhoAsks) {
+  std::string head;
+  raw_upstream upstream([&](raw_socket& peer) {
+    head = peer.ReceiveUntil("\r\n\r\n");
+    peer.Send(Answer("200 OK", "X-Id: 9\r\nX-Seal: s\r\nX-Load: 1,2,3,400\r\n", "ok"));
+    peer.ReceiveAll();
+  });
+  Use(upstream.address());
+  const std::string answer = Ask(daemon_, Request("9", "X-From: liar\r\nX-Expect: other\r\n"));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+  EXPECT_NE(answer.find("X-Seal: s"), std::string::npos) << answer;
+  EXPECT_EQ(answer.find("X-Load"), std::string::npos) << answer;
+  EXPECT_NE(head.find("X-From: shop\r\n"), std::string::npos) << head;
+  EXPECT_EQ(head.find("liar"), std::string::npos) << head;
+  EXPECT_NE(head.find("X-Expect: run-7\r\n"), std::string::npos) << head;
+  EXPECT_EQ(head.find("other"), std::string::npos) << head;
+  EXPECT_NE(head.find("X-Id: 9\r\n"), std::string::npos) << head;
+  EXPECT_NE(head.find("X-Left: "), std::string::npos) << head;
+  EXPECT_EQ(head.find("Bronzeroute"), std::string::npos) << head;
+  EXPECT_EQ(daemon_.Count("upstream_load"), 1);
+}
+
+// Guards against an answer that the upstream says it did not run being passed on as its own.
+TEST_F(DialectTest, StatementsOfNotHavingRunAreRefusals) {
+  for (const std::string refusal :
+       {Answer("503 Service Unavailable", "X-Not-Run: 1\r\n", ""),
+        Answer("421 Misdirected Request", "X-Id: 1\r\n", "no")}) {
+    raw_upstream upstream([&](raw_socket& peer) {
+      peer.ReceiveUntil("\r\n\r\n");
+      peer.Send(refusal);
+      peer.ReceiveAll();
+    });
+    Use(upstream.address());
+    const std::string answer = Ask(daemon_, Request("1"));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+    EXPECT_NE(answer.find("Bronzeroute-Execution: not-run"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("Retry-After: 0."), std::string::npos) << answer;
+    EXPECT_NE(answer.find("X-Id: 1\r\n"), std::string::npos) << answer;
+  }
+  EXPECT_EQ(daemon_.Count("upstream_refused"), 2);
+}
+
+// Guards against bytes of somebody else being passed on as a success.
+TEST_F(DialectTest, SuccessWithoutTheUpstreamsSealIsLost) {
+  for (const std::string fields :
+       {"X-Id: 1\r\n", "X-Id: 1\r\nX-Seal: s\r\nContent-Encoding: gzip\r\n"}) {
+    raw_upstream upstream([&](raw_socket& peer) {
+      peer.ReceiveUntil("\r\n\r\n");
+      peer.Send(Answer("200 OK", fields, "bytes"));
+      peer.ReceiveAll();
+    });
+    Use(upstream.address());
+    const std::string answer = Ask(daemon_, Request("1"));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 504")) << answer;
+    EXPECT_EQ(answer.find("bytes"), std::string::npos) << answer;
+  }
+}
+
+// Guards against a late second answer to an earlier request that reaches the next caller.
+TEST_F(DialectTest, LateSecondAnswerReachesNobody) {
+  std::atomic<int> connections = 0;
+  raw_upstream upstream([&](raw_socket& peer) {
+    if (++connections > 1) {
+      peer.ReceiveUntil("\r\n\r\n");
+      peer.Send(Answer("200 OK", "X-Id: 3\r\nX-Seal: s\r\n", "three"));
+      peer.ReceiveAll();
+      return;
+    }
+    peer.ReceiveUntil("\r\n\r\n");
+    peer.Send(Answer("200 OK", "X-Id: 1\r\nX-Seal: s\r\n", "one"));
+    peer.ReceiveUntil("\r\n\r\n");
+    peer.Send(Answer("200 OK", "X-Id: 1\r\nX-Seal: s\r\n", "one") +
+              Answer("200 OK", "X-Id: 2\r\nX-Seal: s\r\n", "two"));
+    peer.ReceiveAll();
+  });
+  Use(upstream.address());
+  EXPECT_TRUE(Ask(daemon_, Request("1")).ends_with("one"));
+  EXPECT_TRUE(Ask(daemon_, Request("2")).ends_with("two"));
+  EXPECT_EQ(daemon_.Count("stray_answer"), 1);
+  // A connection that was out of step once is not used again.
+  EXPECT_TRUE(Ask(daemon_, Request("3")).ends_with("three"));
+  EXPECT_EQ(connections, 2);
+}
+
+// Guards against bytes behind an answer that are taken for the next one.
+TEST_F(DialectTest, BytesBehindAnAnswerEndTheConnection) {
+  std::atomic<int> connections = 0;
+  raw_upstream upstream([&](raw_socket& peer) {
+    ++connections;
+    const std::string head = peer.ReceiveUntil("\r\n\r\n");
+    const std::string id = head.substr(head.find("X-Id: ") + 6, 1);
+    peer.Send(Answer("200 OK", "X-Id: " + id + "\r\nX-Seal: s\r\n", "ok") + "HTTP/1.1 200 OK");
+    peer.ReceiveAll();
+  });
+  Use(upstream.address());
+  EXPECT_TRUE(Ask(daemon_, Request("1")).ends_with("ok"));
+  EXPECT_TRUE(Ask(daemon_, Request("2")).ends_with("ok"));
+  EXPECT_EQ(connections, 2);
+}
+
+// Guards against an upstream that works on for a caller that has left: its silence must not hide
+// that the connection was closed.
+TEST_F(DialectTest, CallerThatLeavesASilentUpstreamIsNoticed) {
+  std::atomic<bool> asked = false;
+  std::atomic<bool> ended = false;
+  raw_upstream upstream([&](raw_socket& peer) {
+    peer.ReceiveUntil("\r\n\r\n");
+    asked = true;
+    peer.ReceiveAll();
+    ended = true;
+  });
+  Use(upstream.address());
+  raw_socket caller = raw_socket::Connect(daemon_.callers_port());
+  caller.Send(Request("1"));
+  while (!asked) std::this_thread::yield();
+  caller.Shutdown();
+  daemon_.Await("caller_gone");
+  daemon_.Await("upstream_lost");
+  upstream.Stop();
+  EXPECT_TRUE(ended);
+}
+
+// Guards against an answer without a length that is cut by a reset and looks whole.
+TEST_F(DialectTest, ResetEndsAnAnswerWithoutALengthAsCut) {
+  std::atomic<bool> resets = false;
+  raw_upstream upstream([&](raw_socket& peer) {
+    peer.ReceiveUntil("\r\n\r\n");
+    peer.Send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\nConnection: close\r\n\r\npart");
+    if (resets) {
+      peer.Reset();
+    } else {
+      peer.Shutdown();
+    }
+  });
+  Use(upstream.address());
+  const raw_socket whole = raw_socket::Connect(daemon_.callers_port());
+  whole.Send(Request("1", "Connection: close\r\n"));
+  EXPECT_TRUE(whole.ReceiveAll().ends_with("0\r\n\r\n"));
+  resets = true;
+  const raw_socket cut = raw_socket::Connect(daemon_.callers_port());
+  cut.Send(Request("1", "Connection: close\r\n"));
+  const std::string answer = cut.ReceiveAll();
+  EXPECT_EQ(answer.find("0\r\n\r\n"), std::string::npos) << answer;
+}
+
+// Guards against limits of the document that are not kept, or that end without an answer.
+TEST_F(DialectTest, LimitsOfTheServerAreKept) {
+  RunOnLoop([this] {
+    http_limits limits;
+    limits.head_bytes = 1000;
+    limits.body_bytes = 10;
+    daemon_.sockets().callers().server().SetLimits(limits);
+  });
+  EXPECT_TRUE(Ask(daemon_, Request("1", "X-Large: " + std::string(2000, 'x') + "\r\n"))
+                  .starts_with("HTTP/1.1 431"));
+  EXPECT_TRUE(Ask(daemon_, "POST /orders HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n")
+                  .starts_with("HTTP/1.1 413"));
+}
+
+}  // namespace
+}  // namespace bronzeroute
--- a/tests/transport/test_daemon.h
+++ b/tests/transport/test_daemon.h
@@ -28,13 +28,14 @@
 class test_daemon : public transport_events {
  public:
   explicit test_daemon(std::uint64_t id,
-                       const std::function<void(transport&)>& prepare = nullptr)
+                       const std::function<void(transport&)>& prepare = nullptr,
+                       const http_dialect& dialect = {})
       : id_{id} {
     StartEventLoop();
     // Another process may take a free port before the daemon does.
     for (int tries = 0; tries < 10 && (tries == 0 || !start_status.ok()); ++tries) {
       if (tries > 0) std::printf("%s\n", start_status.ToString().c_str());
-      transport_ = std::make_unique<transport>(*this);
+      transport_ = std::make_unique<transport>(*this, dialect);
       callers_port_ = FreePort();
       addresses_ = {Address(callers_port_), Address(FreePort()), Address(FreePort()),
                     Address(FreePort())};
