Learn a later run from its refusal; budgets of arrivals by service; no ejection for 500

Ruled out: start-up (0.2 s to a configuration and an upstream). Change: a refusal by a later run names it and the call is offered to it once; attempts after one that reached an upstream have a budget of their own for each service; a worker's own 500 lowers its score but ejects nobody where workers call each other.

--- a/src/calls/entry_system.h
+++ b/src/calls/entry_system.h
@@ -63,6 +63,8 @@
   /// that nothing of the attempt left this process.
   void OnAttemptLost(const attempt_id& attempt, bool was_sent, time_point now);
 
+  void SetRetryShares(const retry_shares& shares) { retry_shares_ = shares; }
+
   /// Ends calls whose deadline passed.
   void Tick(time_point now);
 
@@ -100,6 +102,8 @@
     error_kind last_refusal = error_kind::kNone;
     /// An attempt was sent and its fate is unknown.
     bool may_have_run = false;
+    /// An owner was offered the call once more as the later run that it is.
+    bool met_later_run = false;
     /// The response of the open attempt goes to the caller.
     bool is_answering = false;
     call_log_row log;
@@ -152,7 +156,11 @@
   absl::flat_hash_map<std::uint64_t, call_row> calls_;
   absl::flat_hash_map<exchange_id, std::uint64_t> by_exchange_;
   absl::flat_hash_map<attempt_id, attempt_row> attempts_;
-  retry_budget budget_;
+  /// The budget of further attempts for `service`.
+  retry_budget& BudgetOf(const std::string& service);
+
+  retry_shares retry_shares_;
+  absl::flat_hash_map<std::string, retry_budget> budgets_;
   call_log log_;
   entry_counters counters_;
 };
--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -30,6 +30,9 @@
 /// Candidates without an open channel that one call passes over before it is refused.
 inline constexpr std::size_t kMaxExcluded = 16;
 
+/// Services whose retry budgets are kept.
+inline constexpr std::size_t kMaxBudgets = 1024;
+
 inline bool IsServerError(int status) { return status >= 500; }
 
 }  // namespace internal
@@ -73,7 +76,7 @@
   if (error != error_kind::kNone) {
     EndWithError(id.sequence, error, 0, false, now);
   } else {
-    budget_.CountFirstAttempt(now);
+    BudgetOf(calls_.find(id.sequence)->second.log.service).CountFirstAttempt(now);
     StartAttempt(id.sequence, now);
   }
   return id;
@@ -270,6 +273,15 @@
     return;
   }
   CloseAttempt(from.attempt, attempt_outcome::kRefused, kind, now);
+  if (any_run && row.key.empty() && !row.met_later_run && HasAttemptsLeft(row)) {
+    // The owner restarted. Nothing speaks against its new run, and the members tell of it only
+    // later.
+    row.met_later_run = true;
+    row.last_refusal = kind;
+    chooser_.OnRun({from.owner, from.owner_run});
+    StartAttempt(sequence, now);
+    return;
+  }
   row.excluded.push_back(from.owner);
   if (!row.key.empty()) {
     EndWithError(sequence, kind, recorded_status, !any_run, now);
@@ -280,13 +292,23 @@
   }
 }
 
+template <typename Rules>
+retry_budget& basic_entry_system<Rules>::BudgetOf(const std::string& service) {
+  // Services come and go with the configuration; budgets of a few seconds are soon filled again.
+  if (budgets_.size() >= internal::kMaxBudgets) budgets_.clear();
+  return budgets_.try_emplace(service, retry_shares_).first->second;
+}
+
 template <typename Rules>
 void basic_entry_system<Rules>::RetryAfterRefusal(std::uint64_t sequence, error_kind kind,
                                                   time_point now) {
   call_row& row = calls_.find(sequence)->second;
   row.last_refusal = kind;
   if (HasAttemptsLeft(row) && row.log.deadline > now) {
-    if (!budget_.TryAfterRefusal(now)) {
+    retry_budget& budget = BudgetOf(row.log.service);
+    // An upstream that turned the call away has seen it: its answer cost it time.
+    const bool reached_upstream = kind == error_kind::kUpstreamRefused;
+    if (reached_upstream ? !budget.TryAfterArrival(now) : !budget.TryAfterRefusal(now)) {
       ++counters_.budget_refusals;
       EndWithError(sequence, error_kind::kRetryBudgetEmpty, 0, false, now);
       return;
@@ -303,7 +325,7 @@
   row.last_refusal = error_kind::kAnswerLost;
   const bool may_repeat = Rules::MayRepeatAfterLoss(row.log.is_protected) &&
                           HasAttemptsLeft(row) && row.log.deadline > now;
-  if (may_repeat && budget_.TryReexecution(now)) {
+  if (may_repeat && BudgetOf(row.log.service).TryAfterArrival(now)) {
     ++counters_.reexecutions;
     StartAttempt(sequence, now);
     return;
--- a/src/calls/retry_budget.cc
+++ b/src/calls/retry_budget.cc
@@ -7,10 +7,12 @@
 namespace bronzeroute {
 namespace {
 
-constexpr std::uint64_t kRefusalPercent = 20;
 constexpr std::uint64_t kRefusalFloor = 5;
-constexpr std::uint64_t kReexecutionPercent = 2;
-constexpr std::uint64_t kReexecutionFloor = 1;
+constexpr std::uint64_t kArrivalFloor = 1;
+
+std::uint64_t Limit(double share, std::uint64_t first, std::uint64_t floor) {
+  return std::max(floor, static_cast<std::uint64_t>(share * static_cast<double>(first)));
+}
 
 std::int64_t Second(time_point now) {
   return std::chrono::floor<std::chrono::seconds>(now.time_since_epoch()).count();
@@ -32,7 +34,7 @@
     if (one.second <= oldest) continue;
     sum.first += one.first;
     sum.after_refusal += one.after_refusal;
-    sum.reexecutions += one.reexecutions;
+    sum.after_arrival += one.after_arrival;
   }
   return sum;
 }
@@ -41,19 +43,19 @@
 
 bool retry_budget::TryAfterRefusal(time_point now) {
   const bucket sum = Sum(now);
-  if (sum.after_refusal >= std::max(kRefusalFloor, sum.first * kRefusalPercent / 100)) {
+  if (sum.after_refusal >= Limit(shares_.after_refusal, sum.first, kRefusalFloor)) {
     return false;
   }
   ++Current(now).after_refusal;
   return true;
 }
 
-bool retry_budget::TryReexecution(time_point now) {
+bool retry_budget::TryAfterArrival(time_point now) {
   const bucket sum = Sum(now);
-  if (sum.reexecutions >= std::max(kReexecutionFloor, sum.first * kReexecutionPercent / 100)) {
+  if (sum.after_arrival >= Limit(shares_.after_arrival, sum.first, kArrivalFloor)) {
     return false;
   }
-  ++Current(now).reexecutions;
+  ++Current(now).after_arrival;
   return true;
 }
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -69,6 +69,8 @@
           .join_spread = options.join_spread,
           .slot_share = options.slot_share,
           .costs = options.costs,
+          .eject_on_error_answers = options.eject_on_error_answers,
+          .retries = options.retries,
           .stop_linger = options.stop_linger};
 }
 
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "src/base/time.h"
+#include "src/calls/retry_shares.h"
 #include "src/routing/transfer_cost.h"
 
 namespace bronzeroute {
@@ -47,6 +48,10 @@
   double slot_share = 1;
   /// What a byte that leaves a zone or a region is worth in microseconds of waiting.
   transfer_cost costs;
+  /// Errors that an upstream answers itself count as its failures. Where upstreams call each
+  /// other, one that fails makes all its callers answer errors too.
+  bool eject_on_error_answers = true;
+  retry_shares retries{};
   /// Bytes of log lines that a daemon writes a second at most, over ten seconds. 64 KB hold two
   /// lines for each of about 100 requests a second.
   std::size_t log_bytes_per_second = 64'000;
--- a/src/node/admission_adapter.cc
+++ b/src/node/admission_adapter.cc
@@ -7,9 +7,8 @@
 #include "src/routing/load_hint.h"
 
 namespace bronzeroute {
-namespace {
 
-upstream_result ResultOf(upstream_outcome outcome) {
+upstream_result admission_adapter::ResultOf(upstream_outcome outcome) const {
   switch (outcome) {
     case upstream_outcome::kAnswered:
       return upstream_result::kAnswered;
@@ -17,6 +16,7 @@
     case upstream_outcome::kCancelled:
       return upstream_result::kCancelled;
     case upstream_outcome::kFailed:
+      return eject_on_error_answers_ ? upstream_result::kFailed : upstream_result::kCancelled;
     case upstream_outcome::kConnectFailed:
     case upstream_outcome::kLost:
       break;
@@ -24,8 +24,6 @@
   return upstream_result::kFailed;
 }
 
-}  // namespace
-
 void admission_adapter::Configure(const service_spec& spec,
                                   const upstream_announcement& upstream, bool is_allowed,
                                   time_point now) {
--- a/src/node/admission_adapter.h
+++ b/src/node/admission_adapter.h
@@ -16,7 +16,8 @@
 /// Puts the admission system behind the interface that the owner uses.
 class admission_adapter final : public admission_gate, private queue_listener {
  public:
-  admission_adapter() : system_(this) {}
+  explicit admission_adapter(bool eject_on_error_answers)
+      : eject_on_error_answers_(eject_on_error_answers), system_(this) {}
 
   /// Takes the limits of the document and of the announcement. All work is refused while
   /// `is_allowed` is false, because the document does not let the service run in this region.
@@ -49,6 +50,9 @@
   void OnQueuedStarted(exchange_id exchange) override;
   void OnQueuedRefused(exchange_id exchange, error_kind kind) override;
 
+  upstream_result ResultOf(upstream_outcome outcome) const;
+
+  bool eject_on_error_answers_;
   admission_listener* listener_ = nullptr;
   admission_system system_;
   std::string service_;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -121,6 +121,8 @@
     owner_.SetObserver(std::move(on_end));
   }
 
+  void SetRetryShares(const retry_shares& shares) { entry_.SetRetryShares(shares); }
+
   const basic_entry_system<Rules>& entry() const { return entry_; }
   const basic_owner_system<Rules>& owner() const { return owner_; }
 
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -80,7 +80,8 @@
            .read_pause = settings.configuration_read_pause,
            .read_time = settings.log_read_time},
           ports.log, ports.configuration_peers),
-      routing_(configuration_, settings.seed, settings.costs),
+      admission_(settings.eject_on_error_answers),
+      routing_(configuration_, settings.seed, settings.costs, settings.eject_on_error_answers),
       members_(membership_, configuration_),
       routes_(configuration_, settings.seed),
       decisions_(ports.events),
@@ -95,6 +96,7 @@
             settings.seed),
       stop_linger_(settings.stop_linger),
       slot_share_(settings.slot_share) {
+  node_.SetRetryShares(settings.retries);
   node_.SetCallObserver([this](const call_log_row& row) {
     CountCall(row);
     decisions_.OnCallEnded(row);
--- a/src/node/routing_adapter.cc
+++ b/src/node/routing_adapter.cc
@@ -7,9 +7,8 @@
 #include "src/membership/member_row.h"
 
 namespace bronzeroute {
-namespace {
 
-attempt_end EndOf(attempt_outcome outcome) {
+attempt_end routing_adapter::EndOf(attempt_outcome outcome) const {
   switch (outcome) {
     case attempt_outcome::kAnswered:
       return attempt_end::kAnswered;
@@ -19,6 +18,7 @@
     case attempt_outcome::kCancelled:
       return attempt_end::kCancelled;
     case attempt_outcome::kFailed:
+      return eject_on_error_answers_ ? attempt_end::kFailed : attempt_end::kErrorAnswer;
     case attempt_outcome::kLost:
     case attempt_outcome::kCut:
     case attempt_outcome::kTimedOut:
@@ -27,8 +27,6 @@
   return attempt_end::kFailed;
 }
 
-}  // namespace
-
 std::optional<member_target> routing_adapter::Choose(std::string_view service,
                                                      const choice_request& request,
                                                      std::span<const member_id> excluded,
--- a/src/node/routing_adapter.h
+++ b/src/node/routing_adapter.h
@@ -20,13 +20,16 @@
  public:
   /// `configuration` must outlive the adapter.
   routing_adapter(const configuration_system& configuration, std::uint64_t seed,
-                  transfer_cost costs)
-      : configuration_(configuration), system_(seed, {}, costs) {}
+                  transfer_cost costs, bool eject_on_error_answers)
+      : configuration_(configuration),
+        eject_on_error_answers_(eject_on_error_answers),
+        system_(seed, {}, costs) {}
 
   std::optional<member_target> Choose(std::string_view service, const choice_request& request,
                                       std::span<const member_id> excluded,
                                       time_point now) override;
   const choice_explanation* LastChoice() const override { return &last_choice_; }
+  void OnRun(member_target owner) override { system_.OnRun(owner.id, owner.run); }
   void OnHint(member_target owner, const load_hint& hint, time_point now) override;
   void OnKeyIssued(member_target home, time_point now) override;
   void OnAttemptSent(member_target owner, time_point now) override;
@@ -35,7 +38,10 @@
   void OnMembers(std::span<const member_row> members, const member_row& self, time_point now);
 
  private:
+  attempt_end EndOf(attempt_outcome outcome) const;
+
   const configuration_system& configuration_;
+  bool eject_on_error_answers_;
   routing_system<policy_two_choices> system_;
   /// Members whose open attempt is a trial call; there is at most one each.
   absl::flat_hash_set<member_id> trials_;
--- a/src/node/runtime_settings.h
+++ b/src/node/runtime_settings.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "src/base/time.h"
+#include "src/calls/retry_shares.h"
 #include "src/configuration/configuration_form.h"
 #include "src/configuration/document_reader.h"
 #include "src/routing/transfer_cost.h"
@@ -30,6 +31,10 @@
   /// Share of an upstream's slots that is filled.
   double slot_share = 1;
   transfer_cost costs{};
+  /// Errors that an upstream answers itself count as its failures. Where upstreams call each
+  /// other, one that fails makes all its callers answer errors too.
+  bool eject_on_error_answers = true;
+  retry_shares retries{};
   /// A process that stops takes requests of callers for at least this long.
   duration stop_linger = std::chrono::seconds(1);
 };
--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -61,11 +61,13 @@
     if (is_new) services_.emplace_back();
     entry item;
     const auto before = old_index.find(row.id);
-    if (before != old_index.end() && old[before->second].row.run == row.run) {
+    // A run that answered itself may be later than what the members tell.
+    if (before != old_index.end() && old[before->second].row.run >= row.run) {
       item = std::move(old[before->second]);
+    } else {
+      item.row.run = row.run;
     }
     item.row.id = row.id;
-    item.row.run = row.run;
     item.row.where = DistanceOf(row, own, region, availability_zone);
     item.region = row.region;
     item.state = row.state;
@@ -84,6 +86,19 @@
   }
 }
 
+void hint_table::OnRun(member_id member, incarnation run) {
+  entry* item = Find(member);
+  if (item == nullptr || item->row.run >= run) return;
+  entry fresh;
+  fresh.row.id = item->row.id;
+  fresh.row.run = run;
+  fresh.row.where = item->row.where;
+  fresh.region = item->region;
+  fresh.state = item->state;
+  fresh.service = item->service;
+  *item = std::move(fresh);
+}
+
 void hint_table::OnHint(member_id member, incarnation run, const load_hint& hint,
                         time_point now) {
   entry* item = Find(member);
@@ -140,13 +155,15 @@
   if (item == nullptr) return;
   if (item->row.open_attempts > 0) --item->row.open_attempts;
   ejection& health = item->health;
-  if (outcome == attempt_end::kAnswered || outcome == attempt_end::kFailed) {
+  if (outcome == attempt_end::kAnswered || outcome == attempt_end::kErrorAnswer ||
+      outcome == attempt_end::kFailed) {
     const double share = DecayedShare(item->failure_share, now - item->failed_at);
-    const double sample = outcome == attempt_end::kFailed ? 1 : 0;
+    const double sample = outcome == attempt_end::kAnswered ? 0 : 1;
     item->failure_share = share + kFailureWeight * (sample - share);
     item->failed_at = now;
   }
   switch (outcome) {
+    case attempt_end::kErrorAnswer:
     case attempt_end::kAnswered:
       if (is_trial) {
         health.OnTrialSucceeded();
--- a/src/routing/hint_table.h
+++ b/src/routing/hint_table.h
@@ -37,6 +37,9 @@
   /// last one. Sequence 0 marks a message without a hint.
   void OnHint(member_id member, incarnation run, const load_hint& hint, time_point now);
 
+  /// `member` answered as a later run than the one known; the members tell so only later.
+  void OnRun(member_id member, incarnation run);
+
   /// Counts work that will follow like an attempt sent, until a hint can show it.
   void OnWorkExpected(member_id member, time_point now);
   void OnAttemptSent(member_id member, bool is_trial, time_point now);
--- a/src/routing/routing_system.h
+++ b/src/routing/routing_system.h
@@ -38,6 +38,9 @@
     table_.OnHint(member, run, hint, now);
   }
 
+  /// `member` answered as a later run than the one known.
+  void OnRun(member_id member, incarnation run) { table_.OnRun(member, run); }
+
   /// Work for `member` will follow, for example with a key that names it.
   void OnWorkExpected(member_id member, time_point now) { table_.OnWorkExpected(member, now); }
 
--- a/tests/calls/retry_budget_test.cc
+++ b/tests/calls/retry_budget_test.cc
@@ -22,23 +22,23 @@
   retry_budget budget;
   for (int i = 0; i < 1000; ++i) budget.CountFirstAttempt(At(100));
   EXPECT_EQ(Take(budget, &retry_budget::TryAfterRefusal, At(101)), 200);
-  EXPECT_EQ(Take(budget, &retry_budget::TryReexecution, At(101)), 20);
+  EXPECT_EQ(Take(budget, &retry_budget::TryAfterArrival, At(101)), 20);
 }
 
 // Guards against a daemon that cannot retry at all because it is quiet.
 TEST(RetryBudget, QuietDaemonHasAFloor) {
   retry_budget budget;
   EXPECT_EQ(Take(budget, &retry_budget::TryAfterRefusal, At(1)), 5);
-  EXPECT_EQ(Take(budget, &retry_budget::TryReexecution, At(1)), 1);
+  EXPECT_EQ(Take(budget, &retry_budget::TryAfterArrival, At(1)), 1);
 }
 
 // Guards against a share of old traffic that is spent on new traffic.
 TEST(RetryBudget, WindowSlides) {
   retry_budget budget;
   for (int i = 0; i < 1000; ++i) budget.CountFirstAttempt(At(100));
-  EXPECT_EQ(Take(budget, &retry_budget::TryReexecution, At(109)), 20);
-  EXPECT_EQ(Take(budget, &retry_budget::TryReexecution, At(110)), 0);
-  EXPECT_EQ(Take(budget, &retry_budget::TryReexecution, At(119)), 1);
+  EXPECT_EQ(Take(budget, &retry_budget::TryAfterArrival, At(109)), 20);
+  EXPECT_EQ(Take(budget, &retry_budget::TryAfterArrival, At(110)), 0);
+  EXPECT_EQ(Take(budget, &retry_budget::TryAfterArrival, At(119)), 1);
 }
 
 }  // namespace
--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -81,7 +81,7 @@
 
 // Guards against an answer that the upstream says it did not run being passed on as its own.
 TEST_F(DialectTest, StatementsOfNotHavingRunAreRefusals) {
-  for (const std::string refusal :
+  for (const std::string& refusal :
        {Answer("503 Service Unavailable", "X-Not-Run: 1\r\n", ""),
         Answer("421 Misdirected Request", "X-Id: 1\r\n", "no")}) {
     raw_upstream upstream([&](raw_socket& peer) {
--- a/tests/transport/resend_test.cc
+++ b/tests/transport/resend_test.cc
@@ -83,10 +83,13 @@
   }
 }
 
-// Guards against a loss after the connection was made being taken for "nothing was sent": the
-// upstream resets the connection before it reads anything.
+// Guards against a loss after bytes were sent being taken for "nothing was sent": the upstream
+// resets the connection once it has read some.
 TEST(Resend, ResetConnectionIsALossAndNotAConnectFailure) {
-  raw_upstream upstream([](raw_socket& peer) { peer.Reset(); });
+  raw_upstream upstream([](raw_socket& peer) {
+    peer.ReceiveExactly(1);
+    peer.Reset();
+  });
   test_daemon daemon(1);
   daemon.is_protected = true;
   daemon.UseUpstream(upstream.address());
@@ -94,6 +97,26 @@
   EXPECT_EQ(daemon.Count("upstream_lost"), 1);
 }
 
+// Guards against an answer that does not say what is known of a connection that the upstream
+// resets at once: it shows either on connecting, when nothing was sent, or on the first write.
+TEST(Resend, ResetBeforeTheRequestIsToldAsItWasSeen) {
+  for (int round = 0; round < 50; ++round) {
+    raw_upstream upstream([](raw_socket& peer) { peer.Reset(); });
+    test_daemon daemon(1);
+    daemon.is_protected = true;
+    daemon.UseUpstream(upstream.address());
+    const std::string answer = Call(daemon, "body");
+    ASSERT_EQ(daemon.Count("upstream_lost") + daemon.Count("connect_failed"), 1);
+    if (daemon.Count("upstream_lost") == 1) {
+      EXPECT_TRUE(answer.starts_with("HTTP/1.1 504")) << answer;
+      EXPECT_NE(answer.find("Bronzeroute-Execution: unknown"), std::string::npos) << answer;
+    } else {
+      EXPECT_TRUE(answer.starts_with("HTTP/1.1 502")) << answer;
+      EXPECT_NE(answer.find("Bronzeroute-Execution: not-run"), std::string::npos) << answer;
+    }
+  }
+}
+
 // Guards against a refused connection being taken for a loss, which would forbid another try.
 TEST(Resend, RefusedConnectionIsAConnectFailure) {
   for (const bool is_protected : {false, true}) {
