--- a/src/admission/admission_system.cc
+++ b/src/admission/admission_system.cc
@@ -10,6 +10,9 @@
 namespace bronzeroute {
 namespace {
 
+// Part of the objective that a request is assumed to take before any was observed: an objective
+// leaves room for waiting and for the spread of service times.
+constexpr int kAssumedShareOfObjective = 4;
 // Keeps a product such as 5 * 0.8 from falling below the whole number that it is.
 constexpr double kSlotRounding = 1e-9;
 
@@ -160,6 +163,11 @@
   queue& entries = QueueOf(is_long);
   const bool full = entries.size() >= queue_limit_;
   if (is_long && (full || AtCrest(now))) return error_kind::kOverloaded;
+  // An owner that has just started knows no service times. Taking work for short would fill the
+  // queue with requests that come too late.
+  if (head.route_id != 0 && head.objective > now) {
+    classifier_.SetAssumed((head.objective - now) / kAssumedShareOfObjective);
+  }
   // Work of a higher rank goes first; among equals, what came first.
   const auto place = std::ranges::upper_bound(entries, head.priority, {}, &queue_row::priority);
   const auto ahead = static_cast<std::size_t>(place - entries.begin());
--- a/src/admission/work_classifier.cc
+++ b/src/admission/work_classifier.cc
@@ -63,7 +63,9 @@
 }
 
 duration work_classifier::MeanOf(bool is_long) const {
-  const duration short_mean = short_mean_.count() > 0 ? short_mean_.Mean() : kAssumedShort;
+  const bool is_known = assumed_ == kAssumedShort ? short_mean_.count() > 0
+                                                  : short_mean_.count() >= kMinObservations;
+  const duration short_mean = is_known ? short_mean_.Mean() : assumed_;
   if (!is_long) return short_mean;
   if (long_mean_.count() > 0) return long_mean_.Mean();
   return duration(static_cast<duration::rep>(kLongCostFactor) * short_mean.count());
--- a/src/admission/work_classifier.h
+++ b/src/admission/work_classifier.h
@@ -43,6 +43,8 @@
   /// Expected service time of work of the class on the route. `route_id` names a route by host.
   duration Expected(bool is_long, std::size_t route, std::uint64_t route_id = 0) const;
   duration MeanOf(bool is_long) const;
+  /// Service time assumed of short work before enough of it was observed.
+  void SetAssumed(duration assumed) { assumed_ = assumed; }
 
   void Observe(bool is_long, std::size_t route, std::uint64_t route_id,
                duration service_time);
@@ -62,6 +64,7 @@
   std::vector<route_spec> specs_;
   /// The last row stands for requests that match no route.
   std::vector<route_row> routes_{1};
+  duration assumed_ = kAssumedShort;
   service_time_mean short_mean_;
   service_time_mean long_mean_;
   /// Means of routes by host.
--- a/src/calls/entry_system.h
+++ b/src/calls/entry_system.h
@@ -102,8 +102,8 @@
     error_kind last_refusal = error_kind::kNone;
     /// An attempt was sent and its fate is unknown.
     bool may_have_run = false;
-    /// An owner was offered the call once more as the later run that it is.
-    bool met_later_run = false;
+    /// Owners that were offered the call once more as the later run that they are.
+    std::uint32_t later_runs = 0;
     /// The response of the open attempt goes to the caller.
     bool is_answering = false;
     call_log_row log;
--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -30,6 +30,9 @@
 /// Candidates without an open channel that one call passes over before it is refused.
 inline constexpr std::size_t kMaxExcluded = 16;
 
+/// Owners whose later run one call learns from their refusals.
+inline constexpr std::uint32_t kMaxLaterRuns = 3;
+
 /// Services whose retry budgets are kept.
 inline constexpr std::size_t kMaxBudgets = 1024;
 
@@ -273,10 +276,11 @@
     return;
   }
   CloseAttempt(from.attempt, attempt_outcome::kRefused, kind, now);
-  if (any_run && row.key.empty() && !row.met_later_run && HasAttemptsLeft(row)) {
+  if (any_run && row.key.empty() && row.later_runs < internal::kMaxLaterRuns) {
     // The owner restarted. Nothing speaks against its new run, and the members tell of it only
-    // later.
-    row.met_later_run = true;
+    // later. After a mass restart a call meets several of them.
+    ++row.later_runs;
+    --row.attempts_sent;
     row.last_refusal = kind;
     chooser_.OnRun({from.owner, from.owner_run});
     StartAttempt(sequence, now);
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -67,6 +67,7 @@
           .configuration_read_pause = options.configuration_read_pause,
           .log_read_time = options.log_wait + kReadSlack,
           .join_spread = options.join_spread,
+          .member_read_pause = options.member_read_pause,
           .slot_share = options.slot_share,
           .costs = options.costs,
           .eject_on_error_answers = options.eject_on_error_answers,
--- a/src/daemon/parse_settings.cc
+++ b/src/daemon/parse_settings.cc
@@ -23,7 +23,7 @@
         {"callers", "peers", "membership", "admin", "announcements", "ready"});
 constexpr auto kLogKeys =
     std::to_array<std::string_view>({"address", "wait_ms", "read_pause_ms"});
-constexpr auto kMembershipKeys = std::to_array<std::string_view>({"join_spread_ms"});
+constexpr auto kMembershipKeys = std::to_array<std::string_view>({"join_spread_ms", "read_pause_ms"});
 constexpr auto kAdmissionKeys = std::to_array<std::string_view>({"slot_share", "eject_on_error_answers"});
 constexpr auto kRoutingKeys =
     std::to_array<std::string_view>(
@@ -71,6 +71,8 @@
     CheckKeys(*membership, "membership.", kMembershipKeys);
     result.join_spread =
         Milliseconds(*membership, "membership.", "join_spread_ms", result.join_spread);
+    result.member_read_pause =
+        Milliseconds(*membership, "membership.", "read_pause_ms", result.member_read_pause);
     const toml::table* admission = Section(root, "admission", kEmpty);
     CheckKeys(*admission, "admission.", kAdmissionKeys);
     result.slot_share =
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -37,6 +37,8 @@
   duration configuration_read_pause{};
   /// Members announce themselves within this time of their start.
   duration join_spread = std::chrono::seconds(5);
+  /// Pause between reads of the members' records once the process has settled.
+  duration member_read_pause = std::chrono::seconds(1);
   /// A daemon that stops takes requests of callers for at least this long: peers learn of the
   /// drain within one push (100 ms) and a round trip.
   duration stop_linger = std::chrono::seconds(1);
--- a/src/membership/membership_settings.h
+++ b/src/membership/membership_settings.h
@@ -61,6 +61,10 @@
   duration confirm_within = std::chrono::seconds(20);
 
   duration read_pause = std::chrono::seconds(1);
+  /// The same once the process has run for `settle_time`: from then on its peers tell it what
+  /// the log holds, and a read is only the second way.
+  duration settled_read_pause = std::chrono::seconds(1);
+  duration settle_time = std::chrono::seconds(10);
   duration append_timeout = std::chrono::seconds(10);
   duration first_backoff = std::chrono::milliseconds(500);
   duration longest_backoff = std::chrono::seconds(30);
--- a/src/membership/membership_system.cc
+++ b/src/membership/membership_system.cc
@@ -68,6 +68,7 @@
       next_want_(now),
       next_push_(now),
       unconfirmed_until_(now),
+      started_(now),
       next_read_(now),
       read_backoff_(settings_.first_backoff),
       retention_(settings_.assumed_retention),
@@ -994,7 +995,8 @@
   // Each append ends the waiting reads of all members. Without the pause, n joins a second cost
   // the log n reads a second from every member; with it, one read brings them all.
   const bool more = !read.records.empty() && next_offset_ < read.next;
-  next_read_ = more ? now : now + settings_.read_pause;
+  const bool settled = now >= started_ + settings_.settle_time;
+  next_read_ = more ? now : now + (settled ? settings_.settled_read_pause : settings_.read_pause);
 }
 
 void membership_system::OnLogFailed(std::string_view stream, time_point now) {
--- a/src/membership/membership_system.h
+++ b/src/membership/membership_system.h
@@ -227,6 +227,7 @@
   bool read_once_ = false;
   bool log_out_ = false;
   std::int64_t next_offset_ = 0;
+  time_point started_;
   time_point next_read_;
   time_point read_timeout_;
   duration read_backoff_{};
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -39,6 +39,7 @@
   // Daemons of different environments that share a log must not become each other's candidates.
   result.stream = Concat("members.", settings.environment);
   result.join_spread = settings.join_spread;
+  result.settled_read_pause = settings.member_read_pause;
   return result;
 }
 
--- a/src/node/runtime_settings.h
+++ b/src/node/runtime_settings.h
@@ -28,6 +28,8 @@
   duration log_read_time = std::chrono::seconds(10);
   /// Members announce themselves within this time of their start, spread evenly.
   duration join_spread = std::chrono::seconds(5);
+  /// Pause between reads of the members' records once the process has settled.
+  duration member_read_pause = std::chrono::seconds(1);
   /// Share of an upstream's slots that is filled.
   double slot_share = 1;
   transfer_cost costs{};
