Assume no shorter service time for a request whose objective is near

Cause (RankTest.WorkThatWouldMissItsObjectiveIsNotQueued): the assumed time followed the objective of each request, so that a request with 1 ms left was assumed to take 0.25 ms and was queued. Change: the assumption only rises until service times were observed. Tests for later runs, the budget of arrivals, versioned documents and the assumption; formatting.

--- a/bench/member_crowd.cc
+++ b/bench/member_crowd.cc
@@ -99,7 +99,7 @@
     Receive();
   }
 
-  void Tick(time_point now) {
+  void Tick(time_point now) override {
     system_.Tick(now);
     system_.TakeEvents();
   }
--- a/src/admission/admission_system.cc
+++ b/src/admission/admission_system.cc
@@ -166,7 +166,7 @@
   // An owner that has just started knows no service times. Taking work for short would fill the
   // queue with requests that come too late.
   if (head.route_id != 0 && head.objective > now) {
-    classifier_.SetAssumed((head.objective - now) / kAssumedShareOfObjective);
+    classifier_.RaiseAssumed((head.objective - now) / kAssumedShareOfObjective);
   }
   // Work of a higher rank goes first; among equals, what came first.
   const auto place = std::ranges::upper_bound(entries, head.priority, {}, &queue_row::priority);
@@ -218,10 +218,10 @@
 
 void admission_system::Start(exchange_id exchange, std::size_t route, std::uint64_t route_id,
                              bool is_long, bool is_trial) {
-  running_.emplace(exchange, running_row{.route = route,
-                                         .route_id = route_id,
-                                         .is_long = is_long,
-                                         .is_trial = is_trial});
+  running_.emplace(
+      exchange,
+      running_row{
+          .route = route, .route_id = route_id, .is_long = is_long, .is_trial = is_trial});
   if (is_long) ++running_long_;
 }
 
--- a/src/admission/work_classifier.h
+++ b/src/admission/work_classifier.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -43,11 +44,10 @@
   /// Expected service time of work of the class on the route. `route_id` names a route by host.
   duration Expected(bool is_long, std::size_t route, std::uint64_t route_id = 0) const;
   duration MeanOf(bool is_long) const;
-  /// Service time assumed of short work before enough of it was observed.
-  void SetAssumed(duration assumed) { assumed_ = assumed; }
+  /// Raises the service time assumed of short work before enough of it was observed.
+  void RaiseAssumed(duration assumed) { assumed_ = std::max(assumed_, assumed); }
 
-  void Observe(bool is_long, std::size_t route, std::uint64_t route_id,
-               duration service_time);
+  void Observe(bool is_long, std::size_t route, std::uint64_t route_id, duration service_time);
 
  private:
   struct route_row {
--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -107,8 +107,8 @@
   row.log.deadline =
       std::min({request.deadline.value_or(now + route.time_limit), now + kMaxTimeLimit,
                 route.limits_caller ? now + route.time_limit : now + kMaxTimeLimit});
-  row.objective = route.objective_latency > duration(0) ? now + route.objective_latency
-                                                        : row.log.deadline;
+  row.objective =
+      route.objective_latency > duration(0) ? now + route.objective_latency : row.log.deadline;
   return row.log.deadline <= now ? error_kind::kDeadlineTooShort : error_kind::kNone;
 }
 
@@ -151,8 +151,7 @@
 void basic_entry_system<Rules>::StartAttempt(std::uint64_t sequence, time_point now) {
   for (;;) {
     call_row& row = calls_.find(sequence)->second;
-    const bool is_full =
-        !HasAttemptsLeft(row) || row.excluded.size() >= internal::kMaxExcluded;
+    const bool is_full = !HasAttemptsLeft(row) || row.excluded.size() >= internal::kMaxExcluded;
     if (is_full || row.log.deadline <= now) {
       const error_kind kind = row.last_refusal == error_kind::kNone
                                   ? error_kind::kDeadlineTooShort
@@ -298,7 +297,8 @@
 
 template <typename Rules>
 retry_budget& basic_entry_system<Rules>::BudgetOf(const std::string& service) {
-  // Services come and go with the configuration; budgets of a few seconds are soon filled again.
+  // Services come and go with the configuration; budgets of a few seconds are soon filled
+  // again.
   if (budgets_.size() >= internal::kMaxBudgets) budgets_.clear();
   return budgets_.try_emplace(service, retry_shares_).first->second;
 }
--- a/src/calls/owner_system_impl.h
+++ b/src/calls/owner_system_impl.h
@@ -65,11 +65,9 @@
       return;
     }
   }
-  rows_.insert_or_assign(id,
-                         attempt_row{.exchange = exchange,
-                                     .head = head,
-                                     .is_local = is_local,
-                                     .arrived = now});
+  rows_.insert_or_assign(
+      id,
+      attempt_row{.exchange = exchange, .head = head, .is_local = is_local, .arrived = now});
   by_exchange_[exchange] = id;
   if (IsDraining()) {
     Refuse(id, error_kind::kDraining, upstream_outcome::kNotStarted, now);
--- a/src/configuration/configuration_system.cc
+++ b/src/configuration/configuration_system.cc
@@ -285,7 +285,8 @@
   append_deadline_ = now + kAppendDeadline;
   const configuration_snapshot snapshot =
       fold_.anchored() ? fold_.head() : fold_.Recover(in_effect_);
-  log_.Append(stream_, kSnapshotKey, EncodeSnapshot(snapshot, settings_.environment), ++append_token_);
+  log_.Append(stream_, kSnapshotKey, EncodeSnapshot(snapshot, settings_.environment),
+              ++append_token_);
 }
 
 std::optional<time_point> configuration_system::SnapshotDue() const {
--- a/src/configuration/route_index.cc
+++ b/src/configuration/route_index.cc
@@ -28,8 +28,8 @@
   path = path.substr(0, path.find_first_of("?#"));
   const std::string whole = Concat(NormalHost(host), path);
   const std::size_t host_size = whole.size() - path.size();
-  for (std::size_t end = whole.rfind('/');
-       end != std::string::npos && end >= host_size; end = whole.rfind('/', end - 1)) {
+  for (std::size_t end = whole.rfind('/'); end != std::string::npos && end >= host_size;
+       end = whole.rfind('/', end - 1)) {
     const auto found = positions_.find(absl::string_view(whole).substr(0, end + 1));
     if (found != positions_.end()) return found->second;
     if (end == 0) break;
--- a/src/daemon/admin_endpoints.cc
+++ b/src/daemon/admin_endpoints.cc
@@ -82,8 +82,7 @@
   result["running"] = admission.running();
   result["queued"] = admission.queued();
   result["effective_slots"] = admission.EffectiveSlots(MonotonicNow());
-  result["open_calls"] =
-      runtime.calls().entry().open_calls();
+  result["open_calls"] = runtime.calls().entry().open_calls();
   return Json(result);
 }
 
@@ -134,11 +133,9 @@
         connections > kMaxAnnounced) {
       return BadRequest("slots and connections must be from 1 to 100000");
     }
-    runtime.OnAnnouncement({.service = service,
-                            .address = address,
-                            .slots = slots,
-                            .connections = connections},
-                           MonotonicNow());
+    runtime.OnAnnouncement(
+        {.service = service, .address = address, .slots = slots, .connections = connections},
+        MonotonicNow());
     return Json(value::object());
   } catch (const std::exception&) {
     return BadRequest("expected {\"service\", \"address\", \"slots\", \"connections\"}");
--- a/src/daemon/daemon_parts.h
+++ b/src/daemon/daemon_parts.h
@@ -18,8 +18,8 @@
 class node_runtime;
 struct settings;
 
-/// What a daemon is built from besides its settings. The defaults are the product's own; another
-/// deployment brings its log service, its documents and the names on its wire.
+/// What a daemon is built from besides its settings. The defaults are the product's own;
+/// another deployment brings its log service, its documents and the names on its wire.
 struct daemon_parts {
   http_dialect dialect;
   configuration_form form = configuration_form::kPublications;
--- a/src/daemon/parse_settings.cc
+++ b/src/daemon/parse_settings.cc
@@ -18,15 +18,15 @@
 constexpr auto kRootKeys = std::to_array<std::string_view>(
     {"environment", "region", "availability_zone", "service", "addresses", "log", "seeds",
      "membership", "admission", "routing", "stop", "logging"});
-constexpr auto kAddressKeys =
-    std::to_array<std::string_view>(
-        {"callers", "peers", "membership", "admin", "announcements", "ready"});
+constexpr auto kAddressKeys = std::to_array<std::string_view>(
+    {"callers", "peers", "membership", "admin", "announcements", "ready"});
 constexpr auto kLogKeys =
     std::to_array<std::string_view>({"address", "wait_ms", "read_pause_ms"});
-constexpr auto kMembershipKeys = std::to_array<std::string_view>({"join_spread_ms", "read_pause_ms"});
-constexpr auto kAdmissionKeys = std::to_array<std::string_view>({"slot_share", "eject_on_error_answers"});
-constexpr auto kRoutingKeys =
-    std::to_array<std::string_view>(
+constexpr auto kMembershipKeys =
+    std::to_array<std::string_view>({"join_spread_ms", "read_pause_ms"});
+constexpr auto kAdmissionKeys =
+    std::to_array<std::string_view>({"slot_share", "eject_on_error_answers"});
+constexpr auto kRoutingKeys = std::to_array<std::string_view>(
     {"zone_us_per_byte", "region_us_per_byte", "refusal_share", "arrival_share"});
 constexpr double kMaxUsPerByte = 1000;
 constexpr auto kStopKeys = std::to_array<std::string_view>({"linger_ms", "limit_ms"});
@@ -86,10 +86,10 @@
                                              kMaxUsPerByte, result.costs.between_zones_us);
     result.costs.between_regions_us = Fraction(*routing, "routing.", "region_us_per_byte", 0,
                                                kMaxUsPerByte, result.costs.between_regions_us);
-    result.retries.after_refusal = Fraction(*routing, "routing.", "refusal_share", 0, 2,
-                                            result.retries.after_refusal);
-    result.retries.after_arrival = Fraction(*routing, "routing.", "arrival_share", 0, 1,
-                                            result.retries.after_arrival);
+    result.retries.after_refusal =
+        Fraction(*routing, "routing.", "refusal_share", 0, 2, result.retries.after_refusal);
+    result.retries.after_arrival =
+        Fraction(*routing, "routing.", "arrival_share", 0, 1, result.retries.after_arrival);
     const toml::table* stop = Section(root, "stop", kEmpty);
     CheckKeys(*stop, "stop.", kStopKeys);
     result.stop_linger = Milliseconds(*stop, "stop.", "linger_ms", result.stop_linger);
--- a/src/membership/membership_system.cc
+++ b/src/membership/membership_system.cc
@@ -996,7 +996,8 @@
   // the log n reads a second from every member; with it, one read brings them all.
   const bool more = !read.records.empty() && next_offset_ < read.next;
   const bool settled = now >= started_ + settings_.settle_time;
-  next_read_ = more ? now : now + (settled ? settings_.settled_read_pause : settings_.read_pause);
+  next_read_ =
+      more ? now : now + (settled ? settings_.settled_read_pause : settings_.read_pause);
 }
 
 void membership_system::OnLogFailed(std::string_view stream, time_point now) {
--- a/src/membership/upstream_history.h
+++ b/src/membership/upstream_history.h
@@ -11,8 +11,8 @@
 
 struct upstream_announcement;
 
-/// Tells announcements of the upstream beside this daemon from late ones: of an earlier run, out
-/// of order, or of a run that has left.
+/// Tells announcements of the upstream beside this daemon from late ones: of an earlier run,
+/// out of order, or of a run that has left.
 class upstream_history {
  public:
   /// True if `announcement` is news about the current run, or the first of a later run.
--- a/src/node/decision_log.cc
+++ b/src/node/decision_log.cc
@@ -23,11 +23,10 @@
   for (const call_log_row::attempt& attempt : row.attempts) {
     const std::chrono::duration<double, std::milli> after = attempt.sent - row.received;
     const std::chrono::duration<double, std::milli> took = attempt.ended - attempt.sent;
-    absl::StrAppendFormat(&text, "%s%s:%s:%s:%.1f:%.1f", text.empty() ? "" : ",",
-                          MemberText(attempt.target.id),
-                          std::string(TargetReasonName(attempt.reason)),
-                          std::string(AnswerFor(attempt.result).name), after.count(),
-                          took.count());
+    absl::StrAppendFormat(
+        &text, "%s%s:%s:%s:%.1f:%.1f", text.empty() ? "" : ",", MemberText(attempt.target.id),
+        std::string(TargetReasonName(attempt.reason)),
+        std::string(AnswerFor(attempt.result).name), after.count(), took.count());
     const auto age = attempt.choice.chosen_hint_age();
     if (age) {
       const std::chrono::duration<double, std::milli> ms = *age;
@@ -42,9 +41,9 @@
 void decision_log::OnCallEnded(const call_log_row& row) {
   if (sink_ == nullptr) return;
   const bool is_served = row.result == error_kind::kNone && row.status < kServerError;
-  log_line line(is_served && row.attempts.size() < 2 ? log_weight::kSuccess
-                                                     : log_weight::kProblem,
-                "call", "call_ended");
+  log_line line(
+      is_served && row.attempts.size() < 2 ? log_weight::kSuccess : log_weight::kProblem,
+      "call", "call_ended");
   line.Add("request", row.request_id)
       .Add("call", FormatCallId(row.id))
       .Add("service", row.service)
--- a/src/node/route_directory_adapter.cc
+++ b/src/node/route_directory_adapter.cc
@@ -12,8 +12,8 @@
 namespace bronzeroute {
 namespace {
 
-// Multiples of the golden ratio fall evenly over 0 to 1, so that each target of a route gets its
-// share also of a few requests.
+// Multiples of the golden ratio fall evenly over 0 to 1, so that each target of a route gets
+// its share also of a few requests.
 constexpr double kGoldenRatio = 0.6180339887498949;
 // Sequences kept; a document has few routes with several targets.
 constexpr std::size_t kMaxPlaces = 1024;
--- a/src/routing/choice_summary.cc
+++ b/src/routing/choice_summary.cc
@@ -18,9 +18,7 @@
 }  // namespace
 
 choice_summary::choice_summary(const choice_explanation& from)
-    : policy_(from.policy),
-      reason_(from.reason),
-      chosen_hint_age_(from.chosen_hint_age) {
+    : policy_(from.policy), reason_(from.reason), chosen_hint_age_(from.chosen_hint_age) {
   std::vector<const explained_candidate*> kept;
   kept.reserve(from.candidates.size());
   for (const explained_candidate& each : from.candidates) kept.push_back(&each);
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -1,16 +1,15 @@
 #pragma once
 
-#include <utility>  // boost/asio/awaitable.hpp needs it and does not include it
-
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <utility>  // boost/asio/awaitable.hpp needs it and does not include it
 
 #include "src/base/time.h"
 
 namespace bronzeroute {
 
-/// Starts the one thread of the event loop: the node, all ports and all streams run on it. Later
-/// calls do nothing.
+/// Starts the one thread of the event loop: the node, all ports and all streams run on it.
+/// Later calls do nothing.
 void StartEventLoop();
 
 /// The loop's service, for timers and sockets.
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -188,7 +188,8 @@
   row_->body->Discard();
   phase_ = phase::kWatch;
   keep_alive_ = false;
-  http_answer answer = TextAnswer(AnswerFor(kind).http_status, "application/json", ErrorBody(kind, {}, 0));
+  http_answer answer =
+      TextAnswer(AnswerFor(kind).http_status, "application/json", ErrorBody(kind, {}, 0));
   answer.headers.emplace_back("Bronzeroute-Error", std::string(AnswerFor(kind).name));
   Reply(answer);
 }
@@ -222,11 +223,11 @@
   // the next answer for that body.
   if (is_head_ || answer.status == 304 || server_->closing()) keep_alive_ = false;
   message.keep_alive(keep_alive_);
-  writer_ = std::make_shared<writer>(
-      socket_, std::move(message), has_body ? answer.body : nullptr,
-      [weak = weak_from_this()](writer::end how) {
-        if (const auto self = weak.lock()) self->OnWritten(how);
-      });
+  writer_ =
+      std::make_shared<writer>(socket_, std::move(message), has_body ? answer.body : nullptr,
+                               [weak = weak_from_this()](writer::end how) {
+                                 if (const auto self = weak.lock()) self->OnWritten(how);
+                               });
   if (!has_body) writer_->SplitHead();
   writer_->Start();
 }
--- a/src/transport/http_dialect.h
+++ b/src/transport/http_dialect.h
@@ -22,8 +22,8 @@
   std::string load;
   /// Answer of an upstream: proof that it made the answer. A success without it is a failure.
   std::string seal;
-  /// The product's own fields, Bronzeroute-*, are read from callers, sent to upstreams and added
-  /// to answers.
+  /// The product's own fields, Bronzeroute-*, are read from callers, sent to upstreams and
+  /// added to answers.
   bool has_own_fields = true;
 
   /// True for a field that only a daemon may set on a request to an upstream.
--- a/src/transport/message_writer.h
+++ b/src/transport/message_writer.h
@@ -24,8 +24,7 @@
 template <bool IsRequest>
 class message_writer : public std::enable_shared_from_this<message_writer<IsRequest>> {
  public:
-  using message =
-      boost::beast::http::message<IsRequest, boost::beast::http::buffer_body>;
+  using message = boost::beast::http::message<IsRequest, boost::beast::http::buffer_body>;
   enum class end {
     kComplete,
     /// The body's pipe stopped short; the message on the wire is cut.
--- a/src/transport/upstream_attempt.cc
+++ b/src/transport/upstream_attempt.cc
@@ -99,9 +99,8 @@
   connection_ = std::make_shared<upstream_connection>(owner_->address());
   const auto address = ParseAddress(connection_->address);
   if (!address.ok()) {
-    PostToLoop([self = shared_from_this()] {
-      self->OnConnected(boost::asio::error::host_not_found);
-    });
+    PostToLoop(
+        [self = shared_from_this()] { self->OnConnected(boost::asio::error::host_not_found); });
     return;
   }
   connection_->socket.async_connect(
@@ -307,11 +306,11 @@
 void upstream_attempt::Complete() {
   const auto self = shared_from_this();
   const auto& message = connection_->reader.message().get();
-  const bool keep = message.keep_alive() && sent_ && !saw_stray_ &&
-                    connection_->reader.buffer().size() == 0;
+  const bool keep =
+      message.keep_alive() && sent_ && !saw_stray_ && connection_->reader.buffer().size() == 0;
   ++connection_->served;
-  connection_->kept_until = MonotonicNow() +
-                            KeepTime(Text(message[http::field::keep_alive])) - kKeepMargin;
+  connection_->kept_until =
+      MonotonicNow() + KeepTime(Text(message[http::field::keep_alive])) - kKeepMargin;
   if (!is_refusal_) answer_->body->End();
   if (!is_refusal_ && !head_told_) AnnounceHead();
   // The announcement may have ended in a cancellation.
@@ -326,8 +325,7 @@
 }
 
 void upstream_attempt::OnConnectionEnd(bool in_order) {
-  if (in_body_ && !is_stray_ && !is_refusal_ && in_order &&
-      connection_->reader.FinishAtEnd()) {
+  if (in_body_ && !is_stray_ && !is_refusal_ && in_order && connection_->reader.FinishAtEnd()) {
     // The rest of the last read is in the pipe already; an answer without a length is whole.
     Complete();
     return;
--- a/tests/admission/rank_test.cc
+++ b/tests/admission/rank_test.cc
@@ -53,6 +53,22 @@
   EXPECT_EQ(Offer(12, in_time).state, offer_state::kQueued);
 }
 
+// Guards against an owner that has just started, knows no service times, and fills its queue
+// with work that will come too late.
+TEST_F(RankTest, WithoutObservationsAShareOfTheObjectiveIsAssumed) {
+  const auto in = [](duration objective) {
+    attempt_head head = Ranked(1);
+    head.objective = At(objective);
+    return head;
+  };
+  for (std::uint64_t id = 1; id <= 6; ++id) Offer(id, in(milliseconds(200)));
+  std::uint64_t queued = 0;
+  while (Offer(100 + queued, in(milliseconds(200))).state == offer_state::kQueued) ++queued;
+  // Six slots turn over every 50 ms: the last one to be in time starts after 150 ms.
+  EXPECT_GE(queued, 4U);
+  EXPECT_LE(queued, 18U);
+}
+
 // Guards against an upstream that is filled up to where it slows down.
 TEST_F(RankTest, OnlyTheShareOfTheSlotsIsFilled) {
   service_spec spec = OrdersSpec();
--- a/tests/calls/entry_system_test.cc
+++ b/tests/calls/entry_system_test.cc
@@ -52,6 +52,7 @@
     return excluded.size() < 8 ? std::optional(Member(2 + excluded.size())) : std::nullopt;
   }
   void OnHint(member_target, const load_hint&, time_point) override {}
+  void OnRun(member_target owner) override { later_runs.push_back(owner); }
   void OnKeyIssued(member_target, time_point) override {}
   void OnAttemptSent(member_target, time_point) override { ++open; }
   void OnAttemptEnded(member_target, attempt_outcome, time_point) override { --open; }
@@ -67,6 +68,7 @@
     return {member_id{id}, incarnation{10 * id}};
   }
   int open = 0;
+  std::vector<member_target> later_runs;
 };
 
 class EntrySystemTest : public testing::Test {
@@ -141,6 +143,46 @@
   entry_.OnCallerRequest(Request(), kNow);
 }
 
+// Guards against calls that are refused until the members tell that an owner restarted, and
+// against a call that follows restarts without an end.
+TEST_F(EntrySystemTest, RestartedOwnersAreOfferedTheCallAsTheirLaterRun) {
+  entry_.OnCallerRequest(Request("/orders/1"), kNow);
+  for (std::uint64_t restarts = 1; restarts <= 3; ++restarts) {
+    answer_identity from = Last();
+    from.owner_run.value += restarts;
+    entry_.OnAttemptRefused(from, error_kind::kWrongIncarnation, 0, {}, kNow);
+    ASSERT_EQ(surroundings_.later_runs.size(), restarts);
+    EXPECT_EQ(surroundings_.later_runs.back().id, from.owner);
+    EXPECT_EQ(surroundings_.later_runs.back().run, from.owner_run);
+    ASSERT_EQ(sent_.size(), 1 + restarts);
+  }
+  for (int refusals = 0; refusals < 3; ++refusals) {
+    if (refusals == 2) ExpectError(error_kind::kWrongIncarnation);
+    answer_identity from = Last();
+    ++from.owner_run.value;
+    entry_.OnAttemptRefused(from, error_kind::kWrongIncarnation, 0, {}, kNow);
+  }
+  EXPECT_TRUE(entry_.IsIdle());
+}
+
+// Guards against upstreams that turn calls away and get them all again from elsewhere.
+TEST_F(EntrySystemTest, RefusalsOfUpstreamsDrawOnTheBudgetOfArrivals) {
+  entry_.SetRetryShares({.after_refusal = 1, .after_arrival = 0.1});
+  constexpr std::uint64_t kCalls = 200;
+  EXPECT_CALL(callers_, AnswerError(_, _, _, _)).Times(::testing::AnyNumber());
+  for (std::uint64_t call = 0; call < kCalls; ++call) {
+    caller_request request = Request("/orders/1");
+    request.exchange = exchange_id{100 + call};
+    entry_.OnCallerRequest(request, kNow);
+    for (std::size_t sent = 0; sent < sent_.size() && !entry_.IsIdle();) {
+      sent = sent_.size();
+      Refuse(error_kind::kUpstreamRefused);
+    }
+  }
+  EXPECT_LE(sent_.size(), kCalls + kCalls / 10);
+  EXPECT_GE(sent_.size(), kCalls + kCalls / 20);
+}
+
 // Guards against a refused call that wanders through all owners.
 TEST_F(EntrySystemTest, TriesAtMostThreeOwners) {
   const call_id id = entry_.OnCallerRequest(Request(), kNow);
--- a/tests/configuration/configuration_system_test.cc
+++ b/tests/configuration/configuration_system_test.cc
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/numbers.h"
 #include "proto/configuration.pb.h"
 #include "src/configuration/configuration_record.h"
 #include "tests/configuration/log_model.h"
@@ -281,5 +282,70 @@
   EXPECT_EQ(appends_.size(), 2U);
 }
 
+class VersionedDocumentsTest : public testing::Test {
+ protected:
+  static std::shared_ptr<const document> Read(std::string_view bytes) {
+    auto result = std::make_shared<document>();
+    if (!absl::SimpleAtoi(absl::string_view(bytes.data(), bytes.size()), &result->version)) {
+      return nullptr;
+    }
+    return result;
+  }
+  void Deliver(std::int64_t offset, std::string data) {
+    system_.OnLogRead({.stream = "config.production",
+                       .next = offset + 1,
+                       .records = {{.offset = offset, .data = std::move(data)}}},
+                      now_);
+  }
+
+  time_point now_{std::chrono::seconds(100)};
+  testing::NiceMock<mock_log> log_;
+  testing::NiceMock<mock_peers> peers_;
+  configuration_system system_{{.environment = "production",
+                                .self = kSelf,
+                                .seed = 1,
+                                .form = configuration_form::kVersionedDocuments,
+                                .read_document = Read},
+                               log_,
+                               peers_};
+};
+
+// Guards against a version that goes back, and a damaged document that takes effect.
+TEST_F(VersionedDocumentsTest, TakesTheHighestVersionFromTheLog) {
+  Deliver(0, "7");
+  EXPECT_EQ(system_.version(), 7);
+  EXPECT_EQ(system_.source(), "log");
+  Deliver(1, "5");
+  EXPECT_EQ(system_.version(), 7);
+  Deliver(2, "damaged");
+  EXPECT_EQ(system_.version(), 7);
+  Deliver(3, "12");
+  EXPECT_EQ(system_.version(), 12);
+  EXPECT_EQ(system_.in_effect().bytes, "12");
+}
+
+// Guards against a daemon that the store turns away staying behind, or being led back by a
+// peer.
+TEST_F(VersionedDocumentsTest, TakesAHigherVersionFromAPeer) {
+  Deliver(0, "7");
+  configuration_system other({.environment = "production",
+                              .self = kPeer,
+                              .seed = 2,
+                              .form = configuration_form::kVersionedDocuments,
+                              .read_document = Read},
+                             log_, peers_);
+  other.OnLogRead(
+      {.stream = "config.production", .next = 1, .records = {{.offset = 0, .data = "9"}}},
+      now_);
+  const std::string snapshot = other.SnapshotFor(7);
+  ASSERT_FALSE(snapshot.empty());
+  system_.OnSnapshot(kPeer, snapshot, now_);
+  EXPECT_EQ(system_.version(), 9);
+  EXPECT_EQ(system_.source(), "peer");
+  EXPECT_TRUE(other.SnapshotFor(9).empty());
+  Deliver(1, "8");
+  EXPECT_EQ(system_.version(), 9);
+}
+
 }  // namespace
 }  // namespace bronzeroute
--- a/tests/membership/membership_system_test.cc
+++ b/tests/membership/membership_system_test.cc
@@ -495,7 +495,8 @@
 class mock_log : public log_port {
  public:
   MOCK_METHOD(void, Append,
-              (std::string_view, std::string_view, std::string_view, std::uint64_t), (override));
+              (std::string_view, std::string_view, std::string_view, std::uint64_t),
+              (override));
   MOCK_METHOD(void, Read, (std::string_view, std::int64_t), (override));
 };
 
--- a/tests/platform/read_configuration_test.cc
+++ b/tests/platform/read_configuration_test.cc
@@ -66,7 +66,8 @@
        {std::string(), std::string("{"), std::string("[]"), Example().substr(0, 400),
         Changed("\"r7\"", "7"), Changed("\"r7\"", "\"r7x\""), Changed("\"r7\"", "\"r-7\""),
         Changed("\"safe\"", "\"odd\""), Changed("\"/lepu270/\"", "\"lepu270/\""),
-        Changed("\"/lepu270/\"", "\"/lepu270\""), Changed("\"attempts\":2", "\"attempts\":\"2\""),
+        Changed("\"/lepu270/\"", "\"/lepu270\""),
+        Changed("\"attempts\":2", "\"attempts\":\"2\""),
         Changed("\"service\":\"wuno96b\"", "\"service\":\"unknown\""),
         Changed("\"maxHeaderBytes\":16384,", "")}) {
     EXPECT_EQ(ReadConfiguration(text), nullptr) << text;
--- a/tests/process/stop_test.cc
+++ b/tests/process/stop_test.cc
@@ -130,8 +130,8 @@
       deployment::WaitFor([this] { return !deployment_.pair(kFirst).daemon->IsRunning(); }));
 }
 
-// Guards against a daemon that never ends because callers go on sending: the platform would kill
-// it in the middle of their requests.
+// Guards against a daemon that never ends because callers go on sending: the platform would
+// kill it in the middle of their requests.
 TEST_F(planned_stop, CallersThatGoOnSendingDoNotKeepDaemonRunning) {
   Deploy();
   std::atomic<bool> done = false;
--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -39,7 +39,8 @@
   caller.Send(request);
   std::string answer = caller.ReceiveUntil("\r\n\r\n");
   const std::size_t at = answer.find("Content-Length: ");
-  if (at != std::string::npos) answer += caller.ReceiveExactly(std::stoul(answer.substr(at + 16)));
+  if (at != std::string::npos)
+    answer += caller.ReceiveExactly(std::stoul(answer.substr(at + 16)));
   return answer;
 }
 
@@ -81,9 +82,8 @@
 
 // Guards against an answer that the upstream says it did not run being passed on as its own.
 TEST_F(DialectTest, StatementsOfNotHavingRunAreRefusals) {
-  for (const std::string& refusal :
-       {Answer("503 Service Unavailable", "X-Not-Run: 1\r\n", ""),
-        Answer("421 Misdirected Request", "X-Id: 1\r\n", "no")}) {
+  for (const std::string& refusal : {Answer("503 Service Unavailable", "X-Not-Run: 1\r\n", ""),
+                                     Answer("421 Misdirected Request", "X-Id: 1\r\n", "no")}) {
     raw_upstream upstream([&](raw_socket& peer) {
       peer.ReceiveUntil("\r\n\r\n");
       peer.Send(refusal);
@@ -157,8 +157,8 @@
   EXPECT_EQ(connections, 2);
 }
 
-// Guards against an upstream that works on for a caller that has left: its silence must not hide
-// that the connection was closed.
+// Guards against an upstream that works on for a caller that has left: its silence must not
+// hide that the connection was closed.
 TEST_F(DialectTest, CallerThatLeavesASilentUpstreamIsNoticed) {
   std::atomic<bool> asked = false;
   std::atomic<bool> ended = false;
--- a/tests/transport/resend_test.cc
+++ b/tests/transport/resend_test.cc
@@ -43,8 +43,8 @@
   return caller.ReceiveAll();
 }
 
-// Guards against a repeatable request that is lost with a kept connection, is sent more than once
-// again, or is sent again without its body.
+// Guards against a repeatable request that is lost with a kept connection, is sent more than
+// once again, or is sent again without its body.
 TEST(Resend, RepeatableRequestIsSentOnceMoreAfterAKeptConnectionEnds) {
   for (const std::string body : {"", "body"}) {
     closing_upstream upstream;
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -21,7 +21,7 @@
   local headers
   headers=$(grep -oE '"[^"]+\.h"' "$file" | tr -d '"' || true)
   key=$({ cat .clang-tidy "$file"; clang++ -std=c++20 -fsyntax-only -I. -Iinclude -MM "$file" 2>/dev/null |
-    tr ' \\' '\n\n' | grep -E '^(src|include|standins|bench|tests|proto)/' | sort -u | xargs -r cat; echo "$headers"; } | sha256sum | cut -d' ' -f1)
+    tr ' \\' '\n\n' | grep -E '^(src|include|platform|standins|bench|tests|proto)/' | sort -u | xargs -r cat; echo "$headers"; } | sha256sum | cut -d' ' -f1)
   [ -e "$cache/$key" ] && return 0
   if clang-tidy -p "$build" --quiet --extra-arg=-Wno-unknown-warning-option "$file" 2>"$cache/err.$$"; then
     touch "$cache/$key"
