--- a/src/logging/log_line.h
+++ b/src/logging/log_line.h
@@ -20,10 +20,12 @@
 
   log_line& Add(std::string_view key, std::string_view value);
   log_line& Add(std::string_view key, const char* value) {
-    return Add(key, std::string_view(value));
+    const std::string_view view = value;
+    return Add(key, view);
   }
   log_line& Add(std::string_view key, const std::string& value) {
-    return Add(key, std::string_view(value));
+    const std::string_view view = value;
+    return Add(key, view);
   }
   log_line& Add(std::string_view key, bool value) { return Add(key, value ? "yes" : "no"); }
   template <std::integral Number>
