--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/match.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/write.hpp>
@@ -26,6 +27,8 @@
 // Time for which the rest of a body is read and dropped after an early answer, so that the
 // client reads the answer instead of a reset.
 constexpr auto kDropTime = std::chrono::seconds(2);
+// Time for a request on its way when idle connections are to be closed.
+constexpr auto kLastRequestTime = std::chrono::milliseconds(200);
 // Bytes that a client may send ahead of its next request before reading stops.
 constexpr std::size_t kAheadBytes = std::size_t{64} * 1024;
 constexpr unsigned kHttp11 = 11;
@@ -283,7 +286,9 @@
 void http_connection::CloseWhenIdle() {
   close_when_idle_ = true;
   keep_alive_ = false;
-  if (phase_ == phase::kIdle) Close();
+  // A request may be on its way, above all on a connection that was accepted just now.
+  if (phase_ == phase::kIdle)
+    deadline_ = std::min(deadline_, MonotonicNow() + kLastRequestTime);
 }
 
 void http_connection::Abandon() {
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -31,7 +31,7 @@
   void Tick(time_point now);
   /// No request is being handled.
   bool IsIdle() const { return row_ == nullptr; }
-  /// Closes the connection if it waits for a request, otherwise after its answer.
+  /// Closes the connection after its answer, or shortly if it waits for a request.
   void CloseWhenIdle();
 
  private:
