--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -39,8 +39,9 @@
   caller.Send(request);
   std::string answer = caller.ReceiveUntil("\r\n\r\n");
   const std::size_t at = answer.find("Content-Length: ");
-  if (at != std::string::npos)
+  if (at != std::string::npos) {
     answer += caller.ReceiveExactly(std::stoul(answer.substr(at + 16)));
+  }
   return answer;
 }
 
