--- a/tests/process/stop_test.cc
+++ b/tests/process/stop_test.cc
@@ -135,8 +135,10 @@
 TEST_F(planned_stop, CallersThatGoOnSendingDoNotKeepDaemonRunning) {
   Deploy();
   std::atomic<bool> done = false;
+  constexpr int kCallers = 8;
   std::vector<std::thread> callers;
-  for (int caller = 0; caller < 8; ++caller) {
+  callers.reserve(kCallers);
+  for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&] {
       while (!done) {
         const raw_response response =
