Weigh the way to another upstream against the longer work of a slow one

Change: the entry tells the owner what the way to its next best owner costs more (round trip and bytes); the owner declines only if the work takes longer here by more than that.

--- a/src/admission/admission_system.cc
+++ b/src/admission/admission_system.cc
@@ -16,8 +16,7 @@
 // Keeps a product such as 5 * 0.8 from falling below the whole number that it is.
 constexpr double kSlotRounding = 1e-9;
 
-// Pace in percent from which an offer to another owner, even in another region at 24 ms, costs
-// less than the longer work.
+// Pace in percent from which an offer to another owner is weighed.
 constexpr std::uint32_t kSlowPace = 200;
 // A pace that an upstream told changes many times a second; after this it says nothing.
 constexpr duration kPaceKept = std::chrono::milliseconds(150);
@@ -98,6 +97,13 @@
 
 bool admission_system::IsSlow(time_point now) const { return Pace(now) >= kSlowPace; }
 
+bool admission_system::IsBetterElsewhere(const attempt_head& head, std::size_t route,
+                                         bool is_long, time_point now) const {
+  if (!head.other_cost || !IsSlow(now)) return false;
+  const duration usual = classifier_.Expected(is_long, route, head.route_id);
+  return usual * (Pace(now) - kUsualPace) / kUsualPace > *head.other_cost;
+}
+
 std::uint32_t admission_system::LongLimit(time_point now) const {
   // With a single slot in all, keeping it for short work would shut out long work for good.
   const std::uint32_t all = std::min(slots_, connections_);
@@ -159,7 +165,9 @@
   if (health_.At(now) != ejection_state::kClear) {
     return OfferTrial(exchange, head, route, is_long, now);
   }
-  if (head.may_decline && IsSlow(now)) return Refused(error_kind::kUpstreamSlow, is_long);
+  if (IsBetterElsewhere(head, route, is_long, now)) {
+    return Refused(error_kind::kUpstreamSlow, is_long);
+  }
   DropExpired(now);
   StartQueued(now);
   offer_result result = {.state = offer_state::kStarted, .is_long = is_long};
--- a/src/admission/admission_system.h
+++ b/src/admission/admission_system.h
@@ -114,6 +114,9 @@
   std::uint32_t ReservedConnections() const;
   /// Slots that work of the class can use side by side.
   std::uint32_t Parallel(bool is_long, time_point now) const;
+  /// The work takes longer here now than another owner would cost more.
+  bool IsBetterElsewhere(const attempt_head& head, std::size_t route, bool is_long,
+                         time_point now) const;
   bool MayStart(bool is_long, time_point now) const;
   /// More short work waits than the slots finish in one turn.
   bool AtCrest(time_point now) const;
--- a/src/calls/attempt_head.h
+++ b/src/calls/attempt_head.h
@@ -33,9 +33,9 @@
   std::uint64_t route_id = 0;
   /// Rank of the request, 0 for the most important.
   std::uint32_t priority = 0;
-  /// The entry can offer the call to another owner, so this one may decline while its upstream
-  /// is slow.
-  bool may_decline = false;
+  /// What an offer to another owner would cost more than this one, bytes included; nothing if
+  /// there is no other. The owner may decline while its upstream is slower than that.
+  std::optional<duration> other_cost;
   /// The caller's own id of the request, empty if the deployment has none.
   std::string request_id{};
   /// Configuration version the entry acted on.
--- a/src/calls/entry_system.h
+++ b/src/calls/entry_system.h
@@ -116,8 +116,8 @@
     member_target target;
     target_reason reason = target_reason::kChosen;
     choice_summary choice{};
-    /// Another owner could take the call.
-    bool has_alternative = false;
+    /// Extra cost of the next best owner; nothing if there is none.
+    std::optional<duration> other_cost{};
   };
 
   /// True if the call may be offered to another owner.
--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -139,16 +139,16 @@
                                .deadline = row.log.deadline};
   const auto chosen = chooser_.Choose(service, request, row.excluded, now);
   choice_summary choice;
-  bool has_alternative = false;
+  std::optional<duration> other_cost;
   if (const choice_explanation* last = chooser_.LastChoice()) {
     choice = choice_summary(*last);
-    has_alternative = last->HasAlternative();
+    other_cost = last->OtherCost();
   }
   if (!chosen) {
     row.log.failed_choice = std::move(choice);
     return error_kind::kNoUpstream;
   }
-  return chosen_target{*chosen, target_reason::kChosen, std::move(choice), has_alternative};
+  return chosen_target{*chosen, target_reason::kChosen, std::move(choice), other_cost};
 }
 
 template <typename Rules>
@@ -171,8 +171,8 @@
       return;
     }
     chosen_target& chosen = std::get<chosen_target>(pick);
-    const bool may_decline = chosen.has_alternative && row.attempts_sent + 1 < kMaxAttempts &&
-                             BudgetOf(row.log.service).MayAfterRefusal(now);
+    const bool may_decline =
+        row.attempts_sent + 1 < kMaxAttempts && BudgetOf(row.log.service).MayAfterRefusal(now);
     const attempt_head head{.id = {row.log.id, ++row.last_attempt},
                             .target = chosen.target.id,
                             .target_incarnation = chosen.target.run,
@@ -189,7 +189,7 @@
                             .objective = row.objective,
                             .route_id = row.route_id,
                             .priority = row.priority,
-                            .may_decline = may_decline,
+                            .other_cost = may_decline ? chosen.other_cost : std::nullopt,
                             .request_id = row.log.request_id,
                             .config_version = row.log.config_version};
     const bool is_local = chosen.target.id == self_.id && chosen.target.run == self_.run;
--- a/src/routing/choice_explanation.cc
+++ b/src/routing/choice_explanation.cc
@@ -61,10 +61,16 @@
 
 }  // namespace
 
-bool choice_explanation::HasAlternative() const {
-  return std::ranges::any_of(candidates, [](const explained_candidate& row) {
-    return row.fate == candidate_fate::kNotTaken;
-  });
+std::optional<duration> choice_explanation::OtherCost() const {
+  double chosen = 0;
+  std::optional<double> other;
+  for (const explained_candidate& row : candidates) {
+    const double way = row.cost.round_trip + row.cost.billed_bytes;
+    if (row.fate == candidate_fate::kChosen) chosen = way;
+    if (row.fate == candidate_fate::kNotTaken) other = std::min(other.value_or(way), way);
+  }
+  if (!other) return std::nullopt;
+  return duration(static_cast<duration::rep>(std::max(*other - chosen, 0.0)));
 }
 
 std::string choice_explanation::ToText() const {
--- a/src/routing/choice_explanation.h
+++ b/src/routing/choice_explanation.h
@@ -20,8 +20,9 @@
   /// Age of the hint on the chosen member, if there was one.
   std::optional<duration> chosen_hint_age;
 
-  /// True if a member that was not taken could take the request.
-  bool HasAlternative() const;
+  /// By how much the way to the nearest member that was not taken costs more than the way to
+  /// the chosen one, bytes included; nothing if none was left over.
+  std::optional<duration> OtherCost() const;
   /// One line for the choice and one for each candidate.
   std::string ToText() const;
 };
--- a/src/routing/choice_request.h
+++ b/src/routing/choice_request.h
@@ -13,8 +13,8 @@
   bool is_long = false;
   /// Body bytes, or nothing for a body of unknown length.
   std::optional<std::uint64_t> content_length;
-  /// Bytes of the answer as far as they can be foreseen.
-  std::uint64_t answer_bytes = 0;
+  /// Bytes of the answer, or nothing if they cannot be foreseen.
+  std::optional<std::uint64_t> answer_bytes{};
   time_point deadline;
 };
 
--- a/src/transport/peer_codec.cc
+++ b/src/transport/peer_codec.cc
@@ -81,7 +81,9 @@
   to.set_priority(head.priority);
   to.set_request_id(head.request_id);
   to.set_route_id(head.route_id);
-  to.set_may_decline(head.may_decline);
+  if (head.other_cost) {
+    to.set_other_cost_us(static_cast<std::uint64_t>(head.other_cost->count()));
+  }
   to.set_config_version(head.config_version);
   WriteHeaders(EndToEndFields(row.headers), to);
 }
@@ -108,7 +110,9 @@
   head.priority = from.priority();
   head.request_id = from.request_id();
   head.route_id = from.route_id();
-  head.may_decline = from.may_decline();
+  if (from.has_other_cost_us()) {
+    head.other_cost = duration(std::min(from.other_cost_us(), kMaxRemainingUs));
+  }
   head.config_version = from.config_version();
   row.method = head.method;
   row.path = head.path;
--- a/tests/admission/admission_system_test.cc
+++ b/tests/admission/admission_system_test.cc
@@ -60,19 +60,24 @@
 // Guards against work that runs several times as long as it would at another upstream, and
 // against refusing it where there is no other.
 TEST_F(admission_fixture, DeclinesWhileTheUpstreamIsSlowIfTheEntryHasAnother) {
+  Observe("/orders/read", milliseconds(50), 30);
   attempt_head head = Read(At(seconds(1)));
-  head.may_decline = true;
+  head.other_cost = milliseconds(3);
   system_.SetPace(400, At({}));
   EXPECT_EQ(Offer(1, head).kind, error_kind::kUpstreamSlow);
   EXPECT_EQ(Offer(2, Read(At(seconds(1)))).state, offer_state::kStarted);
+  // 150 ms more work here against 200 ms more on the way.
+  head.other_cost = milliseconds(200);
+  EXPECT_EQ(Offer(4, head).state, offer_state::kStarted);
   system_.SetPace(100, At({}));
   EXPECT_EQ(Offer(3, head).state, offer_state::kStarted);
 }
 
 // Guards against an upstream that gets no work any more, and so never says that it is fast.
 TEST_F(admission_fixture, TakesWorkAgainWhenThePaceIsOld) {
+  Observe("/orders/read", milliseconds(50), 30);
   attempt_head head = Read(At(seconds(2)));
-  head.may_decline = true;
+  head.other_cost = milliseconds(3);
   system_.SetPace(400, At({}));
   EXPECT_EQ(Offer(1, head, At(milliseconds(100))).kind, error_kind::kUpstreamSlow);
   EXPECT_EQ(Offer(1, head, At(milliseconds(200))).state, offer_state::kStarted);
