Queue within a rank by the latest start; a soak of real processes under faults

Change: within a rank the row that must start first to meet its objective goes first. Soak: tests/soak runs the daemons, upstreams and the log as processes, with kills, pauses, stops, loopback proxies that delay, cut one way, silence or reset the links to the log and to the upstreams, failing upstreams and new documents, overlapping and in series; callers keep their connections. It checks what callers were told against what upstreams ran. Left out: links between daemons have no proxy, since a daemon announces the address it binds.

--- a/src/admission/admission_system.cc
+++ b/src/admission/admission_system.cc
@@ -194,24 +194,26 @@
   if (head.route_id != 0 && head.objective > now) {
     classifier_.RaiseAssumed((head.objective - now) / kAssumedShareOfObjective);
   }
-  // Work of a higher rank goes first; among equals, what came first.
-  const auto place = std::ranges::upper_bound(entries, head.priority, {}, &queue_row::priority);
-  const auto ahead = static_cast<std::size_t>(place - entries.begin());
-  const time_point start = now + ExpectedWait(is_long, ahead, now);
   // An answer after the objective is worth little: the slot goes to work that is still in time.
   const time_point limit =
       head.objective == time_point{} ? head.deadline : std::min(head.objective, head.deadline);
-  if (start + classifier_.Expected(is_long, route, head.route_id) >= limit) {
+  const queue_row row = {
+      .exchange = exchange,
+      .route = route,
+      .route_id = head.route_id,
+      .priority = head.priority,
+      .latest_start = limit - classifier_.Expected(is_long, route, head.route_id),
+      .deadline = head.deadline};
+  const auto place = [&] {
+    return std::ranges::upper_bound(entries, row.Order(), {}, &queue_row::Order);
+  };
+  const auto ahead = static_cast<std::size_t>(place() - entries.begin());
+  if (now + ExpectedWait(is_long, ahead, now) >= row.latest_start) {
     return error_kind::kDeadlineTooShort;
   }
   if (full && !MakeRoom(head.deadline)) return error_kind::kOverloaded;
-  // The queue may have changed.
-  const auto at = std::ranges::upper_bound(entries, head.priority, {}, &queue_row::priority);
-  entries.insert(at, {.exchange = exchange,
-                      .route = route,
-                      .route_id = head.route_id,
-                      .priority = head.priority,
-                      .deadline = head.deadline});
+  // Making room may have changed the queue.
+  entries.insert(place(), row);
   return error_kind::kNone;
 }
 
--- a/src/admission/admission_system.h
+++ b/src/admission/admission_system.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -96,7 +97,12 @@
     std::size_t route = 0;
     std::uint64_t route_id = 0;
     std::uint32_t priority = 0;
+    /// Start from which the answer is expected to come too late.
+    time_point latest_start;
     time_point deadline;
+
+    /// Higher ranks go first; within a rank, what has to start first.
+    std::pair<std::uint32_t, time_point> Order() const { return {priority, latest_start}; }
   };
   struct notice {
     exchange_id exchange;
@@ -155,7 +161,7 @@
   ejection health_;
   absl::flat_hash_map<exchange_id, running_row> running_;
   std::uint32_t running_long_ = 0;
-  /// Short work, long work; each in order of arrival.
+  /// Short work, long work; each in the order in which it starts.
   queue queues_[2];
   std::vector<notice> notices_;
   std::uint64_t hint_sequence_ = 0;
--- a/standins/worker/main.cc
+++ b/standins/worker/main.cc
@@ -21,6 +21,7 @@
       ("listen", "own address, ip:port", cxxopts::value(worker.listen)->default_value("127.0.0.1:9000"))
       ("daemon", "admin address of the daemon beside it", cxxopts::value(worker.daemon)->default_value(""))
       ("service", "service name", cxxopts::value(worker.service)->default_value("estoque"))
+      ("announce-as", "address to announce, ip:port", cxxopts::value(worker.announced))
       ("slots", "requests at a time", cxxopts::value(worker.slots)->default_value("6"))
       ("connections", "connections at a time", cxxopts::value(worker.connections)->default_value("260"))
       ("service-us", "mean time of short work in microseconds", cxxopts::value(worker.service_us)->default_value("2000"))
--- a/standins/worker/worker_service.cc
+++ b/standins/worker/worker_service.cc
@@ -72,7 +72,8 @@
 void worker_service::Announce() {
   web::json::value body;
   body["service"] = web::json::value::string(options_->service);
-  body["address"] = web::json::value::string(options_->listen);
+  body["address"] = web::json::value::string(options_->announced.empty() ? options_->listen
+                                                                         : options_->announced);
   body["slots"] = web::json::value::number(options_->slots);
   body["connections"] = web::json::value::number(options_->connections);
   auto client = std::make_shared<web::http::client::http_client>("http://" + options_->daemon);
--- a/tests/admission/rank_test.cc
+++ b/tests/admission/rank_test.cc
@@ -38,6 +38,24 @@
   }
 }
 
+// Guards against short work that waits behind work of the same rank that can wait longer.
+TEST_F(RankTest, WithinARankTheEarliestLatestStartLeavesFirst) {
+  Observe("/orders/read", milliseconds(20), 30);
+  FillSlots();
+  attempt_head patient = Ranked(1);
+  patient.objective = At(seconds(1));
+  attempt_head urgent = Ranked(1);
+  urgent.objective = At(milliseconds(150));
+  EXPECT_EQ(Offer(11, patient).state, offer_state::kQueued);
+  EXPECT_EQ(Offer(12, patient).state, offer_state::kQueued);
+  EXPECT_EQ(Offer(13, urgent).state, offer_state::kQueued);
+  const InSequence order;
+  for (const std::uint64_t id : {13, 11, 12}) {
+    EXPECT_CALL(listener_, OnQueuedStarted(exchange_id{id}));
+  }
+  for (std::uint64_t id = 1; id <= 3; ++id) Answer(id, milliseconds(5));
+}
+
 // Guards against a slot spent on an answer that comes after it is worth anything, while other
 // work is still in time; a free slot is used all the same.
 TEST_F(RankTest, WorkThatWouldMissItsObjectiveIsNotQueued) {
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -63,6 +63,7 @@
   folder_ = name;
   next_port_ = kFirstPort + (getpid() % kPortSlots) * kPortsPerProcess;
   log_address_ = NextAddress();
+  daemon_log_address_ = log_address_;
 }
 
 deployment::~deployment() {
@@ -94,6 +95,7 @@
   added.membership = NextAddress();
   added.admin = NextAddress();
   added.upstream = NextAddress();
+  added.announced = route_upstream_ ? route_upstream_(added.upstream) : added.upstream;
   added.service = service;
   added.zone = zone;
   added.slots = slots;
@@ -111,7 +113,7 @@
   }
   settings << "[addresses]\ncallers = \"" << added.callers << "\"\npeers = \"" << added.peers
            << "\"\nmembership = \"" << added.membership << "\"\nadmin = \"" << added.admin
-           << "\"\n[log]\naddress = \"" << log_address_ << "\"\n";
+           << "\"\n[log]\naddress = \"" << daemon_log_address_ << "\"\n";
   settings.close();
   pairs_.push_back(std::move(added));
   StartWorker(index);
@@ -121,11 +123,12 @@
 
 void deployment::StartWorker(std::size_t index) {
   node_pair& pair = pairs_[index];
-  const std::vector<std::string> arguments = {"--listen",     pair.upstream,
-                                              "--daemon",     pair.admin,
-                                              "--service",    pair.service,
-                                              "--slots",      std::to_string(pair.slots),
-                                              "--service-us", std::to_string(pair.service_us)};
+  const std::vector<std::string> arguments = {"--listen",      pair.upstream,
+                                              "--announce-as", pair.announced,
+                                              "--daemon",      pair.admin,
+                                              "--service",     pair.service,
+                                              "--slots",       std::to_string(pair.slots),
+                                              "--service-us",  std::to_string(pair.service_us)};
   pair.worker =
       std::make_unique<child_process>("brstandin_worker", arguments, folder_ + "/worker.out");
 }
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -22,6 +22,8 @@
   std::string membership;
   std::string admin;
   std::string upstream;
+  /// Address that the upstream announces.
+  std::string announced;
   std::string service;
   std::string zone;
   std::int64_t slots = 0;
@@ -59,6 +61,13 @@
   void StartWorker(std::size_t index);
   /// Daemons that are added from now on get these membership addresses as `seeds`.
   void UseSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+  /// Daemons that are added from now on reach the log at `address`, for example a proxy's.
+  void RouteLogThrough(const std::string& address) { daemon_log_address_ = address; }
+  /// Upstreams that are added from now on announce what `route` makes of their address.
+  void RouteUpstreamsThrough(std::function<std::string(const std::string&)> route) {
+    route_upstream_ = std::move(route);
+  }
+  child_process& log() { return *log_; }
   node_pair& pair(std::size_t index) { return pairs_[index]; }
   std::size_t size() const { return pairs_.size(); }
 
@@ -101,6 +110,8 @@
 
   std::string folder_;
   std::string log_address_;
+  std::string daemon_log_address_;
+  std::function<std::string(const std::string&)> route_upstream_;
   std::unique_ptr<child_process> log_;
   std::vector<node_pair> pairs_;
   std::vector<std::string> seeds_;
--- /dev/null
+++ b/tests/soak/kept_caller.cc
@@ -0,0 +1,66 @@
+#include "tests/soak/kept_caller.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace bronzeroute::testing {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr unsigned kHttp11 = 11;
+// Above the longest deadline that the soak uses.
+constexpr timeval kAnswerLimit{10, 0};
+
+}  // namespace
+
+bool kept_caller::Connect() {
+  error_code error;
+  socket_ = tcp::socket(loop_);
+  buffer_.clear();
+  const auto colon = address_.rfind(':');
+  const auto port = static_cast<std::uint16_t>(std::stoi(address_.substr(colon + 1)));
+  socket_.connect({boost::asio::ip::make_address(address_.substr(0, colon)), port}, error);
+  setsockopt(socket_.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &kAnswerLimit,
+             sizeof kAnswerLimit);
+  return !error;
+}
+
+kept_answer kept_caller::Send(const std::string& method, const std::string& path,
+                              const std::string& mark, const std::string& deadline_ms) {
+  kept_answer result;
+  error_code error;
+  if (!socket_.is_open() && !Connect()) {
+    socket_.close(error);
+    return result;
+  }
+  http::request<http::string_body> request;
+  request.version(kHttp11);
+  request.method_string(method);
+  request.target(path);
+  request.set(http::field::host, "orders.example");
+  request.set("X-Mark", mark);
+  request.set("X-Echo", mark);
+  request.set("Bronzeroute-Deadline-Ms", deadline_ms);
+  if (method == "POST") request.body() = mark;
+  request.prepare_payload();
+  http::write(socket_, request, error);
+  http::response<http::string_body> response;
+  if (!error) http::read(socket_, buffer_, response, error);
+  result.complete = !error;
+  if (result.complete) {
+    result.status = static_cast<int>(response.result_int());
+    result.execution = std::string(response["Bronzeroute-Execution"]);
+    result.echo = std::string(response["X-Echo"]);
+  }
+  if (error || !response.keep_alive()) socket_.close(error);
+  return result;
+}
+
+}  // namespace bronzeroute::testing
