--- a/src/transport/peer_client.cc
+++ b/src/transport/peer_client.cc
@@ -126,6 +126,11 @@
   auto& row = peers_[peer];
   if (row == nullptr || row->address != address) {
     row = std::make_shared<peer_channels>(address);
+    return;
+  }
+  // The peer started again: what failed before says nothing about the next connection.
+  for (const auto& channel : row->channels) {
+    grpc::experimental::ChannelResetConnectionBackoff(channel.get());
   }
 }
 
