Probe quiet connections to store and upstreams; one place for socket options

Cause (docs/PROOFS.md, known risk): a waiting read at a store that fell silent was given up after 28 s; if all connections fell silent at once, no daemon had a new configuration until then.

--- a/src/transport/http_fetcher.cc
+++ b/src/transport/http_fetcher.cc
@@ -1,8 +1,6 @@
 #include "src/transport/http_fetcher.h"
 
 #include <absl/status/status.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -16,6 +14,7 @@
 
 #include "src/transport/event_loop.h"
 #include "src/transport/http_address.h"
+#include "src/transport/socket_options.h"
 
 namespace bronzeroute {
 namespace {
@@ -23,9 +22,6 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-// Unacknowledged bytes end the connection after this time, so that a service that went silent
-// is not waited for.
-constexpr unsigned kUnackedMs = 3000;
 // Time for which an idle connection is kept; services close theirs after some seconds.
 constexpr auto kKeepTime = std::chrono::seconds(4);
 constexpr unsigned kHttp11 = 11;
@@ -60,7 +56,8 @@
     while (!owner_->kept_.empty()) {
       connection_ = owner_->kept_.back();
       owner_->kept_.pop_back();
-      if (connection_->kept_until > now && IsQuiet()) {
+      if (connection_->kept_until > now && connection_->buffer.size() == 0 &&
+          IsQuiet(connection_->socket)) {
         Send();
         return;
       }
@@ -79,13 +76,6 @@
   }
 
  private:
-  bool IsQuiet() {
-    char byte = 0;
-    return connection_->buffer.size() == 0 &&
-           recv(connection_->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-           (errno == EAGAIN || errno == EWOULDBLOCK);
-  }
-
   void Connect() {
     connection_ = std::make_shared<connection>();
     const auto address = ParseAddress(owner_->address_);
@@ -101,19 +91,11 @@
             self->End(absl::UnavailableError(error.message()));
             return;
           }
-          self->SetOptions();
+          SetClientOptions(self->connection_->socket);
           self->Send();
         });
   }
 
-  void SetOptions() {
-    boost::system::error_code ignored;
-    connection_->socket.set_option(tcp::no_delay(true), ignored);
-    const unsigned limit = kUnackedMs;
-    setsockopt(connection_->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit,
-               sizeof limit);
-  }
-
   void Send() {
     sent_ = true;
     http::async_write(connection_->socket, message_,
--- a/src/transport/upstream_attempt.cc
+++ b/src/transport/upstream_attempt.cc
@@ -4,8 +4,6 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <algorithm>
 #include <boost/asio/error.hpp>
@@ -23,6 +21,7 @@
 #include "src/transport/exchange.h"
 #include "src/transport/http_address.h"
 #include "src/transport/http_dialect.h"
+#include "src/transport/socket_options.h"
 #include "src/transport/transport_events.h"
 #include "src/transport/upstream_client.h"
 #include "src/transport/upstream_connection.h"
@@ -38,8 +37,6 @@
 // Answers up to this size are passed on once they are whole, so that an answer that is cut on
 // its way can still be asked for again.
 constexpr std::uint64_t kHeldAnswerBytes = kPipeBytes / 2;
-// Unacknowledged bytes end the connection after this time; the upstream is on this machine.
-constexpr unsigned kUnackedMs = 3000;
 constexpr unsigned kHttp11 = 11;
 constexpr int kMisdirected = 421;
 // Time for which a connection is kept if the upstream does not name one.
@@ -118,11 +115,7 @@
     }
     return;
   }
-  boost::system::error_code ignored;
-  connection_->socket.set_option(tcp::no_delay(true), ignored);
-  const unsigned limit = kUnackedMs;
-  setsockopt(connection_->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit,
-             sizeof limit);
+  SetClientOptions(connection_->socket);
   Send();
 }
 
--- a/src/transport/upstream_connection.cc
+++ b/src/transport/upstream_connection.cc
@@ -1,11 +1,9 @@
 #include "src/transport/upstream_connection.h"
 
-#include <sys/socket.h>
-
-#include <cerrno>
 #include <utility>
 
 #include "src/transport/event_loop.h"
+#include "src/transport/socket_options.h"
 
 namespace bronzeroute {
 
@@ -13,10 +11,7 @@
     : address(std::move(to)), socket(LoopService()) {}
 
 bool upstream_connection::IsQuiet() {
-  if (reader.buffer().size() > 0) return false;
-  char byte = 0;
-  const ssize_t count = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return reader.buffer().size() == 0 && bronzeroute::IsQuiet(socket);
 }
 
 }  // namespace bronzeroute
