--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -366,9 +366,9 @@
     if (IsLive(row)) {
       alive.push_back(row.id);
       configuration_.OnPeerVersion(row.id, row.config_version, now);
-      peer_link& linked = linked_[row.id];
-      if (linked.address != row.peer_address || linked.run != row.run) {
-        linked = {.address = row.peer_address, .run = row.run};
+      std::string& linked = linked_[row.id];
+      if (linked != row.peer_address) {
+        linked = row.peer_address;
         links_.OpenPeer(row.id, row.peer_address);
       }
     } else if (linked_.erase(row.id) > 0) {
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -101,12 +101,6 @@
   std::size_t ServingMembers() const;
 
  private:
-  /// The run of a peer to which a link was opened, and where.
-  struct peer_link {
-    std::string address;
-    incarnation run;
-  };
-
   void ApplyConfiguration(time_point now);
   void SetObjectives(const document& current);
   void ApplyUpstream(time_point now);
@@ -148,7 +142,7 @@
   std::uint32_t applied_slots_ = 0;
   std::uint32_t applied_connections_ = 0;
   /// Peers whose channels are open.
-  absl::flat_hash_map<member_id, peer_link> linked_;
+  absl::flat_hash_map<member_id, std::string> linked_;
   time_point next_members_;
   bool members_changed_ = true;
   bool stopping_ = false;
--- a/src/node/peer_link_port.h
+++ b/src/node/peer_link_port.h
@@ -11,8 +11,7 @@
  public:
   virtual ~peer_link_port() = default;
 
-  /// Opens the channels to `peer` at `address` ("ip:port") if they are not open there. Called
-  /// again when the peer has started again: channels that wait after a failure connect at once.
+  /// Opens the channels to `peer` at `address` ("ip:port") if they are not open there.
   virtual void OpenPeer(member_id peer, std::string_view address) = 0;
   /// Closes the channels once the attempts on them are over.
   virtual void ClosePeer(member_id peer) = 0;
--- a/src/transport/peer_client.cc
+++ b/src/transport/peer_client.cc
@@ -23,6 +23,8 @@
 
 // An idle or broken channel is told to connect again this often.
 constexpr std::chrono::milliseconds kConnectPeriod(100);
+// Idle channels for long work that are told to connect in one period.
+constexpr int kLongConnectsPerPeriod = 1;
 // Bounds of the wait between two connection attempts to an unreachable peer.
 constexpr int kMinBackoffMs = 100;
 constexpr int kMaxBackoffMs = 2000;
@@ -58,8 +60,8 @@
     for (std::size_t index = 0; index < channels.size(); ++index) {
       channels[index] = OpenChannel(address);
       stubs[index] = proto::Peer::NewStub(channels[index]);
-      channels[index]->GetState(true);
     }
+    channels[0]->GetState(true);
   }
 
   std::string address;
@@ -77,8 +79,12 @@
     timer.expires_after(kConnectPeriod);
     timer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
       if (error || self->owner == nullptr) return;
+      int idle = 0;
       for (const auto& [peer, row] : self->owner->peers_) {
-        for (const auto& channel : row->channels) channel->GetState(true);
+        row->channels[0]->GetState(true);
+        // Most calls are short; after a mass restart their channels are to be ready first.
+        const bool is_idle = row->channels[1]->GetState(false) == GRPC_CHANNEL_IDLE;
+        if (!is_idle || idle++ < kLongConnectsPerPeriod) row->channels[1]->GetState(true);
       }
       self->Arm();
     });
@@ -126,11 +132,6 @@
   auto& row = peers_[peer];
   if (row == nullptr || row->address != address) {
     row = std::make_shared<peer_channels>(address);
-    return;
-  }
-  // The peer started again: what failed before says nothing about the next connection.
-  for (const auto& channel : row->channels) {
-    grpc::experimental::ChannelResetConnectionBackoff(channel.get());
   }
 }
 
