Send long work while its channel still opens

Ruled out: load alone (the channel is idle for up to 100 ms a member on any machine). Change: while the channel for short work shows that the peer is there, long work is sent, and the library holds it until its channel is open.

--- a/src/transport/peer_client.cc
+++ b/src/transport/peer_client.cc
@@ -139,8 +139,15 @@
 
 bool peer_client::IsReady(member_id peer, bool is_long) const {
   const auto found = peers_.find(peer);
-  return found != peers_.end() &&
-         found->second->channels[is_long ? 1 : 0]->GetState(false) == GRPC_CHANNEL_READY;
+  if (found == peers_.end()) return false;
+  const auto& channels = found->second->channels;
+  const bool is_reachable = channels[0]->GetState(false) == GRPC_CHANNEL_READY;
+  if (!is_long) return is_reachable;
+  // The channel for long work may still be closed while that for short work shows that the peer
+  // is there: the call opens it and waits for that.
+  const grpc_connectivity_state state = channels[1]->GetState(true);
+  return state == GRPC_CHANNEL_READY ||
+         (is_reachable && (state == GRPC_CHANNEL_IDLE || state == GRPC_CHANNEL_CONNECTING));
 }
 
 bool peer_client::SendAttempt(exchange_id exchange, const attempt_head& head) {
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -201,6 +201,31 @@
   while (silent.connections() < 2) std::this_thread::yield();
 }
 
+// Guards against long work that is refused since the channel for it, which opens later than
+// that for short work, is not open yet.
+TEST(Peer, LongWorkNeedNotWaitForItsChannel) {
+  constexpr std::uint64_t kOthers = 30;
+  raw_upstream silent([](raw_socket& peer) { peer.ReceiveAll(); });
+  test_daemon owner(2);
+  test_daemon entry(1);
+  auto& client = entry.sockets().peers().client();
+  RunOnLoop([&] {
+    for (std::uint64_t id = 0; id < kOthers; ++id) {
+      client.OpenPeer(member_id{100 + id}, silent.address());
+    }
+    client.OpenPeer(owner.id(), owner.addresses().peers);
+  });
+  bool is_short_ready = false;
+  bool is_long_ready = false;
+  while (!is_short_ready) {
+    RunOnLoop([&] {
+      is_short_ready = client.IsReady(owner.id(), false);
+      is_long_ready = client.IsReady(owner.id(), true);
+    });
+  }
+  EXPECT_TRUE(is_long_ready);
+}
+
 // Guards against a daemon that cannot get a newer configuration from a peer.
 TEST(Peer, ConfigurationIsFetched) {
   test_daemon owner(2);
