--- a/tests/soak/kept_caller.cc
+++ b/tests/soak/kept_caller.cc
@@ -52,8 +52,14 @@
   request.prepare_payload();
   http::write(socket_, request, error);
   http::response<http::string_body> response;
-  if (!error) http::read(socket_, buffer_, response, error);
+  http::response_parser<http::string_body> parser;
+  if (!error) http::read(socket_, buffer_, parser, error);
   result.complete = !error;
+  if (error) {
+    result.error = error.message() + (parser.is_header_done() ? " after " : " before ") +
+                   "the head, status " + std::to_string(parser.get().result_int());
+  }
+  response = parser.release();
   if (result.complete) {
     result.status = static_cast<int>(response.result_int());
     result.execution = std::string(response["Bronzeroute-Execution"]);
--- a/tests/soak/kept_caller.h
+++ b/tests/soak/kept_caller.h
@@ -15,6 +15,8 @@
   std::string execution;
   /// The mark that the upstream echoed.
   std::string echo;
+  /// Why there is no whole answer.
+  std::string error;
 };
 
 /// A caller that uses its connection for as long as the daemon keeps it open.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -212,9 +212,9 @@
     }
   }
   Plan();
-  const auto start = clock::now();
+  start_ = clock::now();
   for (const event& next : events_) {
-    std::this_thread::sleep_until(start + next.at);
+    std::this_thread::sleep_until(start_ + next.at);
     next.act();
     story_ += std::to_string(next.at.count()) + " ms: " + next.text + "\n";
   }
@@ -279,7 +279,11 @@
     if (ran > (request.is_protected ? 1 : kMaxRuns)) report("ran too often");
     if (!answer.complete) {
       // The connection was closed after the request had been passed on.
-      if (ran > 0 && !WasHarmed(request)) report("no answer though its entry lived");
+      if (ran > 0 && !WasHarmed(request)) {
+        report("no answer though its entry lived, " + answer.error + ", after " +
+               std::to_string((request.end - request.begin) / milliseconds(1)) + " ms, sent " +
+               std::to_string((request.begin - start_) / milliseconds(1)) + " ms in");
+      }
       continue;
     }
     if (answer.execution == "not-run" && ran != 0) report("ran though told that it did not");
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -86,6 +86,7 @@
   std::vector<std::int64_t> versions_;
   std::vector<pid_t> pids_;
   int documents_ = 0;
+  clock::time_point start_;
 };
 
 }  // namespace bronzeroute::testing
