Tell a caller of an answer that broke off before its first byte went out

An owner killed between head and body made the writer stop with nothing on the wire, and the entry closed the connection without an answer though it could still say 502. Ruled out: a lost owner before the head (told as answer_lost), a restart of the entry. Change: the writer knows whether the socket took a byte; a cut before that becomes a 502 answer_cut. Tests of a planned stop say how a missing answer ended.

--- a/src/transport/admin_server.h
+++ b/src/transport/admin_server.h
@@ -29,6 +29,8 @@
   void OnRequest(const std::shared_ptr<http_connection>& connection,
                  const std::shared_ptr<exchange>& row) override;
   void OnClientGone(const exchange& /*row*/) override {}
+  // Answers of the daemon itself are whole when they begin.
+  void OnNothingWritten(const exchange& /*row*/) override {}
   void OnAnswered(const exchange& /*row*/) override {}
 
   const http_router& router_;
--- a/src/transport/caller_server.cc
+++ b/src/transport/caller_server.cc
@@ -107,6 +107,14 @@
   if (item->announced) events_.OnCallerGone(row.id, MonotonicNow());
 }
 
+void caller_server::OnNothingWritten(const exchange& row) {
+  const auto found = rows_.find(row.id);
+  if (found == rows_.end()) return;
+  const auto item = found->second;
+  item->relayed = nullptr;
+  ReplyError(*item, {}, error_kind::kAnswerCut, 0);
+}
+
 void caller_server::OnAnswered(const exchange& row) {
   const auto found = rows_.find(row.id);
   if (found == rows_.end()) return;
--- a/src/transport/caller_server.h
+++ b/src/transport/caller_server.h
@@ -50,6 +50,7 @@
   void OnRequest(const std::shared_ptr<http_connection>& connection,
                  const std::shared_ptr<exchange>& row) override;
   void OnClientGone(const exchange& row) override;
+  void OnNothingWritten(const exchange& row) override;
   void OnAnswered(const exchange& row) override;
   void Announce(caller_exchange& row);
   void ReplaceFields(exchange& row) const;
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -241,6 +241,12 @@
     OnClientGone();
     return;
   }
+  if (how == writer::end::kCut && !writer_->wrote_any()) {
+    replied_ = false;
+    writer_ = nullptr;
+    server_->handler().OnNothingWritten(*row_);
+    return;
+  }
   if (how == writer::end::kCut && is_unframed_) {
     Cut();
     return;
--- a/src/transport/http_request_handler.h
+++ b/src/transport/http_request_handler.h
@@ -19,6 +19,9 @@
   /// The connection broke before the answer to `row` was written whole. Nothing is expected
   /// any more.
   virtual void OnClientGone(const exchange& row) = 0;
+  /// The answer to `row` broke off before any byte of it was written. Another `Reply` on its
+  /// connection is expected.
+  virtual void OnNothingWritten(const exchange& row) = 0;
   /// The answer to `row` was written whole, or was cut as asked.
   virtual void OnAnswered(const exchange& row) = 0;
 };
--- a/src/transport/message_writer.h
+++ b/src/transport/message_writer.h
@@ -61,6 +61,7 @@
     if (body_ != nullptr) body_->SetReader(nullptr);
   }
 
+  /// The socket has taken a part of the message. The head waits for the first bytes of the body.
   bool wrote_any() const { return wrote_any_; }
 
  private:
@@ -90,9 +91,9 @@
       if (count == 0 && body.more && head_written_) return;
     }
     writing_ = true;
-    wrote_any_ = true;
     const auto written = [self = this->shared_from_this()](
-                             const boost::system::error_code& error, std::size_t /*count*/) {
+                             const boost::system::error_code& error, std::size_t count) {
+      self->wrote_any_ = self->wrote_any_ || count > 0;
       self->OnWritten(error);
     };
     if (head_only_) {
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -86,6 +86,7 @@
     });
   }
   void OnClientGone(const exchange& /*row*/) override {}
+  void OnNothingWritten(const exchange& /*row*/) override {}
   void OnAnswered(const exchange& /*row*/) override {}
 
   static std::string Parameter(const std::string& path, const std::string& name) {
--- a/tests/process/raw_http.cc
+++ b/tests/process/raw_http.cc
@@ -9,8 +9,10 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <cerrno>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <sstream>
 #include <string_view>
 #include <vector>
@@ -58,6 +60,7 @@
   connection& operator=(const connection&) = delete;
 
   bool is_open() const { return open_; }
+  std::string_view error() const { return error_; }
 
   bool Write(std::string_view bytes) const {
     while (!bytes.empty()) {
@@ -74,6 +77,7 @@
   std::string_view Read(std::size_t limit) {
     if (begin_ == end_) {
       const ssize_t count = recv(fd_, block_.data(), block_.size(), 0);
+      if (count < 0) error_ = std::strerror(errno);
       begin_ = 0;
       end_ = count > 0 ? static_cast<std::size_t>(count) : 0;
     }
@@ -103,6 +107,7 @@
  private:
   int fd_;
   bool open_ = false;
+  std::string error_ = "end of the connection";
   std::vector<char> block_ = std::vector<char>(kBlock);
   std::size_t begin_ = 0;
   std::size_t end_ = 0;
@@ -203,6 +208,10 @@
                                    response, received);
     }
   }
+  if (!response.complete) {
+    response.error = (response.status == 0 ? "before the head, " : "after the head, ") +
+                     std::string(writable ? "all sent, " : "not all sent, ") + std::string(link.error());
+  }
   response.received_hash = received.Text();
   return response;
 }
--- a/tests/process/raw_http.h
+++ b/tests/process/raw_http.h
@@ -24,6 +24,8 @@
   std::map<std::string, std::string> headers;
   /// True if the response has all bytes of its content length, or its last chunk.
   bool complete = false;
+  /// Where and why an incomplete response ended.
+  std::string error;
   std::int64_t body_bytes = 0;
   /// Digests (xxhash64, 16 hexadecimal digits) of the body sent and of the body received.
   std::string sent_hash;
--- a/tests/process/stop_test.cc
+++ b/tests/process/stop_test.cc
@@ -4,6 +4,7 @@
 #include <cpprest/http_client.h>
 
 #include <atomic>
+#include <chrono>
 #include <csignal>
 #include <cstddef>
 #include <fstream>
@@ -144,7 +145,7 @@
         const raw_response response =
             SendRaw(deployment_.pair(kFirst).callers,
                     {.method = "GET", .path = "/orders/1", .headers = {}, .body_bytes = 0});
-        EXPECT_TRUE(!response.connected || response.complete);
+        EXPECT_TRUE(!response.connected || response.complete) << response.error;
       }
     });
   }
@@ -161,12 +162,17 @@
 TEST_F(planned_stop, StoppingEntryAnswersEveryConnection) {
   Deploy();
   int calls = 0;
+  std::chrono::steady_clock::time_point stopped;
   while (deployment_.pair(kFirst).daemon->IsRunning()) {
     const raw_response response =
         SendRaw(deployment_.pair(kFirst).callers,
                 {.method = "GET", .path = "/orders/1", .headers = {}, .body_bytes = 0});
-    EXPECT_TRUE(!response.connected || response.complete) << "call " << calls;
+    EXPECT_TRUE(!response.connected || response.complete)
+        << "call " << calls << ": " << response.error << ", "
+        << (std::chrono::steady_clock::now() - stopped) / std::chrono::milliseconds(1)
+        << " ms after SIGTERM";
     if (++calls == 50) {
+      stopped = std::chrono::steady_clock::now();
       deployment_.pair(kFirst).daemon->Signal(SIGTERM);
     }
   }
