Name the later run in the refusal of an attempt for an earlier one

Tests of the calls used ports that told the later run. Ruled out: a run raised again and again. Change: a refusal carries the later run; without one the owner is left out. Peer.RefusalOfAnEarlierRunNamesTheLaterOne and EntrySystemTest.RefusalOfAnotherRunWithoutItsNumberLeavesTheOwnerOut are new.

--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -267,7 +267,9 @@
                                                  time_point now) {
   // The refusing process is a later run than the one addressed: it reports its own incarnation.
   const bool any_run = kind == error_kind::kWrongIncarnation;
-  if (FindOpen(from, any_run) == nullptr) return;
+  const attempt_row* const open = FindOpen(from, any_run);
+  if (open == nullptr) return;
+  const bool names_later_run = any_run && open->target.run != from.owner_run;
   chooser_.OnHint({from.owner, from.owner_run}, hint, now);
   const std::uint64_t sequence = from.attempt.call.sequence;
   call_row& row = calls_.find(sequence)->second;
@@ -286,8 +288,8 @@
     return;
   }
   CloseAttempt(from.attempt, attempt_outcome::kRefused, kind, now);
-  if (any_run) chooser_.OnRun({from.owner, from.owner_run});
-  if (any_run && row.key.empty() && row.later_runs < internal::kMaxLaterRuns) {
+  if (names_later_run) chooser_.OnRun({from.owner, from.owner_run});
+  if (names_later_run && row.key.empty() && row.later_runs < internal::kMaxLaterRuns) {
     // The owner restarted. Nothing speaks against its new run, and the members tell of it only
     // later: after a mass restart another owner would most likely be a later run too.
     ++row.later_runs;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -205,6 +205,7 @@
   runtime_.Tick(now);
   ApplyLimits();
   transport_.peers().server().SetConfigVersion(runtime_.configuration().version());
+  transport_.peers().server().SetSelf({self_.id, runtime_.run()});
   if (runtime_.stopping()) TickStop(now);
   events_.Tick(now);
   ScheduleTick();
--- a/src/transport/attempt_stream.cc
+++ b/src/transport/attempt_stream.cc
@@ -105,6 +105,9 @@
   owner_report report = ReportOf(incoming_);
   report.owner = head_.target;
   report.owner_run = head_.target_incarnation;
+  if (incoming_.refusal().later_run() != 0) {
+    report.owner_run = incarnation{incoming_.refusal().later_run()};
+  }
   return report;
 }
 
--- a/src/transport/message_writer.h
+++ b/src/transport/message_writer.h
@@ -61,7 +61,8 @@
     if (body_ != nullptr) body_->SetReader(nullptr);
   }
 
-  /// The socket has taken a part of the message. The head waits for the first bytes of the body.
+  /// The socket has taken a part of the message. The head waits for the first bytes of the
+  /// body.
   bool wrote_any() const { return wrote_any_; }
 
  private:
--- a/src/transport/owner_report.h
+++ b/src/transport/owner_report.h
@@ -10,7 +10,8 @@
 
 /// What an owner says about itself on a frame.
 struct owner_report {
-  /// The run that the attempt was sent to; checked on every frame.
+  /// The run that the attempt was sent to, checked on every frame; in the refusal of an attempt
+  /// that names an earlier run, the run that refuses.
   member_id owner;
   incarnation owner_run;
   std::optional<load_hint> hint;
--- a/src/transport/peer_server.h
+++ b/src/transport/peer_server.h
@@ -11,6 +11,7 @@
 
 #include "src/base/attempt_id.h"
 #include "src/base/strong_id.h"
+#include "src/calls/member_target.h"
 #include "src/transport/peer_counters.h"
 
 namespace grpc {
@@ -46,6 +47,9 @@
   /// The version that every frame to an entry carries.
   void SetConfigVersion(std::int64_t version) { config_version_ = version; }
   std::int64_t config_version() const { return config_version_; }
+  /// This process, whose run is named by refusals of attempts for an earlier one.
+  void SetSelf(const member_target& self) { self_ = self; }
+  const member_target& self() const { return self_; }
 
   /// The open attempt with this exchange, or null.
   std::shared_ptr<attempt_reactor> Find(exchange_id exchange) const;
@@ -66,6 +70,7 @@
   peer_counters& counters_;
   snapshot_source snapshot_source_;
   std::int64_t config_version_ = -1;
+  member_target self_;
   std::unique_ptr<service> service_;
   std::unique_ptr<grpc::Server> server_;
   absl::flat_hash_map<exchange_id, std::shared_ptr<attempt_reactor>> rows_;
--- a/tests/calls/entry_system_test.cc
+++ b/tests/calls/entry_system_test.cc
@@ -267,6 +267,16 @@
   Refuse(error_kind::kKeyTableFull);
 }
 
+// Guards against a call that is offered again to the run that refused it: the refusal names no
+// later run, as when another process has got the owner's address.
+TEST_F(EntrySystemTest, RefusalOfAnotherRunWithoutItsNumberLeavesTheOwnerOut) {
+  entry_.OnCallerRequest(Request(), kNow);
+  const answer_identity from = Last();
+  entry_.OnAttemptRefused(from, error_kind::kWrongIncarnation, 0, {}, kNow);
+  ASSERT_EQ(sent_.size(), 2U);
+  EXPECT_NE(sent_.back().target, from.owner);
+}
+
 // Guards against a key of a restarted home that is taken as not run.
 TEST_F(EntrySystemTest, RestartedHomeLosesItsKeys) {
   caller_request request = Request();
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -94,6 +94,26 @@
   EXPECT_NE(answer.find("\"recorded_status\":201"), std::string::npos) << answer;
 }
 
+// Guards against an entry that learns only that an owner restarted, and offers the call to the
+// run that is gone again and again.
+TEST(Peer, RefusalOfAnEarlierRunNamesTheLaterOne) {
+  test_daemon owner(2);
+  test_daemon entry(1);
+  entry.UsePeer(owner);
+  RunOnLoop([&] { owner.sockets().peers().server().SetSelf({owner.id(), incarnation{9}}); });
+  owner.on_attempt = [&](exchange_id exchange, const attempt_head& head) {
+    EXPECT_EQ(head.target_incarnation, incarnation{7});
+    owner.sockets().peers().RefuseAttempt(exchange, error_kind::kWrongIncarnation, 0, {});
+  };
+  Post(entry, "body");
+  EXPECT_EQ(entry.refused_report.owner_run, incarnation{9});
+  owner.on_attempt = [&](exchange_id exchange, const attempt_head& /*head*/) {
+    owner.sockets().peers().RefuseAttempt(exchange, error_kind::kOverloaded, 0, {});
+  };
+  Post(entry, "body");
+  EXPECT_EQ(entry.refused_report.owner_run, incarnation{7});
+}
+
 // Guards against the body of long work travelling to an owner that has not admitted it.
 TEST(Peer, LongBodyWaitsForAdmission) {
   const std::string body(200'000, 'b');
