Start work that is in time before late work; let calls of running work wait longer

Change: within the queue, work expected after its objective goes last. A request whose id continues that of one at the own upstream is a call of it (depth 1): it is refused only if its deadline is too near. Ruled out: refusing late work at once (its retry is late again).

--- a/src/admission/admission_system.cc
+++ b/src/admission/admission_system.cc
@@ -197,18 +197,23 @@
   // An answer after the objective is worth little: the slot goes to work that is still in time.
   const time_point limit =
       head.objective == time_point{} ? head.deadline : std::min(head.objective, head.deadline);
-  const queue_row row = {
-      .exchange = exchange,
-      .route = route,
-      .route_id = head.route_id,
-      .priority = head.priority,
-      .latest_start = limit - classifier_.Expected(is_long, route, head.route_id),
-      .deadline = head.deadline};
+  const duration expected = classifier_.Expected(is_long, route, head.route_id);
+  // The work that makes a call has a slot elsewhere and is lost if the call is refused: the
+  // call may wait as long as its answer can be used.
+  const time_point last_use = head.depth > 0 ? head.deadline : limit;
+  const queue_row row = {.exchange = exchange,
+                         .route = route,
+                         .route_id = head.route_id,
+                         .priority = head.priority,
+                         .latest_start = limit - expected,
+                         .useful_until = last_use - expected,
+                         .deadline = head.deadline};
   const auto place = [&] {
     return std::ranges::upper_bound(entries, row.Order(), {}, &queue_row::Order);
   };
-  const auto ahead = static_cast<std::size_t>(place() - entries.begin());
-  if (now + ExpectedWait(is_long, ahead, now) >= row.latest_start) {
+  const auto ahead = std::count_if(
+      entries.begin(), place(), [now](const queue_row& other) { return !other.IsLate(now); });
+  if (now + ExpectedWait(is_long, static_cast<std::size_t>(ahead), now) >= row.useful_until) {
     return error_kind::kDeadlineTooShort;
   }
   if (full && !MakeRoom(head.deadline)) return error_kind::kOverloaded;
@@ -347,8 +352,12 @@
 bool admission_system::StartFirst(bool is_long, time_point now) {
   queue& entries = QueueOf(is_long);
   if (entries.empty() || !MayStart(is_long, now)) return false;
-  const queue_row row = entries.front();
-  entries.pop_front();
+  // Starting what is late already would make the rest of the queue late too.
+  auto next = std::ranges::find_if(
+      entries, [now](const queue_row& waiting) { return !waiting.IsLate(now); });
+  if (next == entries.end()) next = entries.begin();
+  const queue_row row = *next;
+  entries.erase(next);
   Start(row.exchange, row.route, row.route_id, is_long, false);
   notices_.push_back({row.exchange, error_kind::kNone});
   return true;
--- a/src/admission/admission_system.h
+++ b/src/admission/admission_system.h
@@ -97,12 +97,15 @@
     std::size_t route = 0;
     std::uint64_t route_id = 0;
     std::uint32_t priority = 0;
-    /// Start from which the answer is expected to come too late.
+    /// Start from which the answer is expected after its objective.
     time_point latest_start;
+    /// Start from which other work goes first: the answer is expected to be worth little.
+    time_point useful_until;
     time_point deadline;
 
     /// Higher ranks go first; within a rank, what has to start first.
     std::pair<std::uint32_t, time_point> Order() const { return {priority, latest_start}; }
+    bool IsLate(time_point now) const { return useful_until <= now; }
   };
   struct notice {
     exchange_id exchange;
--- a/src/transport/caller_server.cc
+++ b/src/transport/caller_server.cc
@@ -58,6 +58,9 @@
   item->connection = connection;
   rows_.emplace(row->id, item);
   const error_kind kind = ParseCallerHeaders(*row, dialect_, MonotonicNow(), item->head);
+  if (!dialect_.has_own_fields && depth_of_) {
+    item->head.depth = depth_of_(item->head.request_id);
+  }
   row->depth = item->head.depth;
   if (kind != error_kind::kNone) {
     ReplyError(*item, {}, kind, 0);
--- a/src/transport/caller_server.h
+++ b/src/transport/caller_server.h
@@ -3,9 +3,12 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/status.h>
 
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "src/base/time.h"
 #include "src/calls/caller_port.h"
@@ -34,6 +37,10 @@
 
   /// On the event loop, like everything below.
   http_server& server() { return server_; }
+  /// Tells the depth of a request by its id, where callers do not state it.
+  void SetDepthSource(std::function<std::uint32_t(std::string_view)> depth_of) {
+    depth_of_ = std::move(depth_of);
+  }
   /// The service beside this daemon, which requests of its machine carry to upstreams.
   void SetCallerService(std::string_view service) { caller_service_ = service; }
 
@@ -63,6 +70,7 @@
   const http_dialect& dialect_;
   http_server server_;
   std::string caller_service_;
+  std::function<std::uint32_t(std::string_view request_id)> depth_of_;
   absl::flat_hash_map<exchange_id, std::shared_ptr<caller_exchange>> rows_;
 };
 
--- a/src/transport/transport.cc
+++ b/src/transport/transport.cc
@@ -10,7 +10,10 @@
       upstream_(exchanges_, events, dialect_),
       peers_(exchanges_, events),
       datagrams_(events),
-      admin_(admin_endpoints_) {}
+      admin_(admin_endpoints_) {
+  callers_.SetDepthSource(
+      [this](std::string_view request_id) { return upstream_.DepthOfCall(request_id); });
+}
 
 absl::Status transport::Start(const listen_addresses& addresses) {
   absl::Status status = peers_.server().Start(addresses.peers);
--- a/src/transport/upstream_attempt.cc
+++ b/src/transport/upstream_attempt.cc
@@ -75,10 +75,16 @@
       row_(std::move(row)),
       attempt_(attempt),
       deadline_(deadline),
-      fresh_connection_(fresh_connection) {}
+      fresh_connection_(fresh_connection) {
+  const std::string& name = owner.dialect().request_id;
+  const std::string* const id = name.empty() ? nullptr : FindField(row_->headers, name);
+  if (id != nullptr) request_id_ = *id;
+}
 
 exchange_id upstream_attempt::exchange_of() const { return row_->id; }
 
+std::uint32_t upstream_attempt::depth() const { return row_->depth; }
+
 void upstream_attempt::Start() {
   if (!fresh_connection_) connection_ = owner_->TakeKept();
   if (connection_ == nullptr) {
@@ -217,10 +223,9 @@
   for (const auto& field : message) {
     fields.emplace_back(Text(field.name_string()), Text(field.value()));
   }
-  if (!dialect.request_id.empty()) {
-    const std::string* const asked = FindField(row_->headers, dialect.request_id);
+  if (!request_id_.empty()) {
     const std::string* const answered = FindField(fields, dialect.request_id);
-    is_stray_ = asked != nullptr && answered != nullptr && *asked != *answered;
+    is_stray_ = answered != nullptr && *answered != request_id_;
     if (is_stray_) {
       saw_stray_ = true;
       owner_->events().OnStrayAnswer(row_->id, attempt_, MonotonicNow());
--- a/src/transport/upstream_attempt.h
+++ b/src/transport/upstream_attempt.h
@@ -2,7 +2,10 @@
 
 #include <boost/system/error_code.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <string>
+#include <string_view>
 
 #include "src/base/attempt_id.h"
 #include "src/base/time.h"
@@ -30,6 +33,9 @@
 
   const attempt_id& attempt() const { return attempt_; }
   exchange_id exchange_of() const;
+  /// The caller's id of the request; empty without one.
+  std::string_view request_id() const { return request_id_; }
+  std::uint32_t depth() const;
 
  private:
   using writer = internal::message_writer<true>;
@@ -57,6 +63,7 @@
 
   upstream_client* owner_;
   std::shared_ptr<exchange> row_;
+  std::string request_id_;
   attempt_id attempt_;
   time_point deadline_;
   bool fresh_connection_;
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -1,5 +1,7 @@
 #include "src/transport/upstream_client.h"
 
+#include <absl/strings/ascii.h>
+
 #include <cstddef>
 
 #include "src/transport/event_loop.h"
@@ -65,6 +67,17 @@
   running->Cancel();
 }
 
+std::uint32_t upstream_client::DepthOfCall(std::string_view request_id) const {
+  for (const auto& [key, attempt] : running_) {
+    const std::string_view parent = attempt->request_id();
+    const bool continues = !parent.empty() && request_id.size() > parent.size() &&
+                           request_id.starts_with(parent) &&
+                           !absl::ascii_isalnum(request_id[parent.size()]);
+    if (continues) return attempt->depth() + 1;
+  }
+  return 0;
+}
+
 void upstream_client::Tick(time_point now) {
   std::erase_if(kept_, [now](const auto& connection) { return connection->kept_until <= now; });
 }
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -2,6 +2,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -41,6 +42,10 @@
                      bool fresh_connection) override;
   void CancelUpstream(exchange_id exchange, const attempt_id& attempt) override;
 
+  /// Depth of a request from the upstream itself, made for one that runs there: its id
+  /// continues the id of that one behind a separator. 0 for any other request.
+  std::uint32_t DepthOfCall(std::string_view request_id) const;
+
   /// Closes kept connections whose time is over. Call it about every 10 ms.
   void Tick(time_point now);
 
--- a/tests/admission/rank_test.cc
+++ b/tests/admission/rank_test.cc
@@ -71,6 +71,38 @@
   EXPECT_EQ(Offer(12, in_time).state, offer_state::kQueued);
 }
 
+// Guards against a queue whose oldest work is late and goes first, so that all work behind it
+// comes late too.
+TEST_F(RankTest, WorkThatIsLateLetsOtherWorkGoFirst) {
+  Observe("/orders/read", milliseconds(20), 30);
+  FillSlots();
+  attempt_head early = Ranked(1);
+  early.objective = At(milliseconds(60));
+  ASSERT_EQ(Offer(11, early).state, offer_state::kQueued);
+  attempt_head in_time = Ranked(2);
+  in_time.objective = At(milliseconds(350));
+  ASSERT_EQ(Offer(12, in_time).state, offer_state::kQueued);
+  const InSequence order;
+  for (const std::uint64_t id : {12, 11}) {
+    EXPECT_CALL(listener_, OnQueuedStarted(exchange_id{id}));
+  }
+  for (std::uint64_t id = 1; id <= 2; ++id) {
+    Answer(id, milliseconds(5), At(milliseconds(50)));
+  }
+}
+
+// Guards against a call of running work that is refused though its answer could still be used:
+// that work would fail with it.
+TEST_F(RankTest, CallOfRunningWorkMayWaitUpToItsDeadline) {
+  for (std::uint64_t id = 1; id <= 6; ++id) Offer(id, Ranked(1));
+  attempt_head call = Ranked(1);
+  call.objective = At(milliseconds(1));
+  call.depth = 1;
+  EXPECT_EQ(Offer(11, call).state, offer_state::kQueued);
+  call.deadline = At(milliseconds(1));
+  EXPECT_EQ(Offer(12, call).kind, error_kind::kDeadlineTooShort);
+}
+
 // Guards against an owner that has just started, knows no service times, and fills its queue
 // with work that will come too late.
 TEST_F(RankTest, WithoutObservationsAShareOfTheObjectiveIsAssumed) {
--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -57,6 +57,33 @@
   test_daemon daemon_;
 };
 
+// Guards against a call that an upstream makes for a running request being taken for one of a
+// client, and the other way round.
+TEST_F(DialectTest, CallOfARunningRequestIsNested) {
+  std::string calls;
+  raw_upstream upstream([&](raw_socket& peer) {
+    const std::string head = peer.ReceiveUntil("\r\n\r\n");
+    if (head.find("X-Id: 9\r\n") != std::string::npos) {
+      for (const char* id : {"9.1", "91", "8.1", "9"}) Ask(daemon_, Request(id));
+    }
+    peer.Send(Answer("200 OK", "X-Seal: s\r\n", "ok"));
+  });
+  Use(upstream.address());
+  daemon_.on_request = [&](const caller_request& request) {
+    calls += request.request_id + " " + std::to_string(request.depth) + "\n";
+    const attempt_head head = daemon_.HeadFor(request);
+    if (calls.find('\n') + 1 == calls.size()) {
+      daemon_.sockets().upstream().StartUpstream(request.exchange, head.id, head.deadline,
+                                                 true);
+    } else {
+      daemon_.sockets().callers().AnswerError(request.exchange, {}, error_kind::kOverloaded, 0);
+    }
+  };
+  Ask(daemon_, Request("9"));
+  Ask(daemon_, Request("9.2"));
+  EXPECT_EQ(calls, "9 0\n9.1 1\n91 0\n8.1 0\n9 0\n9.2 0\n");
+}
+
 // Guards against a request that any upstream at the address would run, and against a caller
 // that names a service of its own choice.
 TEST_F(DialectTest, UpstreamLearnsWhoIsMeantAndWhoAsks) {
