--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -14,7 +14,9 @@
 constexpr std::size_t kServices = 3;
 constexpr std::chrono::seconds kFaultsFor(6);
 // Seeds that failed once, each with its cause.
-constexpr std::array<std::uint64_t, 0> kKeptSeeds{};
+// 2001 and 4011: an owner killed between the head and the body of its answer; the entry closed
+// the caller's connection without a byte.
+constexpr std::array<std::uint64_t, 2> kKeptSeeds{2001, 4011};
 
 /// A number of the environment, or `otherwise`.
 std::uint64_t Number(const char* name, std::uint64_t otherwise) {
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -46,6 +46,7 @@
     std::atomic<int> served = 0;
     std::atomic<int> open_clients = kClients;
     std::vector<std::thread> clients;
+    clients.reserve(kClients);
     for (int i = 0; i < kClients; ++i) {
       clients.emplace_back([&] {
         for (;;) {
