--- a/tests/configuration/configuration_system_test.cc
+++ b/tests/configuration/configuration_system_test.cc
@@ -324,6 +324,23 @@
   EXPECT_EQ(system_.in_effect().bytes, "12");
 }
 
+// Guards against a waiting read whose answer was lost while the store was silent: its
+// connection looks sound, so the version published after that would not be in effect within 2
+// s.
+TEST_F(VersionedDocumentsTest, SilentReadDoesNotKeepANewVersionAway) {
+  constexpr duration kApplyTime = seconds(2);
+  Deliver(0, "7");
+  int reads = 0;
+  ON_CALL(log_, Read(_, _)).WillByDefault([&](std::string_view, std::int64_t) {
+    // The first read gets no answer; the store is well again for later ones.
+    if (++reads > 1) Deliver(1, "9");
+  });
+  for (const time_point end = now_ + kApplyTime; now_ < end; now_ += milliseconds(10)) {
+    system_.Tick(now_);
+  }
+  EXPECT_EQ(system_.version(), 9);
+}
+
 // Guards against a daemon that the store turns away staying behind, or being led back by a
 // peer.
 TEST_F(VersionedDocumentsTest, TakesAHigherVersionFromAPeer) {
