Give each test deployment a range of ports of its own

Seen from the code and the times, the ids were not logged. Ruled out: nothing else; load alone would not stop a start for 30 s. Change: a lock on the range for as long as the deployment stands.

--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -2,7 +2,9 @@
 
 #include <arpa/inet.h>
 #include <cpprest/http_client.h>
+#include <fcntl.h>
 #include <netinet/in.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -61,7 +63,7 @@
     throw std::runtime_error("no temporary folder");
   }
   folder_ = name;
-  next_port_ = kFirstPort + (getpid() % kPortSlots) * kPortsPerProcess;
+  next_port_ = kFirstPort + ClaimPortSlot() * kPortsPerProcess;
   log_address_ = NextAddress();
   daemon_log_address_ = log_address_;
 }
@@ -69,9 +71,23 @@
 deployment::~deployment() {
   pairs_.clear();
   log_.reset();
+  close(port_lock_);
   std::filesystem::remove_all(folder_);
 }
 
+// Ports of a daemon that was killed look free, so a range must not be shared with another test.
+int deployment::ClaimPortSlot() {
+  for (int tries = 0; tries < kPortSlots; ++tries) {
+    const int slot = (getpid() + tries) % kPortSlots;
+    const std::string path = std::filesystem::temp_directory_path() /
+                             ("bronzeroute-test-ports-" + std::to_string(slot));
+    port_lock_ = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    if (port_lock_ >= 0 && flock(port_lock_, LOCK_EX | LOCK_NB) == 0) return slot;
+    close(port_lock_);
+  }
+  throw std::runtime_error("all ranges of ports are in use");
+}
+
 std::string deployment::NextAddress() {
   while (!IsFree(next_port_)) {
     ++next_port_;
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -105,6 +105,8 @@
   std::string Output(std::string_view name) const;
 
  private:
+  /// Number of a range of ports that no other test uses while this deployment stands.
+  int ClaimPortSlot();
   std::string NextAddress();
   std::int64_t SumOver(const std::string& table, const std::string& name);
 
@@ -116,6 +118,7 @@
   std::vector<node_pair> pairs_;
   std::vector<std::string> seeds_;
   int next_port_ = 0;
+  int port_lock_ = -1;
   int ctl_runs_ = 0;
 };
 
