Renew waiting reads of the configuration, so that a silent one cannot hide a version

Ruled out: keep-alive probes, since the connection answers them; a short wait at every daemon, since calls to the store are priced. Change: the daemons together renew a read about every 300 ms, each in its own random turn, on a new connection. A higher version told by a peer renews the read after 250 to 400 ms.

--- a/src/configuration/configuration_settings.h
+++ b/src/configuration/configuration_settings.h
@@ -26,6 +26,10 @@
   /// Time after which a read without a result counts as failed. It has to be longer than the
   /// timeout of the log client.
   duration read_timeout = std::chrono::seconds(10);
+  /// Average time between renewals of waiting reads over all daemons, for versioned documents.
+  /// A renewal finds a version that a waiting read on a silent connection does not deliver; the
+  /// other daemons then learn of it from messages.
+  duration renewal_interval = std::chrono::milliseconds(300);
 };
 
 }  // namespace bronzeroute
--- a/src/configuration/configuration_system.cc
+++ b/src/configuration/configuration_system.cc
@@ -20,6 +20,13 @@
 constexpr duration kFirstRetry = milliseconds(250);
 // With this retry interval, 540 daemons send 135 reads/s to a log that recovers from an outage.
 constexpr duration kMaxRetry = seconds(4);
+// Shortest time after which a waiting read is renewed. Half of the time in which a version has
+// to take effect is left for spreading it.
+constexpr duration kMinRenewal = seconds(1);
+// Delay before a read is renewed because a peer has a higher version. An intact read usually
+// delivers the version within this time.
+constexpr duration kRenewalGrace = milliseconds(250);
+constexpr duration kRenewalSpread = milliseconds(150);
 // Limits the read rate on a log that returns at once when there are no new records.
 constexpr duration kEmptyReadInterval = milliseconds(100);
 // Delay before a version that a peer has is fetched from it, because the log usually supplies
@@ -97,7 +104,11 @@
     fetch_at_ = now + (read_failures_ > 0 ? kFetchGraceWithoutLog : kFetchGrace) +
                 Jitter(duration(0), kFetchSpread);
   }
-  if (version > peer_version_) newer_peers_.clear();
+  if (version > peer_version_) {
+    newer_peers_.clear();
+    renew_read_at_ =
+        std::min(renew_read_at_, now + kRenewalGrace + Jitter(duration(0), kRenewalSpread));
+  }
   peer_version_ = version;
   if (newer_peers_.size() < kMaxNewerPeers &&
       std::ranges::find(newer_peers_, peer) == newer_peers_.end()) {
@@ -258,12 +269,23 @@
 
 void configuration_system::TickRead(time_point now) {
   if (read_open_ && now >= read_deadline_) FailRead(now);
-  if (read_open_ || now < next_read_) return;
+  const bool is_versioned = settings_.form == configuration_form::kVersionedDocuments;
+  if (read_open_ ? is_versioned && now >= renew_read_at_ : now >= next_read_) StartRead(now);
+}
+
+void configuration_system::StartRead(time_point now) {
   read_open_ = true;
   read_deadline_ = now + settings_.read_timeout;
+  renew_read_at_ = now + RenewalDelay();
   log_.Read(stream_, NextOffset());
 }
 
+duration configuration_system::RenewalDelay() {
+  const auto members = static_cast<duration::rep>(std::max<std::size_t>(alive_.size(), 1));
+  const duration average = std::max(kMinRenewal, settings_.renewal_interval * members);
+  return Jitter(average * 3 / 4, average * 5 / 4);
+}
+
 void configuration_system::TickFetch(time_point now) {
   if (fetching_from_ && now >= fetch_deadline_) FailFetch(now);
   if (fetching_from_ || newer_peers_.empty() || now < fetch_at_) return;
--- a/src/configuration/configuration_system.h
+++ b/src/configuration/configuration_system.h
@@ -83,6 +83,9 @@
   /// Clears `newer_peers_` once their version is no longer needed.
   void DropStalePeers();
   void TickRead(time_point now);
+  void StartRead(time_point now);
+  /// When an open read is given up for a new one, while no peer has a higher version.
+  duration RenewalDelay();
   void TickFetch(time_point now);
   void TickSnapshot(time_point now);
   /// When the stream needs a new snapshot; nullopt while it needs none.
@@ -112,6 +115,7 @@
   bool read_open_ = false;
   bool has_read_ = false;
   time_point read_deadline_{};
+  time_point renew_read_at_ = time_point::max();
   time_point next_read_{};
   int read_failures_ = 0;
   /// True if the log ends before records that were read earlier.
--- a/src/platform/log_port.h
+++ b/src/platform/log_port.h
@@ -21,7 +21,8 @@
                       std::uint64_t token) = 0;
 
   /// Reads records from offset `from` on. If there is none yet, the log waits a short time for
-  /// one.
+  /// one. Replaces a read of `stream` that is still open: that one gives no result, and the new
+  /// one does not share its connection.
   virtual void Read(std::string_view stream, std::int64_t from) = 0;
 
   /// Enforces time limits, about every 10 ms.
--- a/src/transport/http_fetcher.cc
+++ b/src/transport/http_fetcher.cc
@@ -2,6 +2,7 @@
 
 #include <absl/status/status.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
@@ -37,8 +38,8 @@
 
 class http_fetcher::pending_fetch : public std::enable_shared_from_this<pending_fetch> {
  public:
-  pending_fetch(http_fetcher& owner, fetch_request request, done on_done)
-      : owner_(&owner), on_done_(std::move(on_done)), deadline_(request.deadline) {
+  pending_fetch(http_fetcher& owner, fetch_id id, fetch_request request, done on_done)
+      : owner_(&owner), id_(id), on_done_(std::move(on_done)), deadline_(request.deadline) {
     message_.method_string(request.method);
     message_.target(request.target);
     message_.version(kHttp11);
@@ -65,7 +66,9 @@
     Connect();
   }
 
+  fetch_id id() const { return id_; }
   time_point deadline() const { return deadline_; }
+  bool is_receiving() const { return response_ && response_->got_some(); }
   void GiveUp() {
     End(sent_ ? absl::DeadlineExceededError("no response before the deadline of the request")
               : absl::UnavailableError("not connected before the deadline of the request"));
@@ -150,6 +153,7 @@
   }
 
   http_fetcher* owner_;
+  fetch_id id_;
   done on_done_;
   time_point deadline_;
   http::request<http::string_body> message_;
@@ -165,11 +169,31 @@
   for (const auto& each : running_) each->Abandon();
 }
 
-void http_fetcher::Fetch(fetch_request request, done on_done) {
-  const auto fresh =
-      std::make_shared<pending_fetch>(*this, std::move(request), std::move(on_done));
+http_fetcher::fetch_id http_fetcher::Fetch(fetch_request request, done on_done) {
+  const auto fresh = std::make_shared<pending_fetch>(*this, ++last_id_, std::move(request),
+                                                     std::move(on_done));
   running_.push_back(fresh);
   fresh->Start();
+  return fresh->id();
+}
+
+bool http_fetcher::IsReceiving(fetch_id id) const {
+  const auto found = Find(id);
+  return found != nullptr && found->is_receiving();
+}
+
+void http_fetcher::Cancel(fetch_id id) {
+  const auto found = Find(id);
+  if (found == nullptr) return;
+  found->Abandon();
+  std::erase(running_, found);
+  kept_.clear();
+}
+
+std::shared_ptr<http_fetcher::pending_fetch> http_fetcher::Find(fetch_id id) const {
+  const auto found =
+      std::ranges::find_if(running_, [id](const auto& each) { return each->id() == id; });
+  return found == running_.end() ? nullptr : *found;
 }
 
 void http_fetcher::Tick(time_point now) {
--- a/src/transport/http_fetcher.h
+++ b/src/transport/http_fetcher.h
@@ -3,6 +3,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -36,6 +37,7 @@
   /// The error is kUnavailable if nothing was sent; kUnknown if the request may have taken
   /// effect; kDeadlineExceeded if it may have taken effect and its deadline passed.
   using done = std::function<void(const absl::StatusOr<fetch_response>&)>;
+  using fetch_id = std::uint64_t;
 
   /// `address` is "ip:port". A response body above `response_limit` bytes is an error.
   http_fetcher(std::string address, std::size_t response_limit);
@@ -43,8 +45,14 @@
   http_fetcher(const http_fetcher&) = delete;
   http_fetcher& operator=(const http_fetcher&) = delete;
 
-  /// `on_done` is called once, later, unless the fetcher is destroyed before.
-  void Fetch(fetch_request request, done on_done);
+  /// `on_done` is called once, later, unless the fetcher is destroyed or the fetch cancelled
+  /// before. Returns an identity for `Cancel`, never 0.
+  fetch_id Fetch(fetch_request request, done on_done);
+  /// True while the fetch runs and a part of its response has arrived.
+  bool IsReceiving(fetch_id id) const;
+  /// Ends a fetch without a result and closes its connection. Also closes the idle connections,
+  /// which may have stopped responding as well. Has no effect once the fetch has ended.
+  void Cancel(fetch_id id);
   /// Ends requests whose deadline passed. Call it about every 10 ms.
   void Tick(time_point now);
 
@@ -52,8 +60,11 @@
   class pending_fetch;
   struct connection;
 
+  std::shared_ptr<pending_fetch> Find(fetch_id id) const;
+
   std::string address_;
   std::size_t response_limit_;
+  fetch_id last_id_ = 0;
   std::vector<std::shared_ptr<pending_fetch>> running_;
   std::vector<std::shared_ptr<connection>> kept_;
 };
--- a/tests/platform/store_log_port_test.cc
+++ b/tests/platform/store_log_port_test.cc
@@ -57,6 +57,7 @@
   std::vector<log_read> reads_;
   std::vector<std::string> failures_;
   std::vector<std::int64_t> appended_;
+  int calls_ = 0;
 };
 
 // Guards against a first read that misses earlier records, and against a second read that polls
@@ -108,6 +109,28 @@
   EXPECT_EQ(reads_[1].records.size(), 2U);
 }
 
+// Guards against a waiting read that keeps new records away because its connection has gone
+// silent, and against a new read on such a connection.
+TEST_F(StoreLogPortTest, ReadReplacesAWaitingReadOnASilentConnection) {
+  RunOnLoop([&] { store_.Put("keyed.op", "config", "old"); });
+  Read(kConfiguration);
+  Await([&] { return reads_.size() == 1; });
+  RunOnLoop([&] {
+    store_.on_call = [this] { Note([&] { ++calls_; }); };
+    port_->Read(kConfiguration, 0);
+  });
+  Await([&] { return calls_ == 1; });
+  RunOnLoop([&] {
+    store_.SilenceConnections();
+    store_.Put("keyed.op", "config", "new");
+  });
+  Read(kConfiguration);
+  Await([&] { return reads_.size() == 2; });
+  ASSERT_EQ(reads_[1].records.size(), 1U);
+  EXPECT_EQ(reads_[1].records[0].data, "new");
+  EXPECT_TRUE(failures_.empty());
+}
+
 // Guards against reporting success after a refusal or a lost response.
 TEST_F(StoreLogPortTest, ReportsRefusalsAndLostResponses) {
   RunOnLoop([&] { store_.refuse_with = 429; });
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -5,9 +5,11 @@
 
 #include <charconv>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -44,6 +46,11 @@
   /// Largest number of items on one page of newest records.
   std::size_t page_items = 500;
   int calls = 0;
+  /// Called for each request.
+  std::function<void()> on_call = [] {};
+
+  /// Nothing more is sent on the connections that exist now. They stay open.
+  void SilenceConnections() { silent_ = connections_; }
 
   void Put(const std::string& topic, const std::string& key, const std::string& value) {
     std::vector<keyed_record>& records = topics_[topic].records;
@@ -76,6 +83,8 @@
   void OnRequest(const std::shared_ptr<http_connection>& connection,
                  const std::shared_ptr<exchange>& row) override {
     ++calls;
+    connections_.insert(connection);
+    on_call();
     if (row->content_length == 0) {
       Serve(connection, *row);
       return;
@@ -165,7 +174,8 @@
     return text;
   }
 
-  static void SendResponse(http_connection& connection, int status, std::string_view body) {
+  void SendResponse(http_connection& connection, int status, std::string_view body) {
+    if (silent_.contains(connection.shared_from_this())) return;
     connection.SendResponse(TextResponse(status, "application/json", body));
   }
 
@@ -173,6 +183,8 @@
   std::string address_;
   std::map<std::string, topic_state> topics_;
   std::vector<waiting_read> waiting_;
+  std::set<std::shared_ptr<http_connection>> connections_;
+  std::set<std::shared_ptr<http_connection>> silent_;
 };
 
 }  // namespace bronzeroute::platform
