--- a/src/configuration/configuration_record.cc
+++ b/src/configuration/configuration_record.cc
@@ -52,10 +52,8 @@
   return record.SerializeAsString();
 }
 
-std::shared_ptr<const document> ReadTomlDocument(std::string_view bytes) {
-  parse_result parsed = ParseDocument(bytes, "document");
-  if (!parsed.value) return nullptr;
-  return std::make_shared<const document>(*std::move(parsed.value));
+parse_result ReadTomlDocument(std::string_view bytes) {
+  return ParseDocument(bytes, "document");
 }
 
 std::optional<configuration_snapshot> DecodeSnapshot(std::string_view record,
@@ -80,8 +78,9 @@
   result.bytes = std::move(*snapshot.mutable_document());
   if (DocumentDigest(result.bytes) != result.digest) return std::nullopt;
   if (result.format == kDocumentFormat) {
-    result.parsed = read_document(result.bytes);
-    if (result.parsed == nullptr) return std::nullopt;
+    parse_result parsed = read_document(result.bytes);
+    if (!parsed.value) return std::nullopt;
+    result.parsed = std::make_shared<const document>(*std::move(parsed.value));
   }
   return result;
 }
--- a/src/configuration/configuration_system.cc
+++ b/src/configuration/configuration_system.cc
@@ -10,6 +10,7 @@
 
 #include "src/configuration/configuration_record.h"
 #include "src/configuration/parse_document.h"
+#include "src/configuration/parse_result.h"
 
 namespace bronzeroute {
 namespace {
@@ -185,23 +186,25 @@
   next_offset_ = std::max(next_offset_, read.first);
   for (const log_record& record : read.records) {
     next_offset_ = std::max(next_offset_, record.offset + 1);
-    const std::shared_ptr<const document> parsed = settings_.read_document(record.data);
+    parse_result parsed = settings_.read_document(record.data);
     folded_record result;
     result.offset = record.offset;
     result.version_before = in_effect_.version;
-    if (parsed == nullptr || parsed->version < 0) {
+    if (!parsed.value || parsed.value->version < 0) {
       result.outcome = record_outcome::kInvalidDocument;
-    } else if (parsed->version <= in_effect_.version) {
+      result.errors = std::move(parsed.errors);
+    } else if (parsed.value->version <= in_effect_.version) {
       result.outcome = record_outcome::kStaleBase;
     } else {
       result.outcome = record_outcome::kAccepted;
       from_peer_ = false;
-      in_effect_.version = parsed->version;
-      in_effect_.as_of = parsed->version;
+      result.unknown = std::move(parsed.unknown);
+      in_effect_.version = parsed.value->version;
+      in_effect_.as_of = in_effect_.version;
       in_effect_.bytes = record.data;
       in_effect_.digest = DocumentDigest(record.data);
       in_effect_.format = kDocumentFormat;
-      in_effect_.parsed = parsed;
+      in_effect_.parsed = std::make_shared<const document>(*std::move(parsed.value));
     }
     folded_records_.push_back(std::move(result));
   }
--- a/src/configuration/document_error.cc
+++ b/src/configuration/document_error.cc
@@ -5,8 +5,9 @@
 namespace bronzeroute {
 
 std::string DescribeError(const document_error& error) {
-  return Concat(error.file, ":", error.line, ": ", error.key, error.key.empty() ? "" : ": ",
-                "found ", error.found, "; allowed: ", error.allowed);
+  const std::string line = error.line == 0 ? "" : Concat(":", error.line);
+  return Concat(error.file, line, ": ", error.key, error.key.empty() ? "" : ": ", "found ",
+                error.found, "; allowed: ", error.allowed);
 }
 
 }  // namespace bronzeroute
--- a/src/configuration/document_error.h
+++ b/src/configuration/document_error.h
@@ -8,7 +8,7 @@
 /// One error in a document.
 struct document_error {
   std::string file;
-  /// Line in `file`, from 1.
+  /// Line in `file`, from 1; 0 if the format has no lines.
   std::uint32_t line = 0;
   /// Path of the key, for example "service[1].route[0].prefix"; empty for a syntax error.
   std::string key;
--- a/src/configuration/document_reader.h
+++ b/src/configuration/document_reader.h
@@ -1,17 +1,16 @@
 #pragma once
 
 #include <functional>
-#include <memory>
 #include <string_view>
 
-namespace bronzeroute {
+#include "src/configuration/parse_result.h"
 
-struct document;
+namespace bronzeroute {
 
-/// Parses the bytes of a document. Returns null if they are not a valid document.
-using document_reader = std::function<std::shared_ptr<const document>(std::string_view bytes)>;
+/// Parses the bytes of a document.
+using document_reader = std::function<parse_result(std::string_view bytes)>;
 
 /// The `document_reader` for the TOML format of `ParseDocument`.
-std::shared_ptr<const document> ReadTomlDocument(std::string_view bytes);
+parse_result ReadTomlDocument(std::string_view bytes);
 
 }  // namespace bronzeroute
--- a/src/configuration/folded_record.h
+++ b/src/configuration/folded_record.h
@@ -23,6 +23,8 @@
   std::optional<std::int64_t> trial_version;
   /// Errors in the document if the outcome is `kInvalidDocument`.
   std::vector<document_error> errors;
+  /// Values of an accepted document that this build does not know.
+  std::vector<document_error> unknown;
 };
 
 }  // namespace bronzeroute
--- a/src/configuration/parse_result.h
+++ b/src/configuration/parse_result.h
@@ -8,10 +8,12 @@
 
 namespace bronzeroute {
 
-/// Result of `ParseDocument`: either a document, or one or more errors in line order.
+/// Result of parsing a document: either a document, or one or more errors in line order.
 struct parse_result {
   std::optional<document> value;
   std::vector<document_error> errors;
+  /// Values of a valid document that this build does not know and treats in a safe way.
+  std::vector<document_error> unknown;
 };
 
 }  // namespace bronzeroute
--- a/src/node/decision_log.cc
+++ b/src/node/decision_log.cc
@@ -1,11 +1,14 @@
 #include "src/node/decision_log.h"
 
+#include <ranges>
+
 #include "absl/strings/str_format.h"
 #include "src/admission/admission_system.h"
 #include "src/base/error_response.h"
 #include "src/calls/call_id_text.h"
 #include "src/calls/call_record.h"
 #include "src/calls/owner_attempt_record.h"
+#include "src/configuration/document_error.h"
 #include "src/configuration/folded_record.h"
 #include "src/logging/log_line.h"
 #include "src/logging/log_sink.h"
@@ -15,6 +18,8 @@
 namespace {
 
 constexpr int kServerError = 500;
+// Unknown values of a document that are listed; the others are only counted.
+constexpr int kMaxListedValues = 4;
 
 std::string MemberText(member_id id) { return absl::StrFormat("%016x", id.value); }
 
@@ -107,7 +112,17 @@
   line.Add("offset", record.offset)
       .Add("version_before", record.version_before)
       .Add("verdict", RecordOutcomeName(record.outcome));
+  if (!record.errors.empty()) {
+    line.Add("errors", record.errors.size()).Add("first", DescribeError(record.errors.front()));
+  }
   sink_->Write(line);
+  if (record.unknown.empty()) return;
+  log_line unknown(log_weight::kState, "config", "unknown_values");
+  unknown.Add("offset", record.offset).Add("values", record.unknown.size());
+  for (const document_error& each : record.unknown | std::views::take(kMaxListedValues)) {
+    unknown.Add("value", DescribeError(each));
+  }
+  sink_->Write(unknown);
 }
 
 void decision_log::OnConfigurationInEffect(std::int64_t version, std::string_view source) {
