End responses that never become a response, and bound what is parsed as a whole

Cause: nothing bounded what an upstream may send before the head of the response to a request (interim responses, late responses to other requests, the body of a refusal), so an endless one was read until the deadline. The parser has no limit for a chunk header or a trailer: an endless one was stored whole, from upstreams, callers and the store, and parsed again after each read. Ruled out: heads, which have a limit already. Change: an attempt ends as incomplete after 1 MiB without a usable head; chunk headers and trailers above 16 KiB are invalid; the store's client buffers 64 KiB at most. A refusal whose body does not end counts as unknown, not as "not run".

--- a/src/transport/http_fetcher.cc
+++ b/src/transport/http_fetcher.cc
@@ -26,13 +26,15 @@
 // Time for which an idle connection is kept. Servers commonly close theirs after some seconds.
 constexpr auto kKeepTime = std::chrono::seconds(4);
 constexpr unsigned kHttp11 = 11;
+// Largest part of a response that is parsed as a whole, for example a chunk header.
+constexpr std::size_t kMaxBufferedBytes = std::size_t{64} * 1024;
 
 }  // namespace
 
 struct http_fetcher::connection {
   connection() : socket(LoopService()) {}
   tcp::socket socket;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxBufferedBytes};
   time_point kept_until;
 };
 
--- a/src/transport/message_reader.h
+++ b/src/transport/message_reader.h
@@ -17,6 +17,10 @@
 /// Maximum number of bytes per read from a socket.
 inline constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 
+/// Maximum size of a chunk header, and of the trailer after the last chunk. The parser has no
+/// limit of its own for them and needs each of them as a whole.
+inline constexpr std::size_t kMaxFramingBytes = std::size_t{16} * 1024;
+
 enum class read_step {
   /// More bytes of the socket are needed.
   kNeedsBytes,
@@ -82,7 +86,9 @@
       if (error_ == boost::beast::http::error::need_buffer) error_ = {};
       if (error_ == boost::beast::http::error::need_more) {
         error_ = {};
-        if (used == 0 && count == 0) return read_step::kNeedsBytes;
+        if (used == 0 && count == 0) {
+          return buffer_.size() > kMaxFramingBytes ? read_step::kBad : read_step::kNeedsBytes;
+        }
       }
       if (error_) return read_step::kBad;
     }
--- a/src/transport/upstream_attempt.cc
+++ b/src/transport/upstream_attempt.cc
@@ -37,6 +37,9 @@
 // Responses up to this size are relayed only once they are complete, so that a truncated one
 // can still be reported as lost and the call be retried.
 constexpr std::uint64_t kHeldResponseBytes = kPipeBytes / 2;
+// Bytes that an upstream may send before the head of the response to this request: interim
+// responses, late responses to earlier requests, and the body of a refusal.
+constexpr std::size_t kMaxUnusableBytes = std::size_t{1} << 20;
 constexpr unsigned kHttp11 = 11;
 constexpr int kMisdirected = 421;
 // Time for which an idle connection is kept if the upstream sends no Keep-Alive timeout.
@@ -186,6 +189,11 @@
     return;
   }
   received_any_ = true;
+  if (response_ == nullptr) unusable_bytes_ += count;
+  if (unusable_bytes_ > kMaxUnusableBytes) {
+    EndIncomplete();
+    return;
+  }
   connection_->reader.buffer().commit(count);
   Parse();
 }
--- a/src/transport/upstream_attempt.h
+++ b/src/transport/upstream_attempt.h
@@ -80,6 +80,8 @@
   bool is_stray_ = false;
   bool is_refusal_ = false;
   bool saw_stray_ = false;
+  /// Bytes received while no head of a response to this request was accepted.
+  std::size_t unusable_bytes_ = 0;
   bool received_any_ = false;
   bool may_resend_ = false;
   bool finished_ = false;
