Open the connection for long work to a peer with its first use

Cause: every daemon kept two gRPC connections to every other one, one of them for long bodies, which few pairs of daemons exchange. Ruled out by reading: the connection for short work cannot be opened on demand in the same way, since no attempt is sent before its channel is ready. Change: the channel for long work is created by the first long attempt or the first fetch of a configuration. It is no longer reconnected in the background.

--- a/src/transport/peer_client.cc
+++ b/src/transport/peer_client.cc
@@ -6,9 +6,9 @@
 #include <grpcpp/security/credentials.h>
 #include <grpcpp/support/channel_arguments.h>
 
-#include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include "proto/peer.grpc.pb.h"
@@ -21,10 +21,8 @@
 namespace bronzeroute {
 namespace {
 
-// Interval at which idle or broken channels are reconnected.
+// Interval at which idle or broken channels for short work are reconnected.
 constexpr std::chrono::milliseconds kConnectPeriod(100);
-// Maximum number of idle channels for long work that are reconnected per period.
-constexpr int kLongConnectsPerPeriod = 1;
 // Bounds of the wait between two connection attempts to an unreachable peer.
 constexpr int kMinBackoffMs = 100;
 constexpr int kMaxBackoffMs = 2000;
@@ -56,22 +54,33 @@
 }  // namespace
 
 struct peer_client::peer_channels {
-  explicit peer_channels(std::string_view to) : address(to) {
-    for (std::size_t index = 0; index < channels.size(); ++index) {
-      channels[index] = OpenChannel(address);
-      stubs[index] = proto::Peer::NewStub(channels[index]);
+  struct channel {
+    explicit channel(const std::string& to) : connection(OpenChannel(to)) {
+      stub = proto::Peer::NewStub(connection);
     }
-    channels[0]->GetState(true);
+    std::shared_ptr<grpc::Channel> connection;
+    std::unique_ptr<proto::Peer::Stub> stub;
+  };
+
+  explicit peer_channels(std::string_view to) : address(to), for_short(address) {
+    for_short.connection->GetState(true);
+  }
+
+  /// Opens the channel for long work with its first use, since most pairs of daemons never
+  /// exchange long work and each connection costs memory at both ends.
+  channel& ForLong() {
+    if (!for_long) for_long.emplace(address);
+    return *for_long;
   }
 
   std::string address;
-  // Index 0 is for short work, index 1 for long work.
-  std::array<std::shared_ptr<grpc::Channel>, 2> channels;
-  std::array<std::unique_ptr<proto::Peer::Stub>, 2> stubs;
+  channel for_short;
+  std::optional<channel> for_long;
 };
 
-// A timer that reconnects channels after they broke or became idle. gRPC reconnects by itself
-// only when a call is made, and no attempt is sent on a channel that is not open.
+// A timer that reconnects the channels for short work after they broke or became idle. gRPC
+// reconnects by itself only when a call is made, and no short attempt is sent on a channel that
+// is not open.
 struct peer_client::channel_reconnector
     : std::enable_shared_from_this<peer_client::channel_reconnector> {
   explicit channel_reconnector(peer_client& client) : owner(&client), timer(LoopService()) {}
@@ -80,13 +89,8 @@
     timer.expires_after(kConnectPeriod);
     timer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
       if (error || self->owner == nullptr) return;
-      int idle = 0;
       for (const auto& [peer, row] : self->owner->peers_) {
-        row->channels[0]->GetState(true);
-        // Most calls are short, so after a mass restart the channels for short work are opened
-        // first.
-        const bool is_idle = row->channels[1]->GetState(false) == GRPC_CHANNEL_IDLE;
-        if (!is_idle || idle++ < kLongConnectsPerPeriod) row->channels[1]->GetState(true);
+        row->for_short.connection->GetState(true);
       }
       self->Arm();
     });
@@ -142,12 +146,12 @@
 bool peer_client::IsReady(member_id peer, bool is_long) const {
   const auto found = peers_.find(peer);
   if (found == peers_.end()) return false;
-  const auto& channels = found->second->channels;
-  const bool is_reachable = channels[0]->GetState(false) == GRPC_CHANNEL_READY;
-  if (!is_long) return is_reachable;
+  const peer_channels& row = *found->second;
+  const bool is_reachable = row.for_short.connection->GetState(false) == GRPC_CHANNEL_READY;
+  if (!is_long || !row.for_long) return is_reachable;
   // The channel for long work may still be closed while the one for short work shows that the
   // peer is reachable. A call then opens the channel and waits until it is open.
-  const grpc_connectivity_state state = channels[1]->GetState(true);
+  const grpc_connectivity_state state = row.for_long->connection->GetState(true);
   return state == GRPC_CHANNEL_READY ||
          (is_reachable && (state == GRPC_CHANNEL_IDLE || state == GRPC_CHANNEL_CONNECTING));
 }
@@ -161,7 +165,8 @@
   auto stream = std::make_shared<attempt_stream>(*this, events_, counters_, row, head);
   attempts_.emplace(head.id, stream);
   ++counters_.attempts_sent;
-  stream->Start(*peers_[head.target]->stubs[head.is_long ? 1 : 0]);
+  peer_channels& peer = *peers_[head.target];
+  stream->Start(*(head.is_long ? peer.ForLong() : peer.for_short).stub);
   return true;
 }
 
@@ -199,7 +204,7 @@
   call->channels = found->second;
   call->done = std::move(done);
   ++open_fetches_;
-  call->channels->stubs[1]->async()->FetchConfiguration(
+  call->channels->ForLong().stub->async()->FetchConfiguration(
       &call->context, &call->request, &call->reply, [this, call](const grpc::Status& status) {
         PostToLoop([this, call, status] {
           --open_fetches_;
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -5,8 +5,12 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
 #include <future>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
 
@@ -38,6 +42,44 @@
   }};
 };
 
+// Number of established connections to the port of a local `address`.
+int ConnectionsTo(const std::string& address) {
+  char port[16];
+  std::snprintf(port, sizeof port, ":%04X", std::stoi(address.substr(address.find(':') + 1)));
+  int count = 0;
+  for (const char* const path : {"/proc/net/tcp", "/proc/net/tcp6"}) {
+    std::ifstream table(path);
+    for (std::string line; std::getline(table, line);) {
+      std::istringstream fields(line);
+      std::string slot;
+      std::string local;
+      std::string remote;
+      std::string state;
+      fields >> slot >> local >> remote >> state;
+      if (local.ends_with(port) && state == "01") ++count;
+    }
+  }
+  return count;
+}
+
+// Guards against a second connection from every daemon to every other one, which takes memory
+// at both ends although few pairs exchange long work.
+TEST(Peer, OpensTheConnectionForLongWorkWithTheFirstLongCall) {
+  constexpr auto kUnprompted = std::chrono::seconds(1);
+  counting_upstream upstream(1);
+  test_daemon owner(2);
+  test_daemon entry(1);
+  owner.UseUpstream(upstream.server.address());
+  entry.UsePeer(owner);
+  EXPECT_TRUE(Post(entry, "s").ends_with("\r\n\r\n1"));
+  // Several periods of the reconnection of channels.
+  std::this_thread::sleep_for(kUnprompted);
+  EXPECT_EQ(ConnectionsTo(owner.addresses().peers), 1);
+  entry.is_long = true;
+  EXPECT_TRUE(Post(entry, "l").ends_with("\r\n\r\n1"));
+  EXPECT_EQ(ConnectionsTo(owner.addresses().peers), 2);
+}
+
 // Guards against a short call that, after a refusal, is sent to the next owner without its
 // body.
 TEST(Peer, ResendsBodyToNextOwnerAfterRefusal) {
