--- a/src/node/decision_log.cc
+++ b/src/node/decision_log.cc
@@ -1,6 +1,7 @@
 #include "src/node/decision_log.h"
 
-#include <ranges>
+#include <algorithm>
+#include <span>
 
 #include "absl/strings/str_format.h"
 #include "src/admission/admission_system.h"
@@ -19,7 +20,7 @@
 
 constexpr int kServerError = 500;
 // Unknown values of a document that are listed; the others are only counted.
-constexpr int kMaxListedValues = 4;
+constexpr std::size_t kMaxListedValues = 4;
 
 std::string MemberText(member_id id) { return absl::StrFormat("%016x", id.value); }
 
@@ -119,7 +120,8 @@
   if (record.unknown.empty()) return;
   log_line unknown(log_weight::kState, "config", "unknown_values");
   unknown.Add("offset", record.offset).Add("values", record.unknown.size());
-  for (const document_error& each : record.unknown | std::views::take(kMaxListedValues)) {
+  const std::size_t listed = std::min(record.unknown.size(), kMaxListedValues);
+  for (const document_error& each : std::span(record.unknown).first(listed)) {
     unknown.Add("value", DescribeError(each));
   }
   sink_->Write(unknown);
