Build on arm64: take xxhash from the library in configuration_system.cc

Cause: with XXH_INLINE_ALL, g++ 12.2 on arm64 loses the initialization of the array in RankDelay after it has inlined the hash, and -Werror ends the build (xxhash.h:2530, maybe-uninitialized).

Change: the define is removed from this one file, so the hash comes from the linked libxxhash, which every program links already. XXH64 has the same value on both ways. clang-format moves the include up. No flag, check, test or behaviour changes.

Ruled out: switching the warning off, and removing the define from the other four files that set it; none of them fails.

Not run: x86-64 can't be built on this machine.

--- a/src/configuration/configuration_system.cc
+++ b/src/configuration/configuration_system.cc
@@ -1,13 +1,12 @@
 #include "src/configuration/configuration_system.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 #include <chrono>
 #include <iterator>
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 #include "src/configuration/configuration_record.h"
 #include "src/configuration/parse_document.h"
 #include "src/configuration/parse_result.h"
