--- a/review/1/early_answer.cc
+++ b/review/1/early_answer.cc
@@ -15,9 +15,11 @@
 using review::milliseconds;
 using review::socket_stream;
 
-constexpr std::size_t kBodyBytes = 1'500'000;
-constexpr std::size_t kEarlyBytes = 200'000;
-constexpr std::size_t kPieceBytes = 20'000;
+// The longest upload, the time budget and the timeout of the site.
+constexpr std::size_t kBodyBytes = 360'000;
+constexpr int kBudgetMs = 1200;
+constexpr std::size_t kEarlyBytes = 100'000;
+constexpr std::size_t kPieceBytes = 10'000;
 constexpr auto kPiecePause = milliseconds(10);
 /// Bytes of each of the two chunks of an answer, 3e8 in hexadecimal digits.
 constexpr std::size_t kAnswerBytes = 1000;
@@ -83,10 +85,10 @@
     stream.Write(answer + Chunk());
     state.log.Add("worker: begins its answer to " + request.Field("attempt-id"));
     std::thread rest([&stream] {
-      review::Sleep(milliseconds(1500));
+      review::Sleep(milliseconds(600));
       stream.Write(Chunk() + "0\r\n\r\n");
     });
-    stream.SetReadLimit(milliseconds(6000));
+    stream.SetReadLimit(milliseconds(3000));
     is_complete = ReadUpload(stream, request, body);
     rest.join();
   } else {
@@ -112,13 +114,13 @@
 
 std::string RequestHead(const std::string& start, const std::string& id) {
   return start + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id +
-         "\r\nDeadline-Ms: 8000\r\n";
+         "\r\nDeadline-Ms: " + std::to_string(kBudgetMs) + "\r\n";
 }
 
 void Upload(review::record& log, const std::string& ip, const std::string& id,
             bool is_chunked) {
   const auto stream = review::Connect(ip, review::deployment::kOutbound);
-  stream->SetReadLimit(milliseconds(9000));
+  stream->SetReadLimit(milliseconds(4000));
   log.Add("client: sends upload " + id + " of " + std::to_string(kBodyBytes) + " bytes " +
           (is_chunked ? "in chunks" : "with a length"));
   stream->Write(RequestHead("POST /up/" + id, id) +
@@ -127,7 +129,7 @@
                 "\r\n\r\n");
   const std::string piece(kPieceBytes, kBodyLetter);
   for (std::size_t sent = 0; sent < kBodyBytes; sent += kPieceBytes) {
-    const std::string framed = is_chunked ? "4e20\r\n" + piece + "\r\n" : piece;
+    const std::string framed = is_chunked ? "2710\r\n" + piece + "\r\n" : piece;
     if (!stream->Write(framed)) {
       log.Add("client: the connection of " + id + " ended after " + std::to_string(sent) +
               " bytes");
@@ -146,7 +148,7 @@
 
 void LookUp(review::record& log, const std::string& ip, const std::string& id) {
   const auto stream = review::Connect(ip, review::deployment::kOutbound);
-  stream->SetReadLimit(milliseconds(9000));
+  stream->SetReadLimit(milliseconds(4000));
   log.Add("client: sends lookup " + id);
   stream->Write(RequestHead("GET /look/" + id, id) + "\r\n");
   head answer;
@@ -163,8 +165,8 @@
   if (!all.StartStore()) return 2;
   all.the_store().Put("keyed.op", "config",
                       review::Configuration(1, {"entries", "media"},
-                                            {{"/up/", "upload", "media", 9000, 2},
-                                             {"/look/", "safe", "media", 9000, 1}}));
+                                            {{"/up/", "upload", "media", kBudgetMs, 2},
+                                             {"/look/", "safe", "media", kBudgetMs, 1}}));
   const review::listener worker(
       all.at(owner).ip, review::deployment::kApp,
       [&state](const std::shared_ptr<socket_stream>& stream) { Serve(state, *stream); });
