Keep the request body when an upstream responds before it has read it

Cause: SendResponse dropped the rest of the request body for relayed responses too, and a pipe that drops bytes could look complete to the attempt that still read it. Evidence: the body ends to the byte where the response began, at one hop and at two; without the early response nothing is missing. Ruled out: the client, whose last bytes were accepted, and the frames between daemons, since the upstream's own daemon does the same.

Change: only responses of the daemon itself drop the rest; a pipe that drops bytes never reports a complete body. A successful response that is complete before the body is sent no longer ends the attempt.

EarlyResponseTest: BodyArrivesWhole* failed 8 of 8 cases on (two of them by a time limit of 15 s); 16 of 16 pass now, six runs. The two other tests of the file passed before as well.

--- a/src/transport/attempt_stream.cc
+++ b/src/transport/attempt_stream.cc
@@ -79,7 +79,7 @@
   if (writing_ || all_written_ || finished_ || !admitted_) return;
   // If the body failed, the caller disconnected; the exchange reports that and the attempt is
   // cancelled.
-  if (row_->body->Available() == 0 && !row_->body->ended()) return;
+  if (row_->body->Available() == 0 && !row_->body->AtEnd()) return;
   outgoing_.Clear();
   *outgoing_.mutable_id() = ToProto(head_.id);
   // Taking bytes makes room, and the body's writer may call this function again at once;
--- a/src/transport/byte_pipe.cc
+++ b/src/transport/byte_pipe.cc
@@ -71,7 +71,7 @@
 }
 
 bool byte_pipe::Rewind() {
-  if (!rewindable_) return !taken_;
+  if (!CanRewind()) return false;
   read_ = 0;
   return true;
 }
--- a/src/transport/byte_pipe.h
+++ b/src/transport/byte_pipe.h
@@ -32,17 +32,19 @@
   /// Reader: takes up to `max` bytes.
   std::size_t Take(char* to, std::size_t max);
   std::size_t Available() const { return data_.size() - read_; }
-  /// True once all bytes have been read and no more follow.
-  bool AtEnd() const { return ended_ && Available() == 0; }
+  /// True once all bytes have been read and no more follow. Never true after `Discard`, which
+  /// takes bytes from the body.
+  bool AtEnd() const { return ended_ && !discarding_ && Available() == 0; }
   /// True once all bytes have been read and the body was truncated.
-  bool AtFailure() const { return failed_ && Available() == 0; }
+  bool AtFailure() const { return (failed_ || discarding_) && Available() == 0; }
   bool ended() const { return ended_; }
   bool failed() const { return failed_; }
   /// Reader: goes back to the first byte; false if it is no longer kept.
   bool Rewind();
   /// True if `Rewind` would succeed.
-  bool CanRewind() const { return rewindable_ || !taken_; }
-  /// Reader: drops all bytes, including future ones, so that the writer never waits.
+  bool CanRewind() const { return !discarding_ && (rewindable_ || !taken_); }
+  /// Reader: drops all bytes, including future ones, so that the writer never waits. A reader
+  /// that goes on gets a truncated body.
   void Discard();
   /// Reader: stops reading; further `Append` calls accept no bytes.
   void Close();
--- a/src/transport/caller_server.cc
+++ b/src/transport/caller_server.cc
@@ -180,7 +180,7 @@
   }
   item->response_started = true;
   item->relayed = relayed->body;
-  item->connection->SendResponse(response);
+  item->connection->RelayResponse(response);
 }
 
 void caller_server::AbortResponse(exchange_id exchange) {
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -199,10 +199,22 @@
 
 void http_connection::SendResponse(const http_response_message& response) {
   if (closed_ || row_ == nullptr || response_started_) return;
-  response_started_ = true;
+  DropRequestBody();
+  WriteResponse(response);
+}
+
+void http_connection::RelayResponse(const http_response_message& response) {
+  if (closed_ || row_ == nullptr || response_started_) return;
+  WriteResponse(response);
+}
+
+void http_connection::DropRequestBody() {
   row_->body->Discard();
-  // The rest of the request body is read and dropped until this deadline.
   if (phase_ == phase::kBody) deadline_ = MonotonicNow() + kDropTime;
+}
+
+void http_connection::WriteResponse(const http_response_message& response) {
+  response_started_ = true;
   writer::message message;
   message.version(kHttp11);
   message.result(static_cast<unsigned>(response.status));
@@ -252,6 +264,7 @@
     return;
   }
   written_ = true;
+  if (!row_->body->discarding()) DropRequestBody();
   server_->handler().OnResponseEnded(*row_);
   if (how == writer::end::kTruncated) {
     // The client detects the truncation by the unmet Content-Length or the missing last chunk.
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -21,8 +21,12 @@
   http_connection(boost::asio::ip::tcp::socket socket, http_server& server);
 
   void Start();
-  /// Sends the response to the current request. The unread rest of the request body is dropped.
+  /// Sends a response of this process to the current request. The unread rest of the request
+  /// body is dropped.
   void SendResponse(const http_response_message& response);
+  /// Sends the response of an upstream to the current request. The upstream may still be
+  /// reading the request body, so that its rest is dropped only once the response is complete.
+  void RelayResponse(const http_response_message& response);
   /// Resets the connection, so that the client detects a partial response as truncated.
   void Abort();
   /// Closes the connection without calling the handler.
@@ -47,6 +51,9 @@
   bool ParseBody();
   void ProcessHead();
   void RejectHead();
+  void WriteResponse(const http_response_message& response);
+  /// Drops the rest of the request body, for a limited time.
+  void DropRequestBody();
   void OnClientDisconnected();
   void OnWritten(writer::end how);
   void NextRequest();
--- a/src/transport/upstream_attempt.cc
+++ b/src/transport/upstream_attempt.cc
@@ -160,8 +160,9 @@
 
 void upstream_attempt::OnSent(writer::end how) {
   if (finished_) return;
-  if (how == writer::end::kComplete) {
-    sent_ = true;
+  sent_ = how == writer::end::kComplete;
+  if (awaits_sent_) {
+    Complete();
   } else if (how == writer::end::kTruncated) {
     // The caller disconnected before its request body was complete.
     EndIncomplete();
@@ -189,11 +190,16 @@
     return;
   }
   received_any_ = true;
-  if (response_ == nullptr) unusable_bytes_ += count;
+  if (response_ == nullptr || awaits_sent_) unusable_bytes_ += count;
   if (unusable_bytes_ > kMaxUnusableBytes) {
     EndIncomplete();
     return;
   }
+  if (awaits_sent_) {
+    // Bytes after the response belong to no request.
+    Read();
+    return;
+  }
   connection_->reader.buffer().commit(count);
   Parse();
 }
@@ -297,7 +303,7 @@
         connection_->reader.Begin(kResponseHeadBytes, 0);
         return true;
       }
-      Complete();
+      OnResponseRead();
       return false;
     case internal::read_step::kBad:
       EndIncomplete();
@@ -311,14 +317,37 @@
   return false;
 }
 
+void upstream_attempt::OnResponseRead() {
+  // An upstream may respond successfully and read the rest of the request body afterwards.
+  // After a failure or a refusal it has no use for the rest.
+  if (!sent_ && response_ != nullptr && response_->status / 100 == 2) {
+    AwaitSent();
+  } else {
+    Complete();
+  }
+}
+
+void upstream_attempt::AwaitSent() {
+  awaits_sent_ = true;
+  // The caller gets the response now, but for its end: the rest of the request body is dropped
+  // once the response has ended. So a response without a body has to wait.
+  if (!head_announced_ && response_->body->Available() > 0) AnnounceHead();
+  // Detects that the upstream closes the connection.
+  if (!finished_) Read();
+}
+
 void upstream_attempt::Complete() {
   const auto self = shared_from_this();
-  const auto& message = connection_->reader.message().get();
-  const bool keep =
-      message.keep_alive() && sent_ && !saw_stray_ && connection_->reader.buffer().size() == 0;
-  ++connection_->served;
-  connection_->kept_until =
-      MonotonicNow() + KeepTime(Text(message[http::field::keep_alive])) - kKeepMargin;
+  bool keep = false;
+  // A read that is pending since the response was complete would take bytes of the next one.
+  if (connection_ != nullptr && !awaits_sent_) {
+    const auto& message = connection_->reader.message().get();
+    keep = message.keep_alive() && sent_ && !saw_stray_ &&
+           connection_->reader.buffer().size() == 0;
+    ++connection_->served;
+    connection_->kept_until =
+        MonotonicNow() + KeepTime(Text(message[http::field::keep_alive])) - kKeepMargin;
+  }
   if (!is_refusal_) response_->body->End();
   if (!is_refusal_ && !head_announced_) AnnounceHead();
   // The handler of the response head may have cancelled the attempt.
@@ -333,6 +362,10 @@
 }
 
 void upstream_attempt::OnConnectionEnd(bool in_order) {
+  if (awaits_sent_) {
+    Complete();
+    return;
+  }
   if (in_body_ && !is_stray_ && !is_refusal_ && in_order && connection_->reader.FinishAtEnd()) {
     // The bytes of the last read are already in the pipe; a response without a length is
     // complete at the end of the connection.
@@ -348,6 +381,10 @@
 }
 
 void upstream_attempt::EndIncomplete() {
+  if (awaits_sent_) {
+    Complete();
+    return;
+  }
   const auto self = shared_from_this();
   Release(false);
   if (response_ != nullptr) response_->body->Fail();
@@ -383,7 +420,7 @@
 void upstream_attempt::Cancel() {
   if (finished_) return;
   Release(false);
-  if (response_ != nullptr) response_->body->Fail();
+  if (response_ != nullptr && !awaits_sent_) response_->body->Fail();
   // The connection is closed and no longer read; the end of the attempt is reported as usual.
   PostToLoop([self = shared_from_this()] {
     if (!self->finished_) self->EndIncomplete();
--- a/src/transport/upstream_attempt.h
+++ b/src/transport/upstream_attempt.h
@@ -52,6 +52,11 @@
   /// Processes the parsed response head; false if the attempt ended.
   bool ProcessHead();
   void AnnounceHead();
+  /// The response was read completely.
+  void OnResponseRead();
+  /// Continues to send the request body although the response is complete.
+  void AwaitSent();
+  /// Ends the attempt with its complete response.
   void Complete();
   /// The connection ended. `in_order` is true if the upstream closed it, false for a reset.
   void OnConnectionEnd(bool in_order);
@@ -75,6 +80,8 @@
   bool parsing_ = false;
   bool in_body_ = false;
   bool sent_ = false;
+  /// The response is complete, but part of the request body is not sent yet.
+  bool awaits_sent_ = false;
   bool head_announced_ = false;
   /// The current message is a late response to an earlier request and is dropped.
   bool is_stray_ = false;
