Let a planned stop take as long as its requests and the platform allow

Cause: the setting stop.limit_ms, made for a platform that grants 6 s, ended the process whatever was open. Evidence: the log says stop_limit_reached open_requests=3 at that time, and no other line ends the requests. Ruled out: the owner (not signalled) and the linger time (the requests were accepted within it).

Change: the limit and its setting are gone. A stopping daemon ends when nothing is open; each request ends by its own deadline, and the platform kills what takes longer than it grants. The same limit would have cut attempts at a stopping owner; the test stops both.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -221,12 +221,6 @@
     end_at_ = now + kLastRequestTime;
     events_.Write({log_weight::kState, "daemon", "callers_ended"});
   }
-  if (settings_.stop_limit > duration(0) && now >= stop_began_ + settings_.stop_limit) {
-    log_line line(log_weight::kState, "daemon", "stop_limit_reached");
-    line.Add("open_requests", transport_.open_exchanges());
-    events_.Write(line);
-    stopped_ = true;
-  }
   if (!callers_closed_ || now < end_at_ || transport_.open_exchanges() > 0) return;
   if (leave_limit_ == time_point{}) leave_limit_ = now + kLeaveLimit;
   if (runtime_.MayExit() || now >= leave_limit_) stopped_ = true;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -38,8 +38,9 @@
   /// Begins a graceful shutdown: new work is refused, work in flight completes, then `stopped`
   /// becomes true. Must not be called on the event loop.
   void BeginStop();
-  /// True once no request is open and the leave record is written, or the time limit of the
-  /// stop has passed. Call it on the event loop.
+  /// True once no request is open and the leave record is written or was waited for long
+  /// enough. Open requests have no time limit here: each ends by its own deadline, and whoever
+  /// stops the process decides how long it may take. Call it on the event loop.
   bool stopped() const { return stopped_; }
   /// Closes all connections, listeners and the log client. Must not be called on the event
   /// loop.
--- a/src/daemon/parse_settings.cc
+++ b/src/daemon/parse_settings.cc
@@ -29,7 +29,7 @@
 constexpr auto kRoutingKeys = std::to_array<std::string_view>(
     {"zone_us_per_byte", "region_us_per_byte", "refusal_share", "arrival_share"});
 constexpr double kMaxUsPerByte = 1000;
-constexpr auto kStopKeys = std::to_array<std::string_view>({"linger_ms", "limit_ms"});
+constexpr auto kStopKeys = std::to_array<std::string_view>({"linger_ms"});
 // Largest value of a setting in milliseconds: ten minutes.
 constexpr std::int64_t kMaxMs = 600'000;
 constexpr auto kLoggingKeys = std::to_array<std::string_view>({"level", "bytes_per_second"});
@@ -93,7 +93,6 @@
     const toml::table* stop = Section(root, "stop", kEmpty);
     CheckKeys(*stop, "stop.", kStopKeys);
     result.stop_linger = Milliseconds(*stop, "stop.", "linger_ms", result.stop_linger);
-    result.stop_limit = Milliseconds(*stop, "stop.", "limit_ms", result.stop_limit);
     ReadSeeds(root, result);
     const toml::table* logging = Section(root, "logging", kEmpty);
     CheckKeys(*logging, "logging.", kLoggingKeys);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -44,8 +44,6 @@
   /// A stopping daemon accepts requests of callers for at least this long. Peers receive the
   /// drain within one push period (100 ms) and a round trip.
   duration stop_linger = std::chrono::seconds(1);
-  /// A stopping daemon exits after this time even if requests are open; 0 for no limit.
-  duration stop_limit{};
   /// Membership addresses of other daemons, contacted while the log is unavailable.
   std::vector<std::string> seeds;
   /// Largest share of an upstream's slots that admission uses.
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -131,7 +131,8 @@
   }
   settings << "[addresses]\ncallers = \"" << added.callers << "\"\npeers = \"" << added.peers
            << "\"\nmembership = \"" << added.membership << "\"\nadmin = \"" << added.admin
-           << "\"\n[log]\naddress = \"" << daemon_log_address_ << "\"\n";
+           << "\"\n[log]\naddress = \"" << daemon_log_address_ << "\"\n"
+           << settings_tables_;
   settings.close();
   pairs_.push_back(std::move(added));
   StartWorker(index);
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -61,6 +61,8 @@
   void StartWorker(std::size_t index);
   /// Daemons added afterwards get these membership addresses as `seeds`.
   void UseSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+  /// Settings files of daemons added afterwards end with these tables.
+  void UseSettings(std::string tables) { settings_tables_ = std::move(tables); }
   /// Daemons added afterwards connect to the log at `address`, for example that of a proxy.
   void RouteLogThrough(const std::string& address) { daemon_log_address_ = address; }
   /// Upstreams added afterwards announce the address that `route` returns for their own.
@@ -117,6 +119,7 @@
   std::unique_ptr<child_process> log_;
   std::vector<node_pair> pairs_;
   std::vector<std::string> seeds_;
+  std::string settings_tables_;
   int next_port_ = 0;
   int port_lock_ = -1;
   int ctl_runs_ = 0;
--- a/tests/process/stop_test.cc
+++ b/tests/process/stop_test.cc
@@ -49,6 +49,18 @@
     return std::make_unique<child_process>("brload", arguments, LoadOutput());
   }
 
+  /// The table [stop] of the deployed settings, which has no fields for the platform to fill
+  /// in.
+  static std::string DeployedStopTable() {
+    std::ifstream file(std::string(BRONZEROUTE_SOURCE) + "/deploy/settings.toml");
+    std::stringstream text;
+    text << file.rdbuf();
+    const std::string settings = text.str();
+    const std::size_t begin = settings.find("[stop]");
+    if (begin == std::string::npos) return "";
+    return settings.substr(begin, settings.find("\n[", begin) + 1 - begin);
+  }
+
   std::string LoadOutput() const { return deployment_.folder() + "/load.json"; }
 };
 
@@ -120,6 +132,24 @@
   }
 }
 
+// Guards against a planned stop that cuts off accepted requests after a fixed time, although
+// the platform grants more: the entry and the owner of a long call are stopped while it runs.
+TEST_F(planned_stop, RequestThatOutlastsTheLingerTimeIsAnswered) {
+  deployment_.UseSettings(DeployedStopTable());
+  Deploy();
+  call_oracle oracle(deployment_);
+  oracle.StartProtected(kEntry, "/orders/photos?work_us=8000000", "", "20000");
+  const std::size_t owner = WaitForBusy(1);
+  ASSERT_LT(owner, kEntry);
+  deployment_.pair(kEntry).daemon->Signal(SIGTERM);
+  deployment_.pair(owner).daemon->Signal(SIGTERM);
+  oracle.Join();
+  ASSERT_EQ(oracle.calls().size(), 1U);
+  EXPECT_EQ(oracle.calls()[0].result.status, 200) << oracle.calls()[0].result.error;
+  EXPECT_EQ(deployment_.pair(kEntry).daemon->Wait(), 0);
+  EXPECT_EQ(deployment_.pair(owner).daemon->Wait(), 0);
+}
+
 // Guards against a daemon that never exits because a caller keeps a connection open.
 TEST_F(planned_stop, IdleConnectionDoesNotKeepDaemonRunning) {
   Deploy();
