Do not take a repeated refusal for that of a later request

Reported by operators of a similar system: a worker writes an earlier refusal once more on a kept connection, and clients are told 'not run' for requests that run.

Here a repeated refusal with the id of another request was dropped already, and protected requests never use a kept connection. Left were requests that may be repeated: a repeated refusal without an id was taken for the response to the running request, and one for the same id could not be told from a new one when the request was sent again. Cause: the id names a request, not an attempt, and a missing id counted as the right one.

Change: on a connection that served a request before, a response without an id ends the attempt as lost; a connection on which a request was refused is not used for the same id again.

--- a/src/transport/upstream_attempt.cc
+++ b/src/transport/upstream_attempt.cc
@@ -89,7 +89,7 @@
 std::uint32_t upstream_attempt::depth() const { return row_->depth; }
 
 void upstream_attempt::Start() {
-  if (!fresh_connection_) connection_ = owner_->TakeIdle();
+  if (!fresh_connection_) connection_ = owner_->TakeIdle(request_id_);
   if (connection_ == nullptr) {
     Connect();
   } else {
@@ -240,6 +240,11 @@
   }
   if (!request_id_.empty()) {
     const std::string* const echoed_id = FindField(fields, dialect.request_id);
+    if (echoed_id == nullptr && connection_->served > 0) {
+      // May be a repeated response to an earlier request on the connection, also a refusal.
+      EndIncomplete();
+      return false;
+    }
     is_stray_ = echoed_id != nullptr && *echoed_id != request_id_;
     if (is_stray_) {
       saw_stray_ = true;
@@ -255,7 +260,10 @@
   }
   is_refusal_ = !dialect.not_run.empty() &&
                 (FindField(fields, dialect.not_run) != nullptr || status == kMisdirected);
-  if (is_refusal_) return true;
+  if (is_refusal_) {
+    connection_->refused_request = request_id_;
+    return true;
+  }
   const bool is_success = status / 100 == 2;
   if (is_success && !dialect.seal.empty() &&
       (FindField(fields, dialect.seal) == nullptr ||
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/ascii.h>
 
 #include <cstddef>
+#include <iterator>
 
 #include "src/transport/event_loop.h"
 #include "src/transport/exchange.h"
@@ -83,11 +84,14 @@
   std::erase_if(kept_, [now](const auto& connection) { return connection->kept_until <= now; });
 }
 
-std::shared_ptr<upstream_connection> upstream_client::TakeIdle() {
+std::shared_ptr<upstream_connection> upstream_client::TakeIdle(std::string_view request_id) {
   const time_point now = MonotonicNow();
-  while (!kept_.empty()) {
-    auto connection = kept_.back();
-    kept_.pop_back();
+  for (auto next = kept_.end(); next != kept_.begin();) {
+    const auto found = std::prev(next);
+    const auto connection = *found;
+    next = found;
+    if (!request_id.empty() && connection->refused_request == request_id) continue;
+    next = kept_.erase(found);
     if (connection->kept_until > now && connection->IsReusable()) return connection;
   }
   return nullptr;
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -55,8 +55,9 @@
   const http_dialect& dialect() const { return dialect_; }
   const std::string& address() const { return address_; }
   const std::string& identity() const { return identity_; }
-  /// An idle connection that is still open, or null.
-  std::shared_ptr<upstream_connection> TakeIdle();
+  /// An idle connection that is still open, or null. Not one on which the upstream refused the
+  /// request with the caller's id `request_id`: it might repeat that refusal.
+  std::shared_ptr<upstream_connection> TakeIdle(std::string_view request_id);
   void Keep(const std::shared_ptr<upstream_connection>& connection);
   void Forget(const upstream_attempt& attempt);
 
--- a/src/transport/upstream_connection.h
+++ b/src/transport/upstream_connection.h
@@ -21,6 +21,9 @@
   internal::message_reader<false> reader;
   /// Number of requests completed on the connection.
   int served = 0;
+  /// The caller's id of the last request that the upstream refused on the connection; empty if
+  /// there is none.
+  std::string refused_request;
   /// Time until which the idle connection may be reused.
   time_point kept_until;
 };
--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -1,7 +1,9 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <cstddef>
 #include <string>
+#include <string_view>
 
 #include "tests/transport/raw_socket.h"
 #include "tests/transport/raw_upstream.h"
@@ -173,6 +175,64 @@
   EXPECT_EQ(connections, 2);
 }
 
+// Guards against an earlier refusal that the upstream repeats on a kept connection and that is
+// taken for the response to a request that runs: with its id, without one, and for a request
+// that is sent again with the id that was refused.
+TEST_F(DialectTest, RepeatedRefusalIsNotTakenForThatOfALaterRequest) {
+  struct repeated {
+    std::string fields;
+    std::string next_id;
+    std::string status;
+    int connections;
+  };
+  for (const repeated& one : {repeated{"X-Id: 1\r\nX-Not-Run: 1\r\n", "2", "200", 1},
+                              repeated{"X-Not-Run: 1\r\n", "2", "504", 1},
+                              repeated{"X-Id: 1\r\nX-Not-Run: 1\r\n", "1", "200", 2}}) {
+    const std::string refusal = Response("503 Service Unavailable", one.fields, "full");
+    std::atomic<int> requests = 0;
+    raw_upstream upstream([&](raw_socket& peer) {
+      for (std::string last; !peer.ReceiveUntil("\r\n\r\n").empty();) {
+        if (++requests == 1) {
+          last = refusal;
+          peer.Send(refusal);
+        } else {
+          peer.Send(last);
+          peer.Send(Response("200 OK", "X-Id: " + one.next_id + "\r\nX-Seal: s\r\n", "ran"));
+        }
+      }
+    });
+    Use(upstream.address());
+    EXPECT_TRUE(Ask(daemon_, Request("1")).starts_with("HTTP/1.1 503"));
+    const std::string response = Ask(daemon_, Request(one.next_id));
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 " + one.status)) << response;
+    EXPECT_EQ(response.find("not-run"), std::string::npos) << response;
+    EXPECT_EQ(upstream.connections(), one.connections);
+  }
+}
+
+// Guards against a response head that ends in the middle, with the connection, and is relayed
+// as a complete response: every prefix of a head, closed in order and reset.
+TEST_F(DialectTest, HeadThatEndsInTheMiddleIsNeverASuccess) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\nContent-Length: 10\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t length = 0; length < head.size(); ++length) {
+    const bool is_reset = length % 2 == 1;
+    raw_upstream upstream([&](raw_socket& peer) {
+      peer.ReceiveUntil("\r\n\r\n");
+      peer.Send(std::string_view(head).substr(0, length));
+      if (is_reset) {
+        peer.Reset();
+      } else {
+        peer.Shutdown();
+      }
+    });
+    Use(upstream.address());
+    const std::string response = Ask(daemon_, Request("1"));
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 504")) << length << ": " << response;
+  }
+}
+
 // Guards against bytes that follow a response being read as the next response.
 TEST_F(DialectTest, ExtraBytesAfterResponsePreventConnectionReuse) {
   std::atomic<int> connections = 0;
