Decide once which fields end at a hop, and derive the framing from the body

Cause: the list of the caller's Connection field was applied after the daemon had set its own fields, and to the framing; the body was then written without any. Evidence: the head arrives without the length, the bytes of the body unchanged. Ruled out: trailers, which never reach the fields.

Change: hop-by-hop fields are removed where the request is taken from the caller, before the daemon's own are added; Host, Content-Length and the fields of the dialect stay. The framing of a request to an upstream comes from its body.

ForwardedFields.ConnectionFieldCannotRemoveFramingOrOwnFields failed on over one and two daemons and passes now.

--- a/src/transport/caller_server.cc
+++ b/src/transport/caller_server.cc
@@ -84,8 +84,10 @@
   });
 }
 
-// Removes the fields that only a daemon may set and adds the daemon's own.
+// Removes the fields that end at this hop or that only a daemon may set, and adds the daemon's
+// own. From here on, the fields are those that the upstream gets.
 void caller_server::ReplaceFields(exchange& row) const {
+  row.headers = EndToEndFields(row.headers, dialect_);
   std::erase_if(row.headers, [this](const auto& field) {
     return dialect_.IsDaemonRequestField(field.first);
   });
--- a/src/transport/header_list.cc
+++ b/src/transport/header_list.cc
@@ -8,6 +8,7 @@
 #include <array>
 
 #include "src/transport/absl_text.h"
+#include "src/transport/http_dialect.h"
 
 namespace bronzeroute {
 namespace {
@@ -19,6 +20,12 @@
   });
 }
 
+bool IsNeededByEveryHop(absl::string_view name, const http_dialect& dialect) {
+  return absl::EqualsIgnoreCase(name, "Host") ||
+         absl::EqualsIgnoreCase(name, "Content-Length") ||
+         dialect.IsField({name.data(), name.size()});
+}
+
 }  // namespace
 
 bool IsHopByHop(std::string_view name) {
@@ -29,12 +36,13 @@
   return Contains(kNames, name);
 }
 
-header_list EndToEndFields(const header_list& from) {
+header_list EndToEndFields(const header_list& from, const http_dialect& dialect) {
   std::vector<std::string> named;
   for (const auto& [name, value] : from) {
     if (!absl::EqualsIgnoreCase(name, "Connection")) continue;
     for (const absl::string_view part : absl::StrSplit(value, ',')) {
-      named.emplace_back(absl::StripAsciiWhitespace(part));
+      const absl::string_view option = absl::StripAsciiWhitespace(part);
+      if (!IsNeededByEveryHop(option, dialect)) named.emplace_back(option);
     }
   }
   header_list result;
--- a/src/transport/header_list.h
+++ b/src/transport/header_list.h
@@ -7,6 +7,8 @@
 
 namespace bronzeroute {
 
+struct http_dialect;
+
 /// Names and values of HTTP fields.
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
@@ -14,8 +16,9 @@
 bool IsHopByHop(std::string_view name);
 
 /// The end-to-end fields of `from`: hop-by-hop fields and fields named by a Connection field
-/// are omitted.
-header_list EndToEndFields(const header_list& from);
+/// are omitted. A Connection field cannot remove fields that every hop needs: Host,
+/// Content-Length and the fields of `dialect`.
+header_list EndToEndFields(const header_list& from, const http_dialect& dialect);
 
 /// Value of the first field called `name` (case-insensitive), or null.
 const std::string* FindField(const header_list& from, std::string_view name);
--- a/src/transport/http_dialect.cc
+++ b/src/transport/http_dialect.cc
@@ -23,6 +23,14 @@
 
 }  // namespace
 
+bool http_dialect::IsField(std::string_view name) const {
+  static constexpr std::array<std::string_view, 2> kOwn = {"Bronzeroute-Try",
+                                                           "Idempotency-Key"};
+  return Contains(std::initializer_list<std::string_view>{request_id, seal}, name) ||
+         (has_own_fields && Contains(kOwn, name)) || IsDaemonRequestField(name) ||
+         IsDaemonResponseField(name);
+}
+
 bool http_dialect::IsDaemonRequestField(std::string_view name) const {
   static constexpr std::array<std::string_view, 3> kOwn = {
       "Bronzeroute-Deadline-Ms", "Bronzeroute-Depth", "Bronzeroute-Call"};
--- a/src/transport/http_dialect.h
+++ b/src/transport/http_dialect.h
@@ -28,6 +28,8 @@
   /// responses.
   bool has_own_fields = true;
 
+  /// True for each field that has a meaning in this dialect.
+  bool IsField(std::string_view name) const;
   /// True for a field that only a daemon may set on a request to an upstream.
   bool IsDaemonRequestField(std::string_view name) const;
   /// True for a field of an upstream's response that is not relayed to callers.
--- a/src/transport/peer_codec.cc
+++ b/src/transport/peer_codec.cc
@@ -85,7 +85,7 @@
     to.set_other_cost_us(static_cast<std::uint64_t>(head.other_cost->count()));
   }
   to.set_config_version(head.config_version);
-  WriteHeaders(EndToEndFields(row.headers), to);
+  WriteHeaders(row.headers, to);
 }
 
 void ReadHead(const proto::AttemptFrame& frame, time_point now, attempt_head& head,
--- a/src/transport/upstream_attempt.cc
+++ b/src/transport/upstream_attempt.cc
@@ -50,6 +50,12 @@
 
 std::string Text(boost::beast::string_view from) { return {from.data(), from.size()}; }
 
+// True for the fields that delimit a body.
+bool IsFraming(const std::string& name) {
+  return absl::EqualsIgnoreCase(name, "Content-Length") ||
+         absl::EqualsIgnoreCase(name, "Transfer-Encoding");
+}
+
 std::int64_t RemainingMs(time_point deadline) {
   const auto left =
       std::chrono::duration_cast<std::chrono::milliseconds>(deadline - MonotonicNow());
@@ -135,7 +141,9 @@
   message.version(kHttp11);
   message.method_string(row_->method);
   message.target(row_->path);
-  for (const auto& [name, value] : EndToEndFields(row_->headers)) message.insert(name, value);
+  for (const auto& [name, value] : row_->headers) {
+    if (!IsFraming(name)) message.insert(name, value);
+  }
   message.set(dialect.deadline, std::to_string(RemainingMs(deadline_)));
   if (!dialect.expected_upstream.empty() && !owner_->identity().empty()) {
     message.set(dialect.expected_upstream, owner_->identity());
@@ -144,8 +152,13 @@
     message.set("Bronzeroute-Depth", std::to_string(row_->depth + 1));
     message.set("Bronzeroute-Call", FormatCallId(attempt_.call));
   }
+  // The framing is that of the body that is written, whatever the fields of the request say.
   const bool has_body = row_->content_length != 0;
-  if (!row_->content_length.has_value()) message.chunked(true);
+  if (!row_->content_length.has_value()) {
+    message.chunked(true);
+  } else if (has_body || FindField(row_->headers, "Content-Length") != nullptr) {
+    message.content_length(*row_->content_length);
+  }
   sent_ = false;
   connection_->reader.Begin(kResponseHeadBytes, 0);
   if (row_->method == "HEAD") connection_->reader.SkipBody();
@@ -276,7 +289,7 @@
   response_->attempt = attempt_;
   response_->status = status;
   response_->body = std::make_shared<byte_pipe>(kPipeBytes);
-  for (auto& field : EndToEndFields(fields)) {
+  for (auto& field : EndToEndFields(fields, dialect)) {
     if (!dialect.IsDaemonResponseField(field.first)) {
       response_->headers.push_back(std::move(field));
     }
--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -309,5 +309,103 @@
                   .starts_with("HTTP/1.1 413"));
 }
 
+class ForwardedFields : public testing::TestWithParam<bool> {
+ protected:
+  ForwardedFields() : owner_(2, nullptr, OtherDialect()), entry_(1, nullptr, OtherDialect()) {
+    if (GetParam()) entry_.UsePeer(owner_);
+    for (test_daemon* const each : {&owner_, &entry_}) {
+      RunOnLoop([each] { each->sockets().callers().SetCallerService("shop"); });
+    }
+  }
+  void Use(const raw_upstream& upstream) {
+    (GetParam() ? owner_ : entry_).UseUpstream(upstream.address());
+  }
+
+  test_daemon owner_;
+  test_daemon entry_;
+};
+
+std::size_t CountOf(std::string_view text, std::string_view part) {
+  std::size_t count = 0;
+  for (std::size_t at = text.find(part); at != std::string_view::npos;
+       at = text.find(part, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+// Guards against a Connection field, of a caller or of an upstream, that removes the framing of
+// a body or a field that the daemon sets: the body then runs as another request.
+TEST_P(ForwardedFields, ConnectionFieldCannotRemoveFramingOrOwnFields) {
+  const std::string body =
+      "GET /smuggled HTTP/1.1\r\nHost: a\r\nX-Id: 9\r\nX-From: bad\r\n\r\n";
+  std::string head;
+  std::string received;
+  std::string rest;
+  raw_upstream upstream([&](raw_socket& peer) {
+    head = peer.ReceiveUntil("\r\n\r\n");
+    received = peer.ReceiveExactly(body.size());
+    peer.Send(Response("200 OK",
+                       "X-Id: 1\r\nX-Seal: s\r\nX-Odd: no\r\n"
+                       "Connection: content-length, X-SEAL, X-Id, X-Odd\r\n",
+                       "ran"));
+    rest = peer.ReceiveAll();
+  });
+  Use(upstream);
+  const std::string response =
+      Ask(entry_,
+          "POST /orders HTTP/1.1\r\nHost: a\r\nX-Id: 1\r\nX-Left: 5000\r\n"
+          "X-From: forged\r\nX-FROM: twice\r\nX-Odd: no\r\nX-Kept: yes\r\n"
+          "Connection: keep-alive, content-LENGTH, Transfer-Encoding\r\n"
+          "connection: X-From, Host , X-Id,X-Left, X-Expect, X-Odd,,\r\n"
+          "Content-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n" + body);
+  upstream.Stop();
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << response;
+  EXPECT_TRUE(response.ends_with("ran")) << response;
+  EXPECT_EQ(CountOf(response, "X-Seal: s\r\n"), 1U) << response;
+  EXPECT_EQ(CountOf(response, "X-Id: 1\r\n"), 1U) << response;
+  EXPECT_EQ(CountOf(response, "X-Odd"), 0U) << response;
+  EXPECT_EQ(received, body);
+  EXPECT_EQ(rest, "");
+  for (const std::string& once :
+       {std::string("Host: a\r\n"), std::string("X-Id: 1\r\n"), std::string("X-From: shop\r\n"),
+        std::string("X-Kept: yes\r\n"), std::string("X-Left: "),
+        "Content-Length: " + std::to_string(body.size()) + "\r\n"}) {
+    EXPECT_EQ(CountOf(head, once), 1U) << once << " in " << head;
+  }
+  for (const std::string_view none : {"forged", "twice", "X-Odd", "Connection"}) {
+    EXPECT_EQ(CountOf(head, none), 0U) << none << " in " << head;
+  }
+}
+
+// Guards against fields in the trailer of a request body that reach the upstream.
+TEST_P(ForwardedFields, TrailerIsNotForwarded) {
+  std::string head;
+  std::string rest;
+  raw_upstream upstream([&](raw_socket& peer) {
+    head = peer.ReceiveUntil("\r\n\r\n");
+    rest = peer.ReceiveUntil("0\r\n\r\n");
+    peer.Send(Response("200 OK", "X-Id: 1\r\nX-Seal: s\r\n", "ran"));
+    rest += peer.ReceiveAll();
+  });
+  Use(upstream);
+  const std::string response =
+      Ask(entry_,
+          "POST /orders HTTP/1.1\r\nHost: a\r\nX-Id: 1\r\nX-Left: 5000\r\n"
+          "Transfer-Encoding: chunked\r\nTrailer: X-From\r\n\r\n"
+          "4\r\nbody\r\n0\r\nX-From: bad\r\nX-Id: 9\r\n\r\n");
+  upstream.Stop();
+  EXPECT_TRUE(response.ends_with("ran")) << response;
+  EXPECT_EQ(CountOf(head, "X-From: shop\r\n"), 1U) << head;
+  EXPECT_EQ(CountOf(head, "Trailer"), 0U) << head;
+  EXPECT_EQ(rest, "4\r\nbody\r\n0\r\n\r\n");
+}
+
+INSTANTIATE_TEST_SUITE_P(Paths, ForwardedFields, testing::Bool(),
+                         [](const testing::TestParamInfo<bool>& info) {
+                           return info.param ? "RemoteUpstream" : "LocalUpstream";
+                         });
+
 }  // namespace
 }  // namespace bronzeroute
