Read odd entries of other writers without losing the others

Reported by operators of a similar system: one entry that is deeply nested, has a number too large or a port out of range ends the machines that read the list, or they stop following it.

Found here, by sending such entries to every reader: a configuration with a number beyond a double ended every daemon (the parser has two kinds of errors, one was caught); one malformed item hid a whole page of the log's newest records; the largest incarnation in a member record made its member count up to 0; an announcement with an impossible address replaced the upstream in use. Deep nesting ended no reader, but an error would have written out a nested value recursively.

--- a/src/membership/member_codec.cc
+++ b/src/membership/member_codec.cc
@@ -6,6 +6,10 @@
 namespace bronzeroute {
 namespace {
 
+// Largest incarnation and refutation of a record. Both are counted up from the value of another
+// record, so that there must be room above it.
+constexpr std::uint64_t kMaxCounter = std::uint64_t{1} << 62;
+
 std::string_view HostOf(std::string_view address) {
   const std::size_t colon = address.rfind(':');
   return colon == std::string_view::npos ? address : address.substr(0, colon);
@@ -44,7 +48,8 @@
 }
 
 std::optional<member_update> ReadMemberRecord(const proto::MemberRecord& record) {
-  if (record.id() == 0 || record.state() > static_cast<std::uint32_t>(member_state::kLeft)) {
+  if (record.id() == 0 || record.state() > static_cast<std::uint32_t>(member_state::kLeft) ||
+      record.incarnation() > kMaxCounter || record.refutation() > kMaxCounter) {
     return std::nullopt;
   }
   member_update update;
--- a/src/transport/peer_client.cc
+++ b/src/transport/peer_client.cc
@@ -16,6 +16,7 @@
 #include "src/transport/attempt_stream.h"
 #include "src/transport/event_loop.h"
 #include "src/transport/exchange_table.h"
+#include "src/transport/http_address.h"
 #include "src/transport/peer_window.h"
 
 namespace bronzeroute {
@@ -135,6 +136,11 @@
 
 void peer_client::OpenPeer(member_id peer, std::string_view address) {
   if (stopped_) return;
+  if (!ParseAddress(address).ok()) {
+    // From a record of another writer; gRPC would keep trying to connect.
+    peers_.erase(peer);
+    return;
+  }
   auto& row = peers_[peer];
   if (row == nullptr || row->address != address) {
     row = std::make_shared<peer_channels>(address);
--- a/tests/membership/membership_system_test.cc
+++ b/tests/membership/membership_system_test.cc
@@ -5,6 +5,8 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <utility>
@@ -441,6 +443,34 @@
   EXPECT_TRUE(net.Converged());
 }
 
+// Guards against records of other writers that end the process, keep the others from being
+// read, or isolate a member: bytes that cannot be read, deep nesting, numbers that are too
+// large.
+TEST(Membership, OddRecordsOfOtherWritersAreSkipped) {
+  constexpr std::size_t kDepth = 100'000;
+  constexpr std::uint64_t kLargest = std::numeric_limits<std::uint64_t>::max();
+  member_net net({});
+  net.StartAll(3);
+  net.RunFor(seconds(10));
+  // A group that is opened within itself again and again, in an unknown field.
+  const std::string nested(kDepth, '\x7b');
+  const std::string long_number = std::string("\x0a\x0b\x10") + std::string(11, '\xff');
+  for (const std::string& data :
+       {std::string("\xff\xff\xff"), std::string(), std::string("[[[["), nested, long_number,
+        JoinRecord(1, kLargest), JoinRecord(2, kLargest), JoinRecord(9, kLargest)}) {
+    net.records.emplace_back(net.NowMs(), data);
+  }
+  net.records.emplace_back(net.NowMs(), JoinRecord(3, 5));
+  EXPECT_TRUE(net.RunUntil(seconds(20), [&] { return net.at(0).Find(net.Id(3)) != nullptr; }));
+  net.Start(4);
+  EXPECT_TRUE(net.RunUntil(seconds(20), [&] {
+    return HasStateEverywhere(net, 4, member_state::kAlive) &&
+           HasStateEverywhere(net, 1, member_state::kAlive) &&
+           HasStateEverywhere(net, 2, member_state::kAlive);
+  }));
+  EXPECT_EQ(net.at(0).Find(net.Id(9)), nullptr);
+}
+
 // Guards against datagrams above the size limit, which the network would fragment.
 TEST(Membership, DatagramsStayWithinTheLimit) {
   member_net net({.seeds = {member_net::Address(0, 7001)}});
--- a/tests/platform/read_announcement_test.cc
+++ b/tests/platform/read_announcement_test.cc
@@ -58,5 +58,43 @@
   }
 }
 
+// Guards against an announcement of another writer that terminates the process or names an
+// upstream that cannot exist: deep nesting, numbers that no type holds, a port out of range.
+TEST(ReadAnnouncement, RejectsOddAnnouncementsOfOtherWriters) {
+  constexpr std::size_t kDepth = 100'000;
+  const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::string objects = [] {
+    std::string text;
+    for (std::size_t i = 0; i < kDepth; ++i) text += R"({"a":)";
+    return text + "1" + std::string(kDepth, '}');
+  }();
+  const auto with_address = [](const std::string& address) {
+    return R"({"address":")" + address + R"(","info":{)" + kInfo + R"(},"status":{)" + kStatus +
+           "}}";
+  };
+  ASSERT_TRUE(ReadAnnouncement("i-1", with_address("10.128.0.9:8080"), kNow));
+  for (const std::string& text :
+       {nested, objects, Report(kInfo, "\"state\":" + nested),
+        Report(R"("service":"a","slots":1e999)", kStatus),
+        Report(R"("service":"a","slots":99999999999999999999999)", kStatus),
+        Report(R"("service":"a","slots":18446744073709551615)", kStatus),
+        Report(kInfo, R"("state":"ready","sequence":18446744073709551615,"coldLeftMs":0)"),
+        Report(kInfo, R"("state":"ready","sequence":1e400,"coldLeftMs":0)"),
+        Report(kInfo, R"("state":"ready","sequence":4,"coldLeftMs":9223372036854775807)"),
+        Report(kInfo, kStatus, R"(,"born":1e999)"), with_address("10.128.0.9:65536"),
+        with_address("10.128.0.9:99999"), with_address("10.128.0.9:0"),
+        with_address("10.128.0.9:-1"), with_address("10.128.0.9"), with_address("nowhere:80"),
+        with_address("")}) {
+    EXPECT_FALSE(ReadAnnouncement("i-1", text, kNow)) << text.substr(0, 200);
+  }
+}
+
+TEST(ReadStart, ReturnsTheStartIfThereIsAValidOne) {
+  EXPECT_EQ(ReadStart(R"({"born":1774519957076})"), 1774519957076);
+  for (const std::string text : {"", "{}", "[]", R"({"born":"x"})", R"({"born":1e999})"}) {
+    EXPECT_FALSE(ReadStart(text)) << text;
+  }
+}
+
 }  // namespace
 }  // namespace bronzeroute::platform
--- a/tests/platform/read_configuration_test.cc
+++ b/tests/platform/read_configuration_test.cc
@@ -117,6 +117,23 @@
   EXPECT_EQ(result.unknown[0].found, "\"odd\"");
 }
 
+// Guards against a document that ends the process: a number too large for the parser, which it
+// reports in another way than malformed text, and a value nested more deeply than the stack
+// allows.
+TEST(ReadConfiguration, ExtremeValuesAreErrors) {
+  const parse_result overflow =
+      ReadConfiguration(Changed("\"priority\":2", "\"priority\":1e999"));
+  EXPECT_FALSE(overflow.value);
+  EXPECT_EQ(overflow.errors.size(), 1U);
+  constexpr std::size_t kDepth = 1'000'000;
+  const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const parse_result deep =
+      ReadConfiguration(Changed("\"priority\":2", "\"priority\":" + nested));
+  EXPECT_FALSE(deep.value);
+  ASSERT_EQ(deep.errors.size(), 1U);
+  EXPECT_EQ(deep.errors[0].key, "listeners[0].routeRules[0].priority");
+}
+
 TEST(ReadConfiguration, UnknownMembersAreIgnored) {
   EXPECT_TRUE(ReadConfiguration(Changed("\"priority\":2", "\"priority\":2,\"new\":{}")).value);
 }
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -293,6 +293,22 @@
   EXPECT_TRUE(is_long_ready);
 }
 
+// Guards against a member record of another writer whose address ends the process or counts as
+// a reachable peer.
+TEST(Peer, ImpossibleAddressesAreNeverReady) {
+  test_daemon entry(1);
+  auto& client = entry.sockets().peers().client();
+  RunOnLoop([&] {
+    for (const char* const address :
+         {"127.0.0.1:65536", "127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:0", "127.0.0.1",
+          "nowhere:80", "", "\xff\xfe"}) {
+      client.OpenPeer(member_id{9}, address);
+      EXPECT_FALSE(client.IsReady(member_id{9}, false)) << address;
+      entry.sockets().datagrams().SendDatagram(address, "lost");
+    }
+  });
+}
+
 // Guards against a daemon that cannot fetch a newer configuration from a peer.
 TEST(Peer, ConfigurationIsFetched) {
   test_daemon owner(2);
