Decide by start and persistence which incarnation of the upstream is current

Cause: any identity seen first counted as the next incarnation, whatever its start, and the one it followed as left for good; a leave of an unknown identity stored a start of 0. The service was looked up after address and identity had been replaced. Ruled out: the order of arrival as the only rule, and forgetting replaced incarnations sooner, since late announcements come within seconds.

Change: an incarnation is an identity with its start. One seen first follows the current one unless it started earlier; any other needs three announcements without one of the current in between; one that has left is never accepted. A leave may name its start. Announcements of a service that the configuration does not name are ignored.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -43,10 +43,7 @@
 member_row SelfRow(const settings& options) {
   member_row row;
   row.id = IdOf(options.peers_address);
-  row.incarnation.value =
-      static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                     std::chrono::system_clock::now().time_since_epoch())
-                                     .count());
+  row.incarnation.value = static_cast<std::uint64_t>(UnixMilliseconds());
   row.region = options.region;
   row.availability_zone = options.availability_zone;
   row.peer_address = options.peers_address;
--- a/src/membership/upstream_history.cc
+++ b/src/membership/upstream_history.cc
@@ -2,7 +2,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <utility>
 
 #include "src/membership/upstream_announcement.h"
 
@@ -11,10 +10,12 @@
 
 // Late announcements are seconds old; an earlier incarnation is kept for much longer.
 constexpr auto kRetention = std::chrono::minutes(10);
-// Incarnations kept; an upstream restarts a few times a day.
+// Incarnations kept, and departures kept; an upstream restarts a few times a day.
 constexpr std::size_t kMaxIncarnations = 64;
-// An incarnation whose clock went back looks like an earlier one. Late announcements come one
-// by one, those of a live incarnation go on.
+// Incarnations, or departures, at which all are forgotten but the current incarnation.
+constexpr std::size_t kMaxWritten = 4096;
+// Announcements after which an incarnation counts as live although its start or the order of
+// arrival says otherwise, since a clock may have been set back.
 constexpr int kAnnouncementsOfLiveIncarnation = 3;
 
 }  // namespace
@@ -22,60 +23,86 @@
 bool upstream_history::Accept(const upstream_announcement& announcement, time_point now) {
   if (announcement.identity.empty()) return true;
   Forget(now);
-  const auto found = incarnations_.find(announcement.identity);
-  if (found == incarnations_.end()) {
-    const auto before = incarnations_.find(current_);
-    if (before != incarnations_.end()) before->second.is_retired = true;
-    current_ = announcement.identity;
-    incarnations_[current_] = {.started_ms = announcement.started_ms,
-                               .sequence = announcement.sequence,
-                               .last_announced = now};
-    return true;
-  }
+  const key announced(announcement.identity, announcement.started_ms);
+  const auto [found, is_first] = incarnations_.try_emplace(announced);
   incarnation& known = found->second;
-  const bool same_start = known.started_ms == announcement.started_ms;
-  if (same_start && announcement.sequence <= known.sequence) return false;
-  if (same_start && !known.is_retired) {
-    known.sequence = announcement.sequence;
-    known.last_announced = now;
-    known.contradicted = 0;
-    return announcement.identity == current_;
-  }
-  const bool is_later_start = !same_start && announcement.started_ms > known.started_ms;
-  if (!is_later_start) {
-    if (same_start) known.sequence = announcement.sequence;
-    if (++known.contradicted < kAnnouncementsOfLiveIncarnation) return false;
-    // An incarnation that left announces itself only until its process ends.
-    if (same_start) return false;
-  }
-  const auto before = incarnations_.find(current_);
-  if (before != incarnations_.end() && current_ != announcement.identity) {
-    before->second.is_retired = true;
-  }
-  current_ = announcement.identity;
-  known = {.started_ms = announcement.started_ms,
-           .sequence = announcement.sequence,
-           .last_announced = now};
+  if (!is_first && announcement.sequence <= known.sequence) return false;
+  known.sequence = announcement.sequence;
+  known.last_announced = now;
+  if (HasLeft(announcement.identity, announcement.started_ms)) return false;
+  const bool is_next = !current_ || (is_first && !IsOutdated(announced));
+  if (announced != current_ && !is_next && !IsPersistent(announced)) return false;
+  current_ = announced;
+  challenges_ = 0;
   return true;
 }
 
-void upstream_history::Retire(std::string_view identity, time_point now) {
+void upstream_history::Retire(std::string_view identity, std::optional<std::int64_t> started_ms,
+                              std::int64_t unix_ms, time_point now) {
   if (identity.empty()) return;
-  incarnation& known = incarnations_[std::string(identity)];
-  known.is_retired = true;
-  known.last_announced = now;
+  Forget(now);
+  const key* const latest = LatestOf(identity);
+  const bool is_exact = started_ms || latest != nullptr;
+  if (!started_ms) started_ms = latest != nullptr ? latest->second : unix_ms;
+  const auto [found, is_first] = departures_.try_emplace(std::string(identity));
+  departure& known = found->second;
+  if (!is_first && known.started_ms > *started_ms) return;
+  known = {.started_ms = *started_ms, .is_exact = is_exact, .left = now};
+}
+
+bool upstream_history::HasLeft(std::string_view identity, std::int64_t started_ms) const {
+  const auto found = departures_.find(std::string(identity));
+  if (found == departures_.end()) return false;
+  const departure& known = found->second;
+  return known.is_exact ? started_ms == known.started_ms : started_ms <= known.started_ms;
 }
 
 bool upstream_history::IsRetired(std::string_view identity) const {
-  const auto found = incarnations_.find(std::string(identity));
-  return found != incarnations_.end() && found->second.is_retired;
+  const key* const latest = LatestOf(identity);
+  if (latest == nullptr) return departures_.contains(std::string(identity));
+  return *latest != current_ || HasLeft(latest->first, latest->second);
+}
+
+void upstream_history::ClearCurrent() {
+  current_.reset();
+  challenges_ = 0;
+}
+
+bool upstream_history::IsOutdated(const key& other) const {
+  return other.second < current_->second;
+}
+
+bool upstream_history::IsPersistent(const key& other) {
+  if (challenger_ != other) challenges_ = 0;
+  challenger_ = other;
+  return ++challenges_ >= kAnnouncementsOfLiveIncarnation;
+}
+
+const upstream_history::key* upstream_history::LatestOf(std::string_view identity) const {
+  const key* latest = nullptr;
+  for (const auto& [known, row] : incarnations_) {
+    if (known.first == identity && (latest == nullptr || known.second > latest->second)) {
+      latest = &known;
+    }
+  }
+  return latest;
 }
 
 void upstream_history::Forget(time_point now) {
-  if (incarnations_.size() < kMaxIncarnations) return;
-  absl::erase_if(incarnations_, [&](const auto& entry) {
-    return entry.first != current_ && entry.second.last_announced + kRetention < now;
-  });
+  if (incarnations_.size() >= kMaxIncarnations) {
+    absl::erase_if(incarnations_, [&](const auto& entry) {
+      return entry.first != current_ && entry.second.last_announced + kRetention < now;
+    });
+  }
+  if (departures_.size() >= kMaxIncarnations) {
+    absl::erase_if(departures_,
+                   [&](const auto& entry) { return entry.second.left + kRetention < now; });
+  }
+  // Another writer may invent identities at any rate.
+  if (incarnations_.size() >= kMaxWritten || departures_.size() >= kMaxWritten) {
+    absl::erase_if(incarnations_, [&](const auto& entry) { return entry.first != current_; });
+    departures_.clear();
+  }
 }
 
 }  // namespace bronzeroute
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -183,6 +183,11 @@
 }
 
 bool node_runtime::OnAnnouncement(upstream_announcement announcement, time_point now) {
+  if (IsFromAnotherWriter(announcement)) {
+    decisions_.OnUpstream("unknown_service_ignored", announcement.identity,
+                          announcement.address, announcement.sequence);
+    return false;
+  }
   if (!history_.Accept(announcement, now)) {
     decisions_.OnUpstream("late_announcement_ignored", announcement.identity,
                           announcement.address, announcement.sequence);
@@ -198,9 +203,25 @@
   return true;
 }
 
-void node_runtime::OnUpstreamLeaving(std::string_view identity, time_point now) {
-  history_.Retire(identity, now);
-  if (identity == applied_identity_) DrainUpstream(now);
+bool node_runtime::IsFromAnotherWriter(const upstream_announcement& announcement) const {
+  const auto current = configuration_.current();
+  if (announcement.identity.empty() || current == nullptr ||
+      current->FindService(announcement.service) != nullptr) {
+    return false;
+  }
+  // The configuration may have dropped the service of the upstream in use.
+  const upstream_announcement* const in_use = membership_.upstream();
+  return in_use == nullptr || in_use->identity != announcement.identity ||
+         in_use->service != announcement.service;
+}
+
+void node_runtime::OnUpstreamLeaving(std::string_view identity,
+                                     std::optional<std::int64_t> started_ms,
+                                     std::int64_t unix_ms, time_point now) {
+  history_.Retire(identity, started_ms, unix_ms, now);
+  if (identity == applied_identity_ && history_.HasLeft(identity, applied_start_)) {
+    DrainUpstream(now);
+  }
   ApplyMembers(now);
 }
 
@@ -280,6 +301,12 @@
   budget_.SetLimits(current->measuring_bytes_per_second,
                     std::chrono::milliseconds(current->measuring_upstream_ms_per_second));
   decisions_.OnConfigurationInEffect(applied_version_, configuration_.source());
+  // An upstream whose service no configuration has named yet is that of another writer.
+  const upstream_announcement* const upstream = membership_.upstream();
+  if (upstream != nullptr && applied_service_.empty() &&
+      current->FindService(upstream->service) == nullptr) {
+    history_.ClearCurrent();
+  }
   // The limits of the service may have changed.
   applied_service_.clear();
   ApplyUpstream(now);
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -72,8 +73,11 @@
   /// The upstream beside this daemon announced itself. Returns false if the announcement
   /// belongs to an earlier state of the upstream and was ignored.
   bool OnAnnouncement(upstream_announcement announcement, time_point now);
-  /// The upstream incarnation with `identity` leaves; later announcements of it are ignored.
-  void OnUpstreamLeaving(std::string_view identity, time_point now);
+  /// The incarnation of the upstream `identity` that started at `started_ms` leaves; later
+  /// announcements of it are ignored. See `upstream_history::Retire` for a missing start and
+  /// for `unix_ms`, the current time of day in Unix milliseconds.
+  void OnUpstreamLeaving(std::string_view identity, std::optional<std::int64_t> started_ms,
+                         std::int64_t unix_ms, time_point now);
   /// The upstream reported its load with a response.
   void OnUpstreamLoad(const load_report& report, time_point now);
 
@@ -107,6 +111,9 @@
   void ApplyConfiguration(time_point now);
   void SetObjectives(const document& current);
   void ApplyUpstream(time_point now);
+  /// True for an announcement of a service that the configuration does not name, unless it is
+  /// one of the upstream in use.
+  bool IsFromAnotherWriter(const upstream_announcement& announcement) const;
   /// Refuses new work for the current incarnation of the upstream.
   void DrainUpstream(time_point now);
   void ApplyMembers(time_point now);
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -41,6 +41,12 @@
   done.get_future().wait();
 }
 
+std::int64_t UnixMilliseconds() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 time_point MonotonicNow() {
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <utility>  // boost/asio/awaitable.hpp needs it and does not include it
 
@@ -25,4 +26,7 @@
 /// that deadlines also expire during a suspension.
 time_point MonotonicNow();
 
+/// The time of day in Unix milliseconds. It may be set forward and back.
+std::int64_t UnixMilliseconds();
+
 }  // namespace bronzeroute
--- a/tests/node/node_runtime_test.cc
+++ b/tests/node/node_runtime_test.cc
@@ -5,6 +5,7 @@
 #include "src/base/error_response.h"
 #include "src/calls/call_history.h"
 #include "src/calls/issued_key.h"
+#include "src/membership/upstream_announcement.h"
 #include "tests/node/runtime_world.h"
 
 namespace bronzeroute::tests {
@@ -44,6 +45,47 @@
   EXPECT_EQ(world.oracle.Violations(), "");
 }
 
+upstream_announcement Announced(const std::string& service, const std::string& identity,
+                                std::int64_t started_ms, std::uint64_t sequence) {
+  return {.service = service,
+          .address = "10.0.1.1:80",
+          .slots = 4,
+          .connections = 50,
+          .identity = identity,
+          .started_ms = started_ms,
+          .sequence = sequence};
+}
+
+// Guards against another writer's announcement, of a service that the configuration does not
+// name, that takes the place of the upstream in use.
+TEST(NodeRuntime, AnnouncementOfAnUnknownServiceReplacesNothing) {
+  runtime_world world(2, {});
+  ASSERT_TRUE(world.Publish());
+  world.Advance(seconds(20));
+  world.RemoveUpstream(0);
+  node_runtime& daemon = world.daemon(0);
+  EXPECT_TRUE(daemon.OnAnnouncement(Announced("media", "own", 100, 1), world.now()));
+  EXPECT_FALSE(daemon.OnAnnouncement(Announced("archive", "other", 200, 1), world.now()));
+  EXPECT_FALSE(daemon.OnAnnouncement(Announced("archive", "own", 100, 2), world.now()));
+  EXPECT_EQ(daemon.membership().upstream()->identity, "own");
+  EXPECT_EQ(daemon.membership().upstream()->service, "media");
+  EXPECT_TRUE(daemon.OnAnnouncement(Announced("media", "own", 100, 3), world.now()));
+  EXPECT_EQ(Outcome(world, 0), "complete");
+}
+
+// Guards against another writer's announcement that arrives before any configuration and keeps
+// the upstream of a named service from being used afterwards.
+TEST(NodeRuntime, UnknownServiceAnnouncedBeforeTheConfigurationIsReplacedAtOnce) {
+  runtime_world world(2, {});
+  world.RemoveUpstream(0);
+  node_runtime& daemon = world.daemon(0);
+  EXPECT_TRUE(daemon.OnAnnouncement(Announced("archive", "other", 200, 1), world.now()));
+  ASSERT_TRUE(world.Publish());
+  world.Advance(seconds(5));
+  EXPECT_TRUE(daemon.OnAnnouncement(Announced("media", "own", 100, 1), world.now()));
+  EXPECT_EQ(daemon.membership().upstream()->identity, "own");
+}
+
 // Guards against a daemon that stays isolated after its clock went back across a restart while
 // the log is unavailable: its peers dropped its datagrams as those of an earlier incarnation
 // and sent no reply.
