Write to a stream between daemons only while gRPC holds it

Cause: WriteBody checked that the attempt was not finished, but not that the hold was in place, as Read does. Change: it checks the hold.

--- a/src/transport/attempt_stream.cc
+++ b/src/transport/attempt_stream.cc
@@ -76,7 +76,8 @@
 }
 
 void attempt_stream::WriteBody() {
-  if (writing_ || all_written_ || finished_ || !admitted_) return;
+  // Without the hold, gRPC may already have released the call.
+  if (writing_ || all_written_ || finished_ || !admitted_ || !held_) return;
   // If the body failed, the caller disconnected; the exchange reports that and the attempt is
   // cancelled.
   if (row_->body->Available() == 0 && !row_->body->AtEnd()) return;
--- a/src/transport/attempt_stream.h
+++ b/src/transport/attempt_stream.h
@@ -66,8 +66,8 @@
   // Bytes of the body of `incoming_` that were appended to the pipe.
   std::size_t passed_ = 0;
   bool passing_ = false;
-  // Whether the gRPC hold is in place: further reads may be started, and gRPC does not call
-  // `OnDone` until the hold is removed.
+  // Whether the gRPC hold is in place: further reads and writes may be started, and gRPC does
+  // not call `OnDone` until the hold is removed.
   bool held_ = false;
   std::shared_ptr<response_stream> response_;
   // The attempt's last event was reported, or the attempt was cancelled.
