--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -379,6 +379,24 @@
   }
 }
 
+// Guards against a message that is lost between daemons because a field, or the path, is not
+// valid UTF-8.
+TEST_P(ForwardedFields, BytesAbove7fArriveUnchanged) {
+  const std::string odd = "name=\"caf\xe9 \xff\x80.jpg\"";
+  std::string head;
+  raw_upstream upstream([&](raw_socket& peer) {
+    head = peer.ReceiveUntil("\r\n\r\n");
+    peer.Send(Response("200 OK", "X-Id: 1\r\nX-Seal: s\r\nX-Odd: " + odd + "\r\n", "ran"));
+    peer.ReceiveAll();
+  });
+  Use(upstream);
+  const std::string response = Ask(entry_, Request("1", "X-Odd: " + odd + "\r\n"));
+  upstream.Stop();
+  EXPECT_TRUE(response.ends_with("ran")) << response;
+  EXPECT_EQ(CountOf(response, "X-Odd: " + odd + "\r\n"), 1U) << response;
+  EXPECT_EQ(CountOf(head, "X-Odd: " + odd + "\r\n"), 1U) << head;
+}
+
 // Guards against fields in the trailer of a request body that reach the upstream.
 TEST_P(ForwardedFields, TrailerIsNotForwarded) {
   std::string head;
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -14,6 +14,7 @@
 #include <string>
 #include <thread>
 
+#include "proto/membership.pb.h"
 #include "proto/peer.grpc.pb.h"
 #include "tests/transport/raw_socket.h"
 #include "tests/transport/raw_upstream.h"
@@ -293,6 +294,22 @@
   EXPECT_TRUE(is_long_ready);
 }
 
+// Guards against frames that daemons of the version before, whose fields are text, cannot read
+// during a rolling restart: a message with two text fields reads one with two fields of bytes.
+TEST(Peer, FieldsOfBytesAreReadAsText) {
+  proto::Header field;
+  field.set_name("Content-Type");
+  field.set_value("text/plain; charset=\xc3\xa9");
+  proto::MemberDetails text;
+  ASSERT_TRUE(text.ParseFromString(field.SerializeAsString()));
+  EXPECT_EQ(text.service(), field.name());
+  EXPECT_EQ(text.region(), field.value());
+  EXPECT_EQ(text.SerializeAsString(), field.SerializeAsString());
+  proto::Header again;
+  ASSERT_TRUE(again.ParseFromString(text.SerializeAsString()));
+  EXPECT_EQ(again.value(), field.value());
+}
+
 // Guards against a member record of another writer whose address ends the process or counts as
 // a reachable peer.
 TEST(Peer, ImpossibleAddressesAreNeverReady) {
