Go on after a task of the event loop that ends with an exception

Operators of similar systems report that one unexpected error took a whole process down. Here any exception of a task, bad_alloc included, ended the process, since nothing caught it on the loop's thread; RunOnLoop would have waited for ever.

Change: the loop reports the exception (event=unexpected_error) and goes on with the next task. What must not stop with one failed task starts its next round on every way out: the tick, accepting connections, receiving datagrams. RunOnLoop throws the exception in its caller. What a task has left half done is ended by the deadline of its call.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -1,5 +1,6 @@
 #include "src/daemon/daemon.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_format.h>
 #include <xxhash.h>
 
@@ -111,6 +112,10 @@
   if (!status.ok()) {
     return status;
   }
+  SetErrorHandler([this](std::string_view error) {
+    log_line line(log_weight::kState, "daemon", "unexpected_error");
+    events_.Write(line.Add("error", error));
+  });
   RunOnLoop([this] {
     transport_.callers().SetCallerService(settings_.service);
     Tick();
@@ -177,6 +182,7 @@
     return;
   }
   closed_ = true;
+  SetErrorHandler(nullptr);
   RunOnLoop([this] { timer_.cancel(); });
   announcements_.Stop();
   readiness_.Stop();
@@ -194,6 +200,8 @@
 }
 
 void daemon::Tick() {
+  // Also after an exception, since everything that waits depends on the tick.
+  const absl::Cleanup next = [this] { ScheduleTick(); };
   const time_point now = MonotonicNow();
   log_->Tick(now);
   transport_.Tick(now);
@@ -205,7 +213,6 @@
   transport_.peers().server().SetSelf({self_.id, runtime_.incarnation()});
   if (runtime_.stopping()) TickStop(now);
   events_.Tick(now);
-  ScheduleTick();
 }
 
 void daemon::TickStop(time_point now) {
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -4,11 +4,36 @@
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <ctime>
+#include <exception>
 #include <future>
 #include <mutex>
 #include <thread>
+#include <utility>
 
 namespace bronzeroute {
+namespace {
+
+std::function<void(std::string_view)>& ErrorHandler() {
+  static auto* const handler = new std::function<void(std::string_view)>();
+  return *handler;
+}
+
+// Runs the loop; false if a task ended with an exception. The other tasks are not affected.
+bool RunUntilError() {
+  try {
+    LoopService().run();
+    return true;
+  } catch (const std::exception& error) {
+    if (ErrorHandler()) ErrorHandler()(error.what());
+    return false;
+  }
+}
+
+}  // namespace
+
+void SetErrorHandler(std::function<void(std::string_view)> handler) {
+  RunOnLoop([&handler] { ErrorHandler() = std::move(handler); });
+}
 
 void StartEventLoop() {
   static std::once_flag once;
@@ -16,7 +41,8 @@
     // Runs until the process ends; nothing stops it earlier.
     std::thread([] {
       const auto work = boost::asio::make_work_guard(LoopService());
-      LoopService().run();
+      while (!RunUntilError()) {
+      }
     }).detach();
   });
 }
@@ -35,10 +61,14 @@
 void RunOnLoop(const std::function<void()>& task) {
   std::promise<void> done;
   PostToLoop([&] {
-    task();
-    done.set_value();
+    try {
+      task();
+      done.set_value();
+    } catch (...) {
+      done.set_exception(std::current_exception());
+    }
   });
-  done.get_future().wait();
+  done.get_future().get();
 }
 
 std::int64_t UnixMilliseconds() {
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -1,5 +1,6 @@
 #include "src/transport/http_server.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_cat.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -75,8 +76,10 @@
           from->paused_until = MonotonicNow() + kAcceptPause;
           return;
         }
+        const absl::Cleanup next = [self, from] {
+          if (from->owner != nullptr && from->acceptor.is_open()) self->Accept(from);
+        };
         self->Take(std::move(socket));
-        if (from->owner != nullptr && from->acceptor.is_open()) self->Accept(from);
       });
 }
 
--- a/src/transport/udp_socket.cc
+++ b/src/transport/udp_socket.cc
@@ -1,5 +1,6 @@
 #include "src/transport/udp_socket.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/str_cat.h>
 
 #include <boost/asio/buffer.hpp>
@@ -23,6 +24,7 @@
         boost::asio::buffer(data), from,
         [self = shared_from_this()](const boost::system::error_code& error, std::size_t size) {
           if (self->events == nullptr || error == boost::asio::error::operation_aborted) return;
+          const absl::Cleanup next = [&self] { self->Receive(); };
           // Other errors are delayed ICMP errors for datagrams sent earlier; receiving
           // continues.
           if (!error) {
@@ -30,7 +32,6 @@
                 absl::StrCat(self->from.address().to_string(), ":", self->from.port());
             self->events->OnDatagram(address, {self->data.data(), size}, MonotonicNow());
           }
-          self->Receive();
         });
   }
 
