--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -88,7 +88,7 @@
   const time_point now = MonotonicNow();
   for (auto next = kept_.end(); next != kept_.begin();) {
     const auto found = std::prev(next);
-    const auto connection = *found;
+    auto connection = *found;
     next = found;
     if (!request_id.empty() && connection->refused_request == request_id) continue;
     next = kept_.erase(found);
