Name the fields of upstream_history for what they hold

challenger_ and challenges_ are the last other incarnation and its announcements; kMaxWritten is the number remembered. Names and one comment only; membership_test and NodeRuntime.* pass.

--- a/src/membership/upstream_history.cc
+++ b/src/membership/upstream_history.cc
@@ -12,8 +12,9 @@
 constexpr auto kRetention = std::chrono::minutes(10);
 // Incarnations kept, and departures kept; an upstream restarts a few times a day.
 constexpr std::size_t kMaxIncarnations = 64;
-// Incarnations, or departures, at which all are forgotten but the current incarnation.
-constexpr std::size_t kMaxWritten = 4096;
+// Number of incarnations, or of departures, at which all but the current incarnation are
+// forgotten.
+constexpr std::size_t kMaxRemembered = 4096;
 // Announcements after which an incarnation counts as live although its start or the order of
 // arrival says otherwise, since a clock may have been set back.
 constexpr int kAnnouncementsOfLiveIncarnation = 3;
@@ -33,7 +34,7 @@
   const bool is_next = !current_ || (is_first && !IsOutdated(announced));
   if (announced != current_ && !is_next && !IsPersistent(announced)) return false;
   current_ = announced;
-  challenges_ = 0;
+  other_announcements_ = 0;
   return true;
 }
 
@@ -65,7 +66,7 @@
 
 void upstream_history::ClearCurrent() {
   current_.reset();
-  challenges_ = 0;
+  other_announcements_ = 0;
 }
 
 bool upstream_history::IsOutdated(const key& other) const {
@@ -73,9 +74,9 @@
 }
 
 bool upstream_history::IsPersistent(const key& other) {
-  if (challenger_ != other) challenges_ = 0;
-  challenger_ = other;
-  return ++challenges_ >= kAnnouncementsOfLiveIncarnation;
+  if (last_other_ != other) other_announcements_ = 0;
+  last_other_ = other;
+  return ++other_announcements_ >= kAnnouncementsOfLiveIncarnation;
 }
 
 const upstream_history::key* upstream_history::LatestOf(std::string_view identity) const {
@@ -99,7 +100,7 @@
                    [&](const auto& entry) { return entry.second.left + kRetention < now; });
   }
   // Another writer may invent identities at any rate.
-  if (incarnations_.size() >= kMaxWritten || departures_.size() >= kMaxWritten) {
+  if (incarnations_.size() >= kMaxRemembered || departures_.size() >= kMaxRemembered) {
     absl::erase_if(incarnations_, [&](const auto& entry) { return entry.first != current_; });
     departures_.clear();
   }
--- a/src/membership/upstream_history.h
+++ b/src/membership/upstream_history.h
@@ -66,10 +66,10 @@
   std::optional<key> current_;
   absl::flat_hash_map<key, incarnation> incarnations_;
   absl::flat_hash_map<std::string, departure> departures_;
-  /// The incarnation that announced itself last, other than the current one, and how often
-  /// since the last announcement of the current one.
-  key challenger_;
-  int challenges_ = 0;
+  /// The incarnation other than the current one that announced itself last, and how often it
+  /// did since the last announcement of the current one.
+  key last_other_;
+  int other_announcements_ = 0;
 };
 
 }  // namespace bronzeroute
