Test that an upload outlives the owner's end of its stream

Plays the freed write of the review: the owner admits an attempt and ends the stream while the caller goes on sending, 40 rounds.

--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -260,6 +260,56 @@
   }
 }
 
+// An owner that admits an attempt and ends its stream while the body still arrives.
+class ending_owner : public proto::Peer::Service {
+ public:
+  grpc::Status Forward(
+      grpc::ServerContext* /*context*/,
+      grpc::ServerReaderWriter<proto::AnswerFrame, proto::AttemptFrame>* stream) override {
+    proto::AttemptFrame request;
+    stream->Read(&request);
+    proto::AnswerFrame frame;
+    *frame.mutable_id() = request.id();
+    frame.set_owner_incarnation(request.head().target_incarnation());
+    frame.set_admitted(true);
+    stream->Write(frame);
+    stream->Read(&request);
+    return {grpc::StatusCode::UNAVAILABLE, "ends during the upload"};
+  }
+};
+
+// Guards against a write to a stream that gRPC has released: the owner ends it while the caller
+// goes on sending. A build with -fsanitize=address shows the fault.
+TEST(Peer, UploadGoesOnAfterTheOwnerEndedItsStream) {
+  constexpr int kRounds = 40;
+  ending_owner owner;
+  const std::string address = test_daemon::Address(FreePort());
+  grpc::ServerBuilder builder;
+  builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+  builder.RegisterService(&owner);
+  const auto server = builder.BuildAndStart();
+  test_daemon entry(1);
+  entry.is_long = true;
+  entry.UsePeer(member_id{9}, address);
+  const std::string piece = "800\r\n" + std::string(0x800, 'b') + "\r\n";
+  for (int round = 0; round < kRounds; ++round) {
+    const raw_socket caller = raw_socket::Connect(entry.callers_port());
+    std::atomic<bool> has_response = false;
+    std::thread sending([&] {
+      caller.Send(
+          "POST /orders HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+          "Connection: close\r\n\r\n");
+      while (!has_response && caller.Send(piece)) {
+      }
+    });
+    const std::string head = caller.ReceiveUntil("\r\n\r\n");
+    has_response = true;
+    caller.Shutdown();
+    sending.join();
+    EXPECT_TRUE(head.starts_with("HTTP/1.1 504")) << head;
+  }
+}
+
 // Guards against short attempts sharing a TCP connection with long ones, which would delay
 // them.
 TEST(Peer, ShortAndLongAttemptsUseSeparateConnections) {
