Keep the owner of a socket alive while a write to it is pending

A sanitizer build of the transport tests, made for the freed write between daemons, stopped with a heap-use-after-free in EarlyResponseTest.RejectedUploadEndsItsConnectionToTheUpstream (one run of one): an upstream rejects an upload early, the attempt closes and destroys its connection, and Beast's async_write goes on with the next part on the freed socket.

Cause: a closed socket does not stop a write in several parts whose last part has completed already. The connections of callers have the same pattern.

Change: the handler of a pending write holds the owner of its socket. With -fsanitize=address EarlyResponseTest.* passed 12 of 12 times, and 81 of 81 tests of the transport's calls.

--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -238,11 +238,11 @@
   // clients read the next response as that body.
   if (is_head_ || response.status == 304 || server_->closing()) keep_alive_ = false;
   message.keep_alive(keep_alive_);
-  writer_ =
-      std::make_shared<writer>(socket_, std::move(message), has_body ? response.body : nullptr,
-                               [weak = weak_from_this()](writer::end how) {
-                                 if (const auto self = weak.lock()) self->OnWritten(how);
-                               });
+  writer_ = std::make_shared<writer>(weak_from_this(), socket_, std::move(message),
+                                     has_body ? response.body : nullptr,
+                                     [weak = weak_from_this()](writer::end how) {
+                                       if (const auto self = weak.lock()) self->OnWritten(how);
+                                     });
   if (!has_body) writer_->WriteOnlyHead();
   writer_->Start();
 }
--- a/src/transport/message_writer.h
+++ b/src/transport/message_writer.h
@@ -34,9 +34,12 @@
   };
   using done = std::function<void(end)>;
 
-  message_writer(boost::asio::ip::tcp::socket& socket, message head,
+  /// `owner` owns `socket`. It is kept alive while a write is pending: a write in several parts
+  /// goes on with the next part even if the socket was closed in between.
+  message_writer(std::weak_ptr<void> owner, boost::asio::ip::tcp::socket& socket, message head,
                  std::shared_ptr<byte_pipe> body, done on_done)
-      : socket_(&socket),
+      : owner_(std::move(owner)),
+        socket_(&socket),
         message_(std::move(head)),
         serializer_(std::in_place, message_),
         body_(std::move(body)),
@@ -54,7 +57,7 @@
     Write();
   }
 
-  /// Prevents further calls of `done`. The socket may be destroyed once it is closed.
+  /// Prevents further calls of `done`. The caller closes the socket.
   void Abandon() {
     on_done_ = nullptr;
     socket_ = nullptr;
@@ -93,7 +96,7 @@
       if (count == 0 && body.more && head_written_) return;
     }
     writing_ = true;
-    const auto written = [self = this->shared_from_this()](
+    const auto written = [self = this->shared_from_this(), owner = owner_.lock()](
                              const boost::system::error_code& error, std::size_t count) {
       self->wrote_any_ = self->wrote_any_ || count > 0;
       self->OnWritten(error);
@@ -124,6 +127,7 @@
     if (report) report(how);
   }
 
+  std::weak_ptr<void> owner_;
   boost::asio::ip::tcp::socket* socket_;
   message message_;
   std::optional<boost::beast::http::serializer<IsRequest, boost::beast::http::buffer_body>>
--- a/src/transport/upstream_attempt.cc
+++ b/src/transport/upstream_attempt.cc
@@ -162,7 +162,7 @@
   sent_ = false;
   connection_->reader.Begin(kResponseHeadBytes, 0);
   if (row_->method == "HEAD") connection_->reader.SkipBody();
-  writer_ = std::make_shared<writer>(connection_->socket, std::move(message),
+  writer_ = std::make_shared<writer>(connection_, connection_->socket, std::move(message),
                                      has_body ? row_->body : nullptr,
                                      [weak = weak_from_this()](writer::end how) {
                                        if (const auto self = weak.lock()) self->OnSent(how);
