--- a/tests/process/deployed_test.h
+++ b/tests/process/deployed_test.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <string>
 
-#include "tests/process/call_oracle.h"
 #include "tests/process/deployment.h"
 #include "tests/process/example_document.h"
 
@@ -40,16 +39,6 @@
       return deployment_.Status(kFirst, "effective_slots") == kSlots &&
              deployment_.Status(kSecond, "effective_slots") == kSlots;
     })) << "effective_slots of both daemons did not reach 6 within 30 s";
-    // A member is listed before the channel to it is open; until then its calls are refused.
-    // More calls at once than one upstream has slots go to both.
-    ASSERT_TRUE(deployment::WaitFor([this] {
-      call_oracle burst(deployment_, "burst");
-      for (std::int64_t i = 0; i < 2 * kSlots; ++i) {
-        burst.StartRepeatable(kEntry, "/orders/1?work_us=50000", "5000");
-      }
-      burst.Join();
-      return deployment_.Runs(kFirst) > 0 && deployment_.Runs(kSecond) > 0;
-    })) << "the entry did not reach both owners within 30 s";
   }
 
   /// Member id of a daemon in the form used in issued keys.
--- a/tests/process/owner_loss_test.cc
+++ b/tests/process/owner_loss_test.cc
@@ -133,6 +133,16 @@
 // Guards against a call that runs twice when its entry is killed and its caller tries again.
 TEST_F(owner_loss, KilledEntryClosesConnectionsAndKeysRunAtMostOnce) {
   Deploy();
+  // A member is listed before the channel to it is open; until then its calls are refused.
+  // More calls at once than one upstream has slots go to both.
+  ASSERT_TRUE(deployment::WaitFor([this] {
+    call_oracle burst(deployment_, "burst");
+    for (std::int64_t i = 0; i < 2 * kSlots; ++i) {
+      burst.StartRepeatable(kEntry, "/orders/1?work_us=50000", "5000");
+    }
+    burst.Join();
+    return deployment_.Runs(kFirst) > 0 && deployment_.Runs(kSecond) > 0;
+  })) << "the entry did not reach both owners within 30 s";
   call_oracle oracle(deployment_);
   for (int i = 0; i < 16; ++i) {
     oracle.StartProtected(kEntry, "/orders/new?work_us=700000",
