--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -220,7 +220,7 @@
     const bool is_reset = length % 2 == 1;
     raw_upstream upstream([&](raw_socket& peer) {
       peer.ReceiveUntil("\r\n\r\n");
-      peer.Send(std::string_view(head).substr(0, length));
+      peer.Send(head.substr(0, length));
       if (is_reset) {
         peer.Reset();
       } else {
@@ -309,9 +309,10 @@
                   .starts_with("HTTP/1.1 413"));
 }
 
-class ForwardedFields : public testing::TestWithParam<bool> {
+class ForwardedFieldsTest : public testing::TestWithParam<bool> {
  protected:
-  ForwardedFields() : owner_(2, nullptr, OtherDialect()), entry_(1, nullptr, OtherDialect()) {
+  ForwardedFieldsTest()
+      : owner_(2, nullptr, OtherDialect()), entry_(1, nullptr, OtherDialect()) {
     if (GetParam()) entry_.UsePeer(owner_);
     for (test_daemon* const each : {&owner_, &entry_}) {
       RunOnLoop([each] { each->sockets().callers().SetCallerService("shop"); });
@@ -336,7 +337,7 @@
 
 // Guards against a Connection field, of a caller or of an upstream, that removes the framing of
 // a body or a field that the daemon sets: the body then runs as another request.
-TEST_P(ForwardedFields, ConnectionFieldCannotRemoveFramingOrOwnFields) {
+TEST_P(ForwardedFieldsTest, ConnectionFieldCannotRemoveFramingOrOwnFields) {
   const std::string body =
       "GET /smuggled HTTP/1.1\r\nHost: a\r\nX-Id: 9\r\nX-From: bad\r\n\r\n";
   std::string head;
@@ -381,7 +382,7 @@
 
 // Guards against a message that is lost between daemons because a field, or the path, is not
 // valid UTF-8.
-TEST_P(ForwardedFields, BytesAbove7fArriveUnchanged) {
+TEST_P(ForwardedFieldsTest, BytesAbove7fArriveUnchanged) {
   const std::string odd = "name=\"caf\xe9 \xff\x80.jpg\"";
   std::string head;
   raw_upstream upstream([&](raw_socket& peer) {
@@ -398,7 +399,7 @@
 }
 
 // Guards against fields in the trailer of a request body that reach the upstream.
-TEST_P(ForwardedFields, TrailerIsNotForwarded) {
+TEST_P(ForwardedFieldsTest, TrailerIsNotForwarded) {
   std::string head;
   std::string rest;
   raw_upstream upstream([&](raw_socket& peer) {
@@ -420,7 +421,7 @@
   EXPECT_EQ(rest, "4\r\nbody\r\n0\r\n\r\n");
 }
 
-INSTANTIATE_TEST_SUITE_P(Paths, ForwardedFields, testing::Bool(),
+INSTANTIATE_TEST_SUITE_P(Paths, ForwardedFieldsTest, testing::Bool(),
                          [](const testing::TestParamInfo<bool>& info) {
                            return info.param ? "RemoteUpstream" : "LocalUpstream";
                          });
