Play a users' deployment with real daemons, judged from outside

brstandin_platform takes a site file, starts that many bronzerouted-platform processes on loopback addresses, and surrounds them with a store, its operator, upstreams and callers written from PROTOCOL.md, without code of platform/. An oracle judges CONFIG, DENIED, ROUTE, TWICE, REFUSED and UNASKED by what callers, upstreams and the operator see.

--- /dev/null
+++ b/standins/platform/main.cc
@@ -0,0 +1,80 @@
+// Plays a deployment of the users' platform with real daemons: stand-ins of the store, its
+// operator, upstreams and callers, and an oracle that judges what they see.
+
+#include <atomic>
+#include <csignal>
+#include <cxxopts.hpp>
+#include <exception>
+#include <filesystem>
+#include <iostream>
+
+#include "src/transport/event_loop.h"
+#include "standins/platform/platform_run.h"
+
+namespace {
+
+std::atomic<bool> stop_requested = false;
+
+void RequestStop(int /*number*/) { stop_requested = true; }
+
+constexpr int kBroken = 1;
+constexpr int kUsageError = 2;
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using bronzeroute::standin::platform_run;
+  cxxopts::Options parser("brstandin_platform",
+                          "Plays a deployment of the users' platform with real daemons.\n"
+                          "Exit code: 0 no rule broken, 1 a rule was broken, 2 cannot run");
+  bronzeroute::standin::run_options options;
+  std::string site_file;
+  double seconds = 60;
+  int change_ms = 2000;
+  int fault_ms = 0;
+  // clang-format off
+  parser.add_options()
+      ("site", "site file (TOML)", cxxopts::value(site_file))
+      ("daemon", "program of the daemon", cxxopts::value(options.daemon))
+      ("settings", "template of its settings", cxxopts::value(options.settings_template)->default_value("deploy/settings.toml"))
+      ("folder", "folder for settings and logs", cxxopts::value(options.folder))
+      ("seconds", "length of the run", cxxopts::value(seconds)->default_value("60"))
+      ("change-ms", "mean time between two versions; 0 for none", cxxopts::value(change_ms)->default_value("2000"))
+      ("fault-ms", "mean time between two faults of the store; 0 for none", cxxopts::value(fault_ms)->default_value("0"))
+      ("load", "requests per second as a share of those of the site", cxxopts::value(options.load)->default_value("1"))
+      ("seed", "seed of names, requests, changes and faults", cxxopts::value(options.seed)->default_value("1"))
+      ("h,help", "print this help")
+      ("version", "print the version");
+  // clang-format on
+  try {
+    const auto parsed = parser.parse(argc, argv);
+    if (parsed.count("help") != 0) {
+      std::cout << parser.help();
+      return 0;
+    }
+    if (parsed.count("version") != 0) {
+      std::cout << "brstandin_platform " << BRONZEROUTE_VERSION << "\n";
+      return 0;
+    }
+    for (const char* name : {"site", "daemon", "folder"}) {
+      if (parsed.count(name) == 0) throw std::runtime_error(std::string("missing --") + name);
+    }
+    options.length = std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000));
+    options.change_period = std::chrono::milliseconds(change_ms);
+    options.fault_period = std::chrono::milliseconds(fault_ms);
+    const auto site = bronzeroute::standin::ReadSite(site_file);
+    std::filesystem::create_directories(options.folder);
+    struct sigaction action = {};
+    action.sa_handler = RequestStop;
+    sigaction(SIGINT, &action, nullptr);
+    sigaction(SIGTERM, &action, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    bronzeroute::StartEventLoop();
+    platform_run run(site, options);
+    run.Play(stop_requested);
+    return run.Report() ? 0 : kBroken;
+  } catch (const std::exception& error) {
+    std::cerr << "brstandin_platform: " << error.what() << "\n";
+    return kUsageError;
+  }
+}
--- /dev/null
+++ b/standins/platform/platform_run.cc
@@ -0,0 +1,376 @@
+#include "standins/platform/platform_run.h"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include "absl/strings/str_format.h"
+#include "src/base/concat.h"
+#include "standins/platform/loop_timer.h"
+#include "standins/platform/platform_addresses.h"
+
+namespace bronzeroute::standin {
+namespace {
+
+constexpr milliseconds kTickPeriod{5};
+constexpr milliseconds kReportPeriod{1500};
+constexpr milliseconds kPoll{50};
+constexpr std::chrono::seconds kReadyLimit{30};
+constexpr std::chrono::seconds kStopLimit{12};
+constexpr std::chrono::seconds kFaultTime{3};
+constexpr std::size_t kMaxShown = 20;
+const std::string kStoreIp = "127.40.0.1";
+const std::string kOperatorTopic = "keyed.op";
+
+std::string ReadFile(const std::string& name) {
+  std::ifstream file(name);
+  if (!file) throw std::runtime_error("cannot read " + name);
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+void Replace(const std::string& from, const std::string& to, std::string& text) {
+  for (std::size_t at = text.find(from); at != std::string::npos;
+       at = text.find(from, at + to.size())) {
+    text.replace(at, from.size(), to);
+  }
+}
+
+double Percentile(const std::vector<double>& sorted, double share) {
+  if (sorted.empty()) return 0;
+  const auto at = static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1));
+  return sorted[at];
+}
+
+double SecondsOfDay() { return static_cast<double>(UnixMilliseconds()) / 1000; }
+
+std::string_view StoreFaultName(store_fault fault) {
+  switch (fault) {
+    case store_fault::kNone:
+      return "history deleted";
+    case store_fault::kSlow:
+      return "slow";
+    case store_fault::kBusy:
+      return "503";
+    case store_fault::kSilent:
+      return "silent";
+    case store_fault::kSilentConnections:
+      return "open connections silent";
+    case store_fault::kLostResponses:
+      return "responses to appends lost";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+platform_run::platform_run(const site_shape& site, const run_options& options)
+    : site_(site),
+      options_(options),
+      random_(options.seed),
+      change_random_(options.seed + 1),
+      fault_random_(options.seed + 2),
+      author_(site, options.seed),
+      oracle_(site.bounds),
+      store_(options.retention) {
+  PlaceMachines();
+}
+
+platform_run::~platform_run() {
+  for (const auto& daemon : daemons_) daemon->Signal(SIGTERM);
+  for (const auto& daemon : daemons_) daemon->AwaitEnd(kStopLimit);
+  daemons_.clear();
+  RunOnLoop([this] { is_ended_ = true; });
+  for (const auto& upstream : upstreams_) upstream->Stop();
+  store_.Stop();
+}
+
+void platform_run::PlaceMachines() {
+  int zone_number = 0;
+  for (const zone_shape& zone : site_.zones) {
+    int number = 0;
+    for (const machine_shape& machines : site_.machines) {
+      if (machines.zone != zone.name) continue;
+      for (int i = 0; i < machines.count; ++i) {
+        ++number;
+        places_.push_back({.name = Concat("sidecar-", zone.name, "-", number),
+                           .zone = zone.name,
+                           .region = zone.region,
+                           .ip = Concat("127.30.", zone_number, ".", number),
+                           .service = machines.service});
+        by_zone_[zone.name].push_back(&places_.back());
+      }
+    }
+    ++zone_number;
+  }
+}
+
+std::string platform_run::Settings(const machine_place& place) const {
+  std::string text = ReadFile(options_.settings_template);
+  Replace("{{region}}", place.region, text);
+  Replace("{{zone}}", place.zone, text);
+  Replace("{{service}}", author_.ServiceName(place.service), text);
+  Replace("{{listen.outbound}}", Address(place.ip, kOutboundPort), text);
+  Replace("{{listen.inbound}}", Address(place.ip, kInboundPort), text);
+  Replace("{{listen.control}}", Address(place.ip, kControlPort), text);
+  Replace("{{listen.ready}}", Address(place.ip, kReadyPort), text);
+  Replace("{{ip}}:{{internalPorts.0}}", Address(place.ip, kMembershipPort), text);
+  Replace("{{ip}}:{{internalPorts.1}}", Address(place.ip, kAdminPort), text);
+  Replace("{{platform.address}}", Address(kStoreIp, kStorePort), text);
+  if (text.find("{{") != std::string::npos) {
+    throw std::runtime_error(options_.settings_template + ": unknown placeholder " +
+                             text.substr(text.find("{{"), 30));
+  }
+  return text;
+}
+
+void platform_run::StartDaemons() {
+  for (const machine_place& place : places_) {
+    const std::string name = options_.folder + "/" + place.name;
+    std::ofstream(name + ".toml") << Settings(place);
+    daemons_.push_back(
+        std::make_unique<daemon_process>(options_.daemon, name + ".toml", name + ".log"));
+  }
+}
+
+void platform_run::AwaitReady(const std::atomic<bool>& stop) {
+  std::atomic<std::size_t> ready = 0;
+  const auto until = clock::now() + kReadyLimit;
+  for (const machine_place& place : places_) {
+    bool is_ready = false;
+    while (!is_ready && !stop) {
+      if (clock::now() >= until) {
+        throw std::runtime_error(Concat("the daemon of ", place.name, " is not ready after ",
+                                        kReadyLimit.count(), " s; see its log in ",
+                                        options_.folder));
+      }
+      std::atomic<int> status = -1;
+      RunOnLoop([&] {
+        client_request question;
+        question.target = "/api/readyz";
+        question.headers = {{"Host", "ready"}};
+        question.patience = std::chrono::seconds(1);
+        client_.Send(Address(place.ip, kReadyPort), std::move(question),
+                     [&status](const client_response& response) { status = response.status; });
+      });
+      while (status < 0) std::this_thread::sleep_for(kTickPeriod);
+      is_ready = status == 200;
+      if (!is_ready) std::this_thread::sleep_for(kPoll);
+    }
+  }
+}
+
+void platform_run::Publish(const authored_version& version) {
+  oracle_.OnSent(version, clock::now());
+  store_.Put(kOperatorTopic, "config", author_.Document(version).dump());
+  oracle_.OnConfirmed(version.number, clock::now());
+  confirmed_.emplace_back(version.number, UnixMilliseconds());
+  std::cout << absl::StrFormat("version r%d confirmed at %.3f: %s\n", version.number,
+                               SecondsOfDay(), author_.last_change())
+            << std::flush;
+}
+
+void platform_run::ScheduleChange() {
+  if (options_.change_period.count() == 0) return;
+  std::uniform_real_distribution<double> spread(0.2, 1.8);
+  RunAfter(
+      std::chrono::microseconds(static_cast<std::int64_t>(
+          spread(change_random_) * 1000 * static_cast<double>(options_.change_period.count()))),
+      [this] {
+        if (is_ended_ || clock::now() >= ends_at_) return;
+        Publish(author_.Next());
+        ScheduleChange();
+      });
+}
+
+void platform_run::ScheduleFault() {
+  if (options_.fault_period.count() == 0) return;
+  std::uniform_real_distribution<double> spread(0.5, 1.5);
+  RunAfter(
+      std::chrono::microseconds(static_cast<std::int64_t>(
+          spread(fault_random_) * 1000 * static_cast<double>(options_.fault_period.count()))),
+      [this] {
+        if (is_ended_ || clock::now() >= ends_at_) return;
+        constexpr std::array kFaults = {store_fault::kSlow,
+                                        store_fault::kBusy,
+                                        store_fault::kSilent,
+                                        store_fault::kLostResponses,
+                                        store_fault::kSilentConnections,
+                                        store_fault::kNone};
+        std::uniform_int_distribution<std::size_t> pick(0, kFaults.size() - 1);
+        const store_fault fault = kFaults[pick(fault_random_)];
+        if (fault == store_fault::kNone) store_.Compact(kOperatorTopic);
+        store_.SetFault(fault);
+        oracle_.OnStoreFault(clock::now(), clock::now() + kFaultTime);
+        std::cout << absl::StrFormat("store fault at %.3f: %s\n", SecondsOfDay(),
+                                     StoreFaultName(fault))
+                  << std::flush;
+        RunAfter(kFaultTime, [this] { store_.SetFault(store_fault::kNone); });
+        ScheduleFault();
+      });
+}
+
+void platform_run::SendRequest(const traffic_shape& from, const class_shape& described) {
+  const auto& machines = by_zone_[from.zone];
+  std::uniform_int_distribution<std::size_t> pick(0, machines.size() - 1);
+  const machine_place& entry = *machines[pick(random_)];
+  const std::string id = absl::StrFormat("%016x", random_());
+  route_place place = author_.PlaceOf(described.name);
+  const auto& added = author_.added();
+  // Some requests go to routes that were added, which are like those of the first class.
+  if (!added.empty() && &described == &site_.classes.front() && random_() % 10 == 0) {
+    place = added[random_() % added.size()];
+  }
+  client_request request;
+  request.method = described.method;
+  request.target = place.prefix + absl::StrFormat("%x", ++requests_);
+  request.headers = {{"Host", place.host},
+                     {"Attempt-Id", id},
+                     {"Deadline-Ms", std::to_string(described.deadline.count())}};
+  if (described.method != "GET") {
+    request.body = std::string(static_cast<std::size_t>(described.request_bytes), 'b');
+    request.is_chunked = random_() % 2 == 0;
+  }
+  request.reuses_connection = described.reuses_connections;
+  request.patience = described.deadline + std::chrono::seconds(1);
+  const bool is_protected = described.kind == "unsafe" || described.kind == "upload";
+  oracle_.OnRequest(id, entry.name, place.host, request.target, is_protected, clock::now());
+  client_.Send(Address(entry.ip, kOutboundPort), std::move(request),
+               [this, id](const client_response& response) {
+                 oracle_.OnResponse(id, response.status, clock::now());
+               });
+}
+
+void platform_run::Tick() {
+  if (is_ended_) return;
+  store_.Tick();
+  const auto now = clock::now();
+  for (const traffic_shape& from : site_.traffic) {
+    double total = 0;
+    for (const auto& [name, share] : from.mix) total += share;
+    auto& next = next_request_.try_emplace(from.zone, now).first->second;
+    while (sends_requests_ && next <= now) {
+      std::exponential_distribution<double> gap(from.per_second * options_.load);
+      next += std::chrono::microseconds(static_cast<std::int64_t>(gap(random_) * 1e6));
+      double rest = std::uniform_real_distribution<double>(0, total)(random_);
+      for (const auto& [name, share] : from.mix) {
+        rest -= share;
+        if (rest > 0) continue;
+        if (const class_shape* const described = site_.FindClass(name)) {
+          SendRequest(from, *described);
+        }
+        break;
+      }
+    }
+  }
+  RunAfter(kTickPeriod, [this] { Tick(); });
+}
+
+void platform_run::Play(const std::atomic<bool>& stop) {
+  const auto require = [](const absl::Status& status) {
+    if (!status.ok()) throw std::runtime_error(std::string(status.message()));
+  };
+  require(store_.Start(Address(kStoreIp, kStorePort)));
+  std::uint64_t seed = options_.seed;
+  for (const machine_place& place : places_) {
+    upstreams_.push_back(
+        std::make_unique<platform_upstream>(site_, author_, place, client_, oracle_, ++seed));
+    require(upstreams_.back()->Start());
+  }
+  RunOnLoop([this] {
+    ends_at_ = clock::time_point::max();
+    Publish(author_.First());
+  });
+  StartDaemons();
+  std::atomic<bool> announces = true;
+  std::thread reports([&] {
+    while (announces) {
+      RunOnLoop([this] {
+        for (const auto& upstream : upstreams_) upstream->Announce();
+      });
+      for (milliseconds slept{0}; slept < kReportPeriod && announces; slept += kPoll) {
+        std::this_thread::sleep_for(kPoll);
+      }
+    }
+  });
+  try {
+    AwaitReady(stop);
+  } catch (...) {
+    announces = false;
+    reports.join();
+    throw;
+  }
+  std::cout << Concat(places_.size(), " daemons are ready\n") << std::flush;
+  const auto end = clock::now() + options_.length;
+  RunOnLoop([this, end] {
+    ends_at_ = end;
+    sends_requests_ = true;
+    Tick();
+    ScheduleChange();
+    ScheduleFault();
+  });
+  while (clock::now() < end && !stop) std::this_thread::sleep_for(kPoll);
+  RunOnLoop([this] { sends_requests_ = false; });
+  std::this_thread::sleep_for(stop ? kPoll : milliseconds(3'000));
+  announces = false;
+  reports.join();
+}
+
+std::vector<double> platform_run::EffectDelays(std::size_t& missing) const {
+  std::vector<double> delays;
+  missing = 0;
+  for (const machine_place& place : places_) {
+    std::ifstream log(options_.folder + "/" + place.name + ".log");
+    std::vector<std::pair<std::int64_t, double>> in_effect;
+    for (std::string line; std::getline(log, line);) {
+      const std::size_t at = line.find("event=in_effect version=");
+      if (at == std::string::npos) continue;
+      in_effect.emplace_back(std::atoll(line.c_str() + at + 24),
+                             1000 * std::atof(line.c_str() + line.find("ts=") + 3));
+    }
+    for (const auto& [version, confirmed_ms] : confirmed_) {
+      const auto found = std::ranges::find_if(
+          in_effect, [&](const auto& row) { return row.first >= version; });
+      if (found == in_effect.end()) {
+        ++missing;
+      } else {
+        delays.push_back(found->second - static_cast<double>(confirmed_ms));
+      }
+    }
+  }
+  std::ranges::sort(delays);
+  return delays;
+}
+
+bool platform_run::Report() const {
+  std::size_t missing = 0;
+  const std::vector<double> delays = EffectDelays(missing);
+  std::cout << absl::StrFormat(
+      "in effect after ms: p50 %.0f, p99 %.0f, max %.0f over %d changes and %d daemons; "
+      "never: %d; store calls: %d\n",
+      Percentile(delays, 0.5), Percentile(delays, 0.99), Percentile(delays, 1),
+      confirmed_.size(), places_.size(), missing, store_.calls());
+  std::cout << "responses:";
+  for (const auto& [status, count] : oracle_.statuses()) {
+    std::cout << " " << status << " x " << count;
+  }
+  std::cout << absl::StrFormat("\nlate, excused by a fault of the store: %d\n",
+                               oracle_.excused());
+  std::map<std::string, std::size_t> by_rule;
+  for (const rule_break& each : oracle_.breaks()) {
+    if (++by_rule[each.rule] <= kMaxShown) std::cout << each.rule << ": " << each.text << "\n";
+  }
+  for (const auto& [rule, count] : by_rule) std::cout << rule << " broken: " << count << "\n";
+  if (by_rule.empty()) std::cout << "no rule broken\n";
+  return by_rule.empty();
+}
+
+}  // namespace bronzeroute::standin
--- /dev/null
+++ b/standins/platform/platform_run.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "standins/platform/caller_client.h"
+#include "standins/platform/configuration_author.h"
+#include "standins/platform/configuration_oracle.h"
+#include "standins/platform/daemon_process.h"
+#include "standins/platform/platform_store.h"
+#include "standins/platform/platform_upstream.h"
+#include "standins/platform/run_options.h"
+
+namespace bronzeroute::standin {
+
+/// One run: a deployment of real daemons with stand-ins of the platform, upstreams and callers
+/// around them. Everything but the daemons runs on the event loop of this process.
+class platform_run {
+ public:
+  platform_run(const site_shape& site, const run_options& options);
+  ~platform_run();
+  platform_run(const platform_run&) = delete;
+  platform_run& operator=(const platform_run&) = delete;
+
+  /// Plays the run; `stop` ends it early. Throws std::runtime_error if a part cannot start.
+  void Play(const std::atomic<bool>& stop);
+  /// Writes what was found to standard output; true if no rule was broken.
+  bool Report() const;
+
+ private:
+  using clock = std::chrono::steady_clock;
+
+  void PlaceMachines();
+  void StartDaemons();
+  void AwaitReady(const std::atomic<bool>& stop);
+  std::string Settings(const machine_place& place) const;
+  void Publish(const authored_version& version);
+  void ScheduleChange();
+  void ScheduleFault();
+  void Tick();
+  void SendRequest(const traffic_shape& from, const class_shape& described);
+  /// Delays from the confirmation of each version to the line with which a daemon puts it, or
+  /// a later one, in effect.
+  std::vector<double> EffectDelays(std::size_t& missing) const;
+
+  const site_shape& site_;
+  run_options options_;
+  /// Requests.
+  std::mt19937_64 random_;
+  /// Times and kinds of changes and faults, which do not depend on the requests sent so far.
+  std::mt19937_64 change_random_;
+  std::mt19937_64 fault_random_;
+  configuration_author author_;
+  configuration_oracle oracle_;
+  platform_store store_;
+  caller_client client_;
+  std::deque<machine_place> places_;
+  std::map<std::string, std::vector<const machine_place*>> by_zone_;
+  std::vector<std::unique_ptr<platform_upstream>> upstreams_;
+  std::vector<std::unique_ptr<daemon_process>> daemons_;
+  /// Version with the Unix milliseconds of its confirmation.
+  std::vector<std::pair<std::int64_t, std::int64_t>> confirmed_;
+  std::map<std::string, clock::time_point> next_request_;
+  clock::time_point ends_at_;
+  bool sends_requests_ = false;
+  bool is_ended_ = false;
+  std::uint64_t requests_ = 0;
+};
+
+}  // namespace bronzeroute::standin
--- /dev/null
+++ b/standins/platform/platform_upstream.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <string_view>
+
+#include "standins/platform/caller_client.h"
+#include "standins/platform/configuration_author.h"
+#include "standins/platform/configuration_oracle.h"
+#include "standins/platform/http_endpoint.h"
+#include "standins/platform/site_shape.h"
+
+namespace bronzeroute::standin {
+
+/// Where an upstream and the daemon beside it stand.
+struct machine_place {
+  std::string name;
+  std::string zone;
+  std::string region;
+  std::string ip;
+  /// Service as the site file names it.
+  std::string service;
+};
+
+/// A worker of the platform: runs requests in its slots, makes the calls that their class asks
+/// for through the daemon beside it, and reports itself to that daemon. Used on the event loop.
+class platform_upstream {
+ public:
+  platform_upstream(const site_shape& site, const configuration_author& author,
+                    const machine_place& place, caller_client& client,
+                    configuration_oracle& oracle, std::uint64_t seed);
+
+  /// Listens. Not on the event loop.
+  absl::Status Start();
+  void Stop() { endpoint_.Stop(); }
+  /// Sends the next liveness report.
+  void Announce();
+
+ private:
+  struct job {
+    received_request request;
+    http_endpoint::responder respond;
+    std::string id;
+    std::chrono::steady_clock::time_point deadline;
+    int open_calls = 0;
+    bool has_failed = false;
+  };
+
+  void Handle(const received_request& request, const http_endpoint::responder& respond);
+  void RefuseRun(const http_endpoint::responder& respond, int status);
+  void Run(const std::shared_ptr<job>& work);
+  void Call(const std::shared_ptr<job>& work, const class_shape& nested);
+  void Finish(const std::shared_ptr<job>& work);
+  const class_shape* ClassOf(const received_request& request) const;
+  std::string Load() const;
+
+  const site_shape& site_;
+  const configuration_author& author_;
+  machine_place place_;
+  caller_client& client_;
+  configuration_oracle& oracle_;
+  std::mt19937_64 random_;
+  const service_shape& service_;
+  std::string identity_;
+  std::int64_t born_;
+  std::uint64_t sequence_ = 0;
+  std::uint64_t calls_ = 0;
+  int running_ = 0;
+  std::deque<std::shared_ptr<job>> queue_;
+  http_endpoint endpoint_;
+};
+
+}  // namespace bronzeroute::standin
--- /dev/null
+++ b/standins/platform/run_options.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace bronzeroute::standin {
+
+/// Options of one run.
+struct run_options {
+  std::string daemon;
+  std::string settings_template;
+  /// Folder for settings and logs of the daemons.
+  std::string folder;
+  std::chrono::milliseconds length{60'000};
+  /// Mean time between two versions; 0 for none after the first.
+  std::chrono::milliseconds change_period{2'000};
+  /// Mean time between two faults of the store; 0 for none.
+  std::chrono::milliseconds fault_period{0};
+  std::chrono::milliseconds retention{20'000};
+  /// Requests per second, as a share of those of the site.
+  double load = 1;
+  std::uint64_t seed = 1;
+};
+
+}  // namespace bronzeroute::standin
