Name the version that had no route for a request

Cause: the entry set config_version only after the check of the route, so that a 404 was logged with config=-1, as if no configuration were in effect. The incident's record could not tell a daemon without a configuration from one with an old version. Change: the version is set first. EntrySystemTest.RefusalForLackOfARouteNamesTheVersion; calls_test 49 of 49.

--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -96,13 +96,13 @@
   if (IsIssuedKey(request.key) && !ParseIssuedKey(request.key)) return error_kind::kBadKey;
   const route_decision route = routes_.Find(request);
   row.record.service = route.service;
+  row.record.config_version = route.config_version;
   if (route.error != error_kind::kNone) return route.error;
   // A request with a key may run at most once, whatever the configuration of the route is.
   row.record.is_protected = route.is_protected || !request.key.empty();
   row.record.is_long =
       route.is_long || (request.content_length ? *request.content_length > internal::kLongBody
                                                : !route.is_marked_short);
-  row.record.config_version = route.config_version;
   row.priority = route.priority;
   row.route_id = route.route_id;
   row.max_admitted = route.max_attempts == 0 ? kMaxAttempts : route.max_attempts;
--- a/tests/calls/entry_system_test.cc
+++ b/tests/calls/entry_system_test.cc
@@ -19,6 +19,9 @@
 namespace bronzeroute {
 namespace {
 
+// Version of the configuration in effect.
+constexpr std::int64_t kVersion = 12;
+
 using testing::_;
 using testing::Field;
 using testing::NiceMock;
@@ -59,7 +62,12 @@
   void OnAttemptEnded(member_target, attempt_outcome, time_point) override { --open; }
   std::vector<member_target> LiveMembers(std::string_view) override { return {Member(2)}; }
   route_decision Find(const caller_request& request) override {
-    if (!request.path.starts_with("/orders")) return {.error = error_kind::kUnknownService};
+    if (!request.path.starts_with("/orders")) {
+      route_decision unknown;
+      unknown.error = error_kind::kUnknownService;
+      unknown.config_version = kVersion;
+      return unknown;
+    }
     return {.service = "orders",
             .is_protected = request.path == "/orders/new",
             .is_marked_short = request.path == "/orders/new",
@@ -135,6 +143,15 @@
   EXPECT_TRUE(entry_.IsIdle());
 }
 
+// Guards against a record that hides which version had no route for a request.
+TEST_F(EntrySystemTest, RefusalForLackOfARouteNamesTheVersion) {
+  caller_request request = Request();
+  request.path = "/nothing";
+  ExpectError(error_kind::kUnknownService);
+  const call_id id = entry_.OnCallerRequest(request, kNow);
+  EXPECT_EQ(entry_.history().Find(id)->config_version, kVersion);
+}
+
 // Guards against an extra hop, and against waiting in another queue, while the own upstream has
 // a free slot.
 TEST_F(EntrySystemTest, OwnUpstreamIsUsedFirstIfItHasAFreeSlot) {
