Let the members take turns in renewing their waiting reads

Cause: a read on a connection that fell silent returns nothing, and is found by its renewal: over all daemons one in 300 ms. Each daemon counted its renewal from the start of its own read, and a new version ends the reads of all daemons at the same moment. So all renewals fell 13 to 22 s after the last version (59 daemons), and none before: what was to be spread was synchronized by the event itself. Ruled out: version parsing, routes and splits (no break in 32 versions without a fault); expired history (three deletions without effect); a slow store and 503 (versions by peers in time). Change: the turn to renew is planned by the member's rank from the last version's arrival, and does not move when a read ends. The line record_read names a record that only a renewal brought (missed=yes), so that a log tells this fault from a version that came late. Seen once on the code before, not traced: ConfigurationSystemProperty.

--- a/src/configuration/configuration_system.cc
+++ b/src/configuration/configuration_system.cc
@@ -20,13 +20,15 @@
 constexpr duration kFirstRetry = milliseconds(250);
 // With this retry interval, 540 daemons send 135 reads/s to a log that recovers from an outage.
 constexpr duration kMaxRetry = seconds(4);
-// Shortest time after which a waiting read is renewed. Half of the time in which a version has
-// to take effect is left for spreading it.
+// Shortest time after which a daemon renews its waiting read. Half of the time in which a
+// version has to take effect is left for spreading it.
 constexpr duration kMinRenewal = seconds(1);
 // Delay before a read is renewed because a peer has a higher version. An intact read usually
 // delivers the version within this time.
 constexpr duration kRenewalGrace = milliseconds(250);
 constexpr duration kRenewalSpread = milliseconds(150);
+// A record that comes within this time after the renewal of a read was in the log before.
+constexpr duration kMissedTime = milliseconds(500);
 // Limits the read rate on a log that returns at once when there are no new records.
 constexpr duration kEmptyReadInterval = milliseconds(100);
 // Delay before a version that a peer has is fetched from it, because the log usually supplies
@@ -67,7 +69,11 @@
   has_read_ = true;
   next_read_ = now + (read.records.empty() ? kEmptyReadInterval : settings_.read_pause);
   if (settings_.form == configuration_form::kVersionedDocuments) {
-    AdoptDocuments(read);
+    if (!read.records.empty()) {
+      turns_began_ = now;
+      renewal_turn_.reset();
+    }
+    AdoptDocuments(read, now);
     DropStalePeers();
     return;
   }
@@ -106,8 +112,8 @@
   }
   if (version > peer_version_) {
     newer_peers_.clear();
-    renew_read_at_ =
-        std::min(renew_read_at_, now + kRenewalGrace + Jitter(duration(0), kRenewalSpread));
+    renew_for_peer_at_ =
+        std::min(renew_for_peer_at_, now + kRenewalGrace + Jitter(duration(0), kRenewalSpread));
   }
   peer_version_ = version;
   if (newer_peers_.size() < kMaxNewerPeers &&
@@ -153,6 +159,7 @@
 }
 
 void configuration_system::OnMembers(std::span<const member_id> alive) {
+  if (alive.size() != alive_.size()) renewal_turn_.reset();
   alive_.assign(alive.begin(), alive.end());
 }
 
@@ -181,7 +188,8 @@
   return {};
 }
 
-void configuration_system::AdoptDocuments(const log_read& read) {
+void configuration_system::AdoptDocuments(const log_read& read, time_point now) {
+  const bool was_missed = renewed_at_ && now < *renewed_at_ + kMissedTime;
   next_offset_ = std::max(next_offset_, read.first);
   for (const log_record& record : read.records) {
     next_offset_ = std::max(next_offset_, record.offset + 1);
@@ -189,6 +197,7 @@
     folded_record result;
     result.offset = record.offset;
     result.version_before = in_effect_.version;
+    result.was_missed = was_missed;
     if (!parsed.value || parsed.value->version < 0) {
       result.outcome = record_outcome::kInvalidDocument;
       result.errors = std::move(parsed.errors);
@@ -271,21 +280,32 @@
 
 void configuration_system::TickRead(time_point now) {
   if (read_open_ && now >= read_deadline_) FailRead(now);
-  const bool is_versioned = settings_.form == configuration_form::kVersionedDocuments;
-  if (read_open_ ? is_versioned && now >= renew_read_at_ : now >= next_read_) StartRead(now);
+  if (!renewal_turn_) PlanRenewal(now);
+  if (read_open_ ? IsRenewalDue(now) : now >= next_read_) StartRead(now);
+  if (now >= *renewal_turn_) PlanRenewal(now);
+}
+
+bool configuration_system::IsRenewalDue(time_point now) const {
+  return settings_.form == configuration_form::kVersionedDocuments &&
+         now >= std::min(*renewal_turn_, renew_for_peer_at_);
 }
 
 void configuration_system::StartRead(time_point now) {
+  renewed_at_.reset();
+  if (read_open_) renewed_at_ = now;
   read_open_ = true;
   read_deadline_ = now + settings_.read_timeout;
-  renew_read_at_ = now + RenewalDelay();
+  renew_for_peer_at_ = time_point::max();
   log_.Read(stream_, NextOffset());
 }
 
-duration configuration_system::RenewalDelay() {
+void configuration_system::PlanRenewal(time_point now) {
+  if (turns_began_ == time_point{}) turns_began_ = now;
   const auto members = static_cast<duration::rep>(std::max<std::size_t>(alive_.size(), 1));
-  const duration average = std::max(kMinRenewal, settings_.renewal_interval * members);
-  return Jitter(average * 3 / 4, average * 5 / 4);
+  const duration round = std::max(kMinRenewal, settings_.renewal_interval * members);
+  const time_point first = turns_began_ + round * (Rank(in_effect_.version) + 1) / members;
+  const duration::rep past = now < first ? 0 : (now - first) / round + 1;
+  renewal_turn_ = first + round * past;
 }
 
 void configuration_system::TickFetch(time_point now) {
@@ -330,15 +350,17 @@
   return appended_.front().second + retention_ / 2;
 }
 
-duration configuration_system::RankDelay() {
-  const auto hash = [this](member_id member) {
-    const std::array<std::uint64_t, 2> input = {
-        member.value, static_cast<std::uint64_t>(fold_.newest_anchor())};
+std::int64_t configuration_system::Rank(std::int64_t salt) const {
+  const auto hash = [salt](member_id member) {
+    const std::array<std::uint64_t, 2> input = {member.value, static_cast<std::uint64_t>(salt)};
     return XXH64(input.data(), sizeof(input), 0);
   };
   const auto own = hash(settings_.self);
-  const auto rank =
-      std::ranges::count_if(alive_, [&](member_id member) { return hash(member) < own; });
+  return std::ranges::count_if(alive_, [&](member_id member) { return hash(member) < own; });
+}
+
+duration configuration_system::RankDelay() {
+  const std::int64_t rank = Rank(fold_.newest_anchor());
   const duration step = std::min(kMaxRankStep, retention_ / 40);
   // A snapshot is due when half of the retention is left. The ranked delays take up to a
   // quarter of the retention; daemons with a higher rank wait a random eighth more.
--- a/src/configuration/configuration_system.h
+++ b/src/configuration/configuration_system.h
@@ -72,7 +72,7 @@
   static constexpr std::int64_t kNoAnchor = -3;
 
   /// Puts the highest version in effect, for documents that contain their own version.
-  void AdoptDocuments(const log_read& read);
+  void AdoptDocuments(const log_read& read, time_point now);
   std::int64_t NextOffset() const;
   /// Keeps `appended_` and `restored_at_` up to date after a read.
   void TrackAppendTimes(const log_read& read, time_point now);
@@ -84,8 +84,12 @@
   void DropStalePeers();
   void TickRead(time_point now);
   void StartRead(time_point now);
-  /// When an open read is given up for a new one, while no peer has a higher version.
-  duration RenewalDelay();
+  /// True if the open read is to be given up for a new one.
+  bool IsRenewalDue(time_point now) const;
+  /// Sets the next turn of this daemon to renew its read. The members take turns, counted from
+  /// `turns_began_`, so that the renewals of all are evenly spaced even though a new version
+  /// makes all of them start a read at the same moment.
+  void PlanRenewal(time_point now);
   void TickFetch(time_point now);
   void TickSnapshot(time_point now);
   /// When the stream needs a new snapshot; nullopt while it needs none.
@@ -94,6 +98,8 @@
   /// among the members, a pseudo-random order that changes with each anchor, so that usually
   /// one daemon appends and the others read its snapshot in time.
   duration RankDelay();
+  /// Position of this daemon among the members in a pseudo-random order that depends on `salt`.
+  std::int64_t Rank(std::int64_t salt) const;
   duration Jitter(duration low, duration high);
 
   configuration_settings settings_;
@@ -115,7 +121,14 @@
   bool read_open_ = false;
   bool has_read_ = false;
   time_point read_deadline_{};
-  time_point renew_read_at_ = time_point::max();
+  /// When the open read took the place of one without a result; nullopt if it did not.
+  std::optional<time_point> renewed_at_;
+  /// When the read is renewed because a peer has a higher version.
+  time_point renew_for_peer_at_ = time_point::max();
+  /// When a version was taken from the log last, which happens at all daemons together.
+  time_point turns_began_{};
+  /// The next turn of this daemon to renew its read; nullopt if it must be planned.
+  std::optional<time_point> renewal_turn_;
   time_point next_read_{};
   int read_failures_ = 0;
   /// True if the log ends before records that were read earlier.
--- a/src/configuration/folded_record.h
+++ b/src/configuration/folded_record.h
@@ -21,6 +21,9 @@
   std::int64_t version_before = -1;
   /// Version of the trial environment that a publication to production promotes.
   std::optional<std::int64_t> trial_version;
+  /// True if the record came as soon as a waiting read was renewed, which the read before had
+  /// not delivered.
+  bool was_missed = false;
   /// Errors in the document if the outcome is `kInvalidDocument`.
   std::vector<document_error> errors;
   /// Values of an accepted document that this build does not know.
--- a/src/node/decision_log.cc
+++ b/src/node/decision_log.cc
@@ -112,7 +112,8 @@
   log_line line(log_weight::kState, "config", "record_read");
   line.Add("offset", record.offset)
       .Add("version_before", record.version_before)
-      .Add("verdict", RecordOutcomeName(record.outcome));
+      .Add("verdict", RecordOutcomeName(record.outcome))
+      .Add("missed", record.was_missed);
   if (!record.errors.empty()) {
     line.Add("errors", record.errors.size()).Add("first", DescribeError(record.errors.front()));
   }
--- a/tests/configuration/configuration_system_test.cc
+++ b/tests/configuration/configuration_system_test.cc
@@ -392,6 +392,22 @@
   EXPECT_EQ(system_.version(), 9);
 }
 
+// Guards against a log line that does not tell a silent read from a version that came late.
+TEST_F(VersionedDocumentsTest, MarksARecordThatTheReadBeforeDidNotDeliver) {
+  Deliver(0, "7");
+  int reads = 0;
+  ON_CALL(log_, Read(_, _)).WillByDefault([&](std::string_view, std::int64_t) {
+    if (++reads == 2) Deliver(1, "9");
+  });
+  for (const time_point end = now_ + seconds(2); now_ < end; now_ += milliseconds(10)) {
+    system_.Tick(now_);
+  }
+  const std::vector<folded_record> records = system_.TakeFoldedRecords();
+  ASSERT_EQ(records.size(), 2U);
+  EXPECT_FALSE(records[0].was_missed);
+  EXPECT_TRUE(records[1].was_missed);
+}
+
 // Guards against a daemon that cannot read the log and keeps an old version, and against
 // returning to an older version from the log after a fetch from a peer.
 TEST_F(VersionedDocumentsTest, TakesAHigherVersionFromAPeer) {
