Refuse requests that arrive late in the grace of a planned stop

A connection with half a head, or a short request whose body was still arriving, went on; the request was passed on whenever it became whole, for as long as another request kept the daemon alive, and the platform's kill cut it off. Ruled out: idle and kept connections (closed within 0.45 s of the end of the linger time), and attempts of other daemons (a stopping owner refuses them). Result: planned_stop.RequestThatArrivesLateInTheGraceIsRefusedAsNotRun: before, both requests completed 4 s after SIGTERM ran at an upstream; now both get 503 and none runs. planned_stop.* passes.

--- a/src/base/error_kind.cc
+++ b/src/base/error_kind.cc
@@ -19,6 +19,9 @@
 // Retry delay while a membership or configuration change still propagates.
 constexpr duration kPropagationRetryDelay = std::chrono::milliseconds(250);
 
+// Retry delay while the daemon beside the caller restarts.
+constexpr duration kRestartRetryDelay = std::chrono::seconds(1);
+
 constexpr auto kTable = std::to_array<error_response>({
     {kNone, "none", 200, kRan, false, "No error."},
     {kBadHeader, "bad_header", 400, kNotRun, false, "A Bronzeroute header is malformed."},
@@ -79,6 +82,8 @@
      "The configuration in force has no route for the host and path."},
     {kUpstreamSlow, "upstream_slow", 503, kNotRun, true,
      "The upstream is currently slow; another upstream may be faster.", kBusyRetryDelay},
+    {kStopping, "stopping", 503, kNotRun, false,
+     "This daemon is stopping and takes no further requests.", kRestartRetryDelay},
 });
 
 }  // namespace
--- a/src/base/error_kind.h
+++ b/src/base/error_kind.h
@@ -44,6 +44,7 @@
   kUpstreamRefused = 31,
   kUnknownRoute = 32,
   kUpstreamSlow = 33,
+  kStopping = 34,
 };
 
 /// The response that a caller receives for `kind`.
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -225,7 +225,10 @@
     end_at_ = now + kLastRequestTime;
     events_.Write({log_weight::kState, "daemon", "callers_ended"});
   }
-  if (!callers_closed_ || now < end_at_ || transport_.open_exchanges() > 0) return;
+  if (!callers_closed_ || now < end_at_) return;
+  // A request that arrives later could be cut off at the end of the platform's grace.
+  transport_.callers().EndRequests();
+  if (transport_.open_exchanges() > 0) return;
   if (leave_limit_ == time_point{}) leave_limit_ = now + kLeaveLimit;
   if (runtime_.MayExit() || now >= leave_limit_) stopped_ = true;
 }
--- a/src/transport/caller_server.cc
+++ b/src/transport/caller_server.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <utility>
+#include <vector>
 
 #include "src/base/error_response.h"
 #include "src/calls/call_id_text.h"
@@ -66,6 +67,10 @@
     SendErrorResponse(*item, {}, kind, 0);
     return;
   }
+  if (requests_ended_) {
+    SendErrorResponse(*item, {}, error_kind::kStopping, 0);
+    return;
+  }
   ReplaceFields(*row);
   // A short body is read completely before the request is announced: an upstream is chosen only
   // for a complete request, and the body is sent with the first frame.
@@ -78,7 +83,9 @@
   }
   row->body->SetReader([this, id = row->id] {
     const auto found = rows_.find(id);
-    if (found == rows_.end() || found->second->announced) return;
+    if (found == rows_.end() || found->second->announced || found->second->response_started) {
+      return;
+    }
     const auto live = found->second;
     if (live->row->body->ended()) Announce(*live);
   });
@@ -102,6 +109,18 @@
   events_.OnCallerRequest(item.head, MonotonicNow());
 }
 
+void caller_server::EndRequests() {
+  if (requests_ended_) return;
+  requests_ended_ = true;
+  std::vector<std::shared_ptr<caller_exchange>> incomplete;
+  for (const auto& [id, item] : rows_) {
+    if (!item->announced && !item->response_started) incomplete.push_back(item);
+  }
+  for (const auto& item : incomplete) {
+    SendErrorResponse(*item, {}, error_kind::kStopping, 0);
+  }
+}
+
 void caller_server::OnClientDisconnected(const exchange& row) {
   const auto found = rows_.find(row.id);
   if (found == rows_.end()) return;
--- a/src/transport/caller_server.h
+++ b/src/transport/caller_server.h
@@ -47,6 +47,10 @@
   /// request.
   void SetCallerService(std::string_view service) { caller_service_ = service; }
 
+  /// Refuses, as not run, each request that has not been received whole, and all that follow.
+  /// Requests that were passed on before are not affected.
+  void EndRequests();
+
   void RespondWithError(exchange_id exchange, const call_id& call, error_kind kind,
                         int recorded_status) override;
   /// If the exchange has no response to `attempt`, the caller receives `answer_lost`: the
@@ -73,6 +77,7 @@
   const http_dialect& dialect_;
   http_server server_;
   std::string caller_service_;
+  bool requests_ended_ = false;
   std::function<std::uint32_t(std::string_view request_id)> depth_of_;
   absl::flat_hash_map<exchange_id, std::shared_ptr<caller_exchange>> rows_;
 };
--- a/tests/process/stop_test.cc
+++ b/tests/process/stop_test.cc
@@ -10,12 +10,15 @@
 #include <fstream>
 #include <sstream>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
+#include "src/base/concat.h"
 #include "tests/process/call_oracle.h"
 #include "tests/process/deployed_test.h"
 #include "tests/process/raw_http.h"
+#include "tests/transport/raw_socket.h"
 
 namespace bronzeroute::testing {
 namespace {
@@ -150,6 +153,40 @@
   EXPECT_EQ(deployment_.pair(owner).daemon->Wait(), 0);
 }
 
+// Guards against requests that arrive late in the grace of a planned stop and are passed on, so
+// that the platform's kill at its end cuts them off. A long call keeps the daemon running.
+TEST_F(planned_stop, RequestThatArrivesLateInTheGraceIsRefusedAsNotRun) {
+  constexpr auto kLate = std::chrono::seconds(4);
+  constexpr std::string_view kFields =
+      " /orders/new HTTP/1.1\r\nHost: orders\r\nBronzeroute-Service: orders\r\n";
+  deployment_.UseSettings(DeployedStopTable());
+  Deploy();
+  call_oracle oracle(deployment_);
+  oracle.StartProtected(kEntry, "/orders/photos?work_us=8000000", "", "20000");
+  ASSERT_LT(WaitForBusy(1), kEntry);
+  const std::int64_t runs = deployment_.Runs(kFirst) + deployment_.Runs(kSecond);
+  const std::string& address = deployment_.pair(kEntry).callers;
+  const auto port =
+      static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+  const raw_socket slow_head = raw_socket::Connect(port);
+  const raw_socket slow_body = raw_socket::Connect(port);
+  ASSERT_TRUE(slow_head.Send(Concat("POST", kFields)));
+  ASSERT_TRUE(slow_body.Send(Concat("POST", kFields, "Content-Length: 4\r\n\r\nab")));
+  deployment_.pair(kEntry).daemon->Signal(SIGTERM);
+  std::this_thread::sleep_for(kLate);
+  slow_head.Send("Content-Length: 0\r\n\r\n");
+  slow_body.Send("cd");
+  for (const raw_socket* late : {&slow_head, &slow_body}) {
+    const std::string response = late->ReceiveAll();
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 503 ")) << response;
+    EXPECT_NE(response.find("Bronzeroute-Execution: not-run"), std::string::npos) << response;
+    EXPECT_NE(response.find("Retry-After: "), std::string::npos) << response;
+  }
+  EXPECT_EQ(deployment_.Runs(kFirst) + deployment_.Runs(kSecond), runs);
+  oracle.Join();
+  EXPECT_EQ(oracle.calls()[0].result.status, 200) << oracle.calls()[0].result.error;
+}
+
 // Guards against a daemon that never exits because a caller keeps a connection open.
 TEST_F(planned_stop, IdleConnectionDoesNotKeepDaemonRunning) {
   Deploy();
