Count the wait at a late owner against the deadline, and drop what was cancelled meanwhile

Cause, shown by tests: an owner whose event loop is late set the deadline of an attempt when the loop read the frame, not when it had arrived, so that the attempt got the wait once more; and it started attempts whose cancellation gRPC had already received. Change: the time of arrival and the cancellation are taken on gRPC's thread. Result: Peer.DeadlineOfAnAttemptCountsTheTimeBeforeALateOwnerReadsIt and Peer.LateOwnerDoesNotStartACancelledAttempt failed before, pass now; transport_test passes.

--- a/src/transport/attempt_reactor.cc
+++ b/src/transport/attempt_reactor.cc
@@ -17,7 +17,7 @@
 }
 
 void attempt_reactor::OnReadDone(bool ok) {
-  PostToLoop([this, ok] { HandleRead(ok); });
+  PostToLoop([this, ok, received = MonotonicNow()] { HandleRead(ok, received); });
 }
 
 void attempt_reactor::OnWriteDone(bool ok) {
@@ -25,6 +25,7 @@
 }
 
 void attempt_reactor::OnCancel() {
+  is_cancelled_ = true;
   PostToLoop([this] { HandleCancel(); });
 }
 
@@ -33,7 +34,7 @@
   PostToLoop([this] { HandleDone(); });
 }
 
-void attempt_reactor::HandleRead(bool ok) {
+void attempt_reactor::HandleRead(bool ok, time_point received) {
   if (ended_) return;
   if (!ok) {
     // The entry closes its side only by cancelling. Without a first frame there is no attempt
@@ -42,6 +43,10 @@
     return;
   }
   if (row_ == nullptr) {
+    if (is_cancelled_) {
+      End(grpc::Status(grpc::StatusCode::CANCELLED, "cancelled before it was handled"));
+      return;
+    }
     if (!incoming_.has_head()) {
       End(grpc::Status(grpc::StatusCode::INVALID_ARGUMENT,
                        "the first frame of an attempt has no head; a head is required"));
@@ -52,7 +57,7 @@
     row_->body->SetWriter([weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->PassBody();
     });
-    ReadHead(incoming_, MonotonicNow(), head_, *row_);
+    ReadHead(incoming_, received, head_, *row_);
     owner_.Add(shared_from_this(), row_);
     passing_ = true;
     PassBody();
--- a/src/transport/attempt_reactor.h
+++ b/src/transport/attempt_reactor.h
@@ -2,6 +2,7 @@
 
 #include <grpcpp/support/server_callback.h>
 
+#include <atomic>
 #include <cstddef>
 #include <deque>
 #include <memory>
@@ -9,6 +10,7 @@
 
 #include "proto/peer.grpc.pb.h"
 #include "src/base/error_kind.h"
+#include "src/base/time.h"
 #include "src/calls/attempt_head.h"
 #include "src/routing/load_hint.h"
 #include "src/transport/exchange.h"
@@ -43,7 +45,8 @@
   void OnDone() override;
 
  private:
-  void HandleRead(bool ok);
+  /// `received` is when gRPC had the frame, which the loop may handle later.
+  void HandleRead(bool ok, time_point received);
   void HandleWritten(bool ok);
   void HandleCancel();
   void HandleDone();
@@ -75,6 +78,8 @@
   std::optional<ending> ending_;
   bool last_queued_ = false;
   bool ended_ = false;
+  /// Set on a thread of gRPC, before the loop handles the cancellation.
+  std::atomic<bool> is_cancelled_ = false;
   // The outcome of the attempt was sent to the entry, or the entry disconnected.
   bool outcome_sent_ = false;
 };
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -195,6 +195,55 @@
   EXPECT_EQ(entry.Count("attempt_lost"), 0);
 }
 
+// Guards against a late event loop at the owner that gives an attempt the time for which it
+// waited unread once more.
+TEST(Peer, DeadlineOfAnAttemptCountsTheTimeBeforeALateOwnerReadsIt) {
+  constexpr auto kLate = std::chrono::milliseconds(600);
+  test_daemon owner(2);
+  test_daemon entry(1);
+  entry.UsePeer(owner);
+  std::atomic<bool> is_late = false;
+  owner.on_attempt = [&](exchange_id exchange, const attempt_head& head) {
+    is_late = head.deadline <= MonotonicNow();
+    owner.sockets().peers().RefuseAttempt(exchange, error_kind::kQueueTimeout, 0, {});
+  };
+  entry.on_request = [&](const caller_request& request) {
+    attempt_head head = entry.HeadFor(request);
+    head.deadline = MonotonicNow() + kLate / 2;
+    EXPECT_TRUE(entry.sockets().peers().SendAttempt(request.exchange, head));
+    // Both daemons of this test run on the loop that is late.
+    std::this_thread::sleep_for(kLate);
+  };
+  Post(entry, "b");
+  EXPECT_TRUE(is_late);
+}
+
+// Guards against a late event loop at the owner that starts an attempt which was cancelled
+// before.
+TEST(Peer, LateOwnerDoesNotStartACancelledAttempt) {
+  constexpr auto kDelivery = std::chrono::milliseconds(300);
+  test_daemon owner(2);
+  test_daemon entry(1);
+  entry.UsePeer(owner);
+  entry.on_request = [&](const caller_request& request) {
+    const attempt_head head = entry.HeadFor(request);
+    EXPECT_TRUE(entry.sockets().peers().SendAttempt(request.exchange, head));
+    std::this_thread::sleep_for(kDelivery);
+    entry.sockets().peers().CancelAttempt(request.exchange, head.id);
+    std::this_thread::sleep_for(kDelivery);
+    entry.sockets().callers().RespondWithError(request.exchange, head.id.call,
+                                               error_kind::kDeadlineExceeded, 0);
+  };
+  Post(entry, "b");
+  // A later attempt shows that the owner has handled the first one.
+  entry.on_request = nullptr;
+  owner.on_attempt = [&](exchange_id exchange, const attempt_head& /*head*/) {
+    owner.sockets().peers().RefuseAttempt(exchange, error_kind::kOverloaded, 0, {});
+  };
+  Post(entry, "b");
+  EXPECT_EQ(owner.Count("attempt"), 1);
+}
+
 // Guards against callers of a failed owner that receive no response, or a wrong "not run".
 TEST(Peer, StoppedOwnerYieldsUnknownExecution) {
   auto owner = std::make_unique<test_daemon>(2);
