--- a/standins/platform/caller_client.cc
+++ b/standins/platform/caller_client.cc
@@ -23,6 +23,8 @@
 // The deployments tell callers to reuse connections that rested for less than 12 s.
 constexpr auto kKeepTime = std::chrono::seconds(10);
 
+std::string Text(boost::beast::string_view from) { return {from.data(), from.size()}; }
+
 }  // namespace
 
 struct caller_client::connection {
@@ -93,7 +95,7 @@
                                                   std::size_t /*count*/) {
                         if (self->on_done_ == nullptr) return;
                         // An early response may still be readable after a failed write.
-                        self->write_failed_ = bool(error);
+                        self->write_failed_ = error.failed();
                         self->Read();
                       });
   }
@@ -116,7 +118,7 @@
     client_response result;
     result.status = static_cast<int>(response_->result_int());
     for (const auto& field : *response_) {
-      result.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+      result.headers.emplace_back(Text(field.name_string()), Text(field.value()));
     }
     result.body = std::move(response_->body());
     if (request_.reuses_connection && response_->keep_alive() && !write_failed_) {
--- a/standins/platform/configuration_author.h
+++ b/standins/platform/configuration_author.h
@@ -7,6 +7,8 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "standins/platform/site_shape.h"
@@ -17,7 +19,9 @@
 struct route_place {
   std::string host;
   std::string prefix;
-  auto operator<=>(const route_place&) const = default;
+  friend bool operator<(const route_place& left, const route_place& right) {
+    return std::tie(left.host, left.prefix) < std::tie(right.host, right.prefix);
+  }
 };
 
 /// A route of one version of the configuration.
--- a/standins/platform/configuration_oracle.cc
+++ b/standins/platform/configuration_oracle.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int kNoResponse = 0;
+constexpr int kNotFound = 404;
 
 bool IsPromise(int status) {
   return status == 429 || status == 503 || status == 408 || status == 421;
@@ -130,9 +131,12 @@
     return version->version.Find(row.host, row.path) != nullptr;
   });
   if (!is_allowed || in_effect.empty()) return;
-  Break(status == 404 && Newest(row.sent) > in_effect.front()->version.number ? "CONFIG"
-                                                                              : "DENIED",
-        id, row, Concat("response ", status, " though every version in effect allows it"));
+  const std::int64_t due = in_effect.front()->version.number;
+  const bool is_superseded = std::ranges::any_of(versions_, [&](const version_row& version) {
+    return version.version.number < due && version.version.Find(row.host, row.path) == nullptr;
+  });
+  Break(status == kNotFound && is_superseded ? "CONFIG" : "DENIED", id, row,
+        Concat("response ", status, " though every version in effect allows it"));
 }
 
 }  // namespace bronzeroute::standin
--- a/standins/platform/http_endpoint.cc
+++ b/standins/platform/http_endpoint.cc
@@ -11,7 +11,7 @@
 namespace bronzeroute::standin {
 namespace {
 
-constexpr std::size_t kTakeBytes = 16 * 1024;
+constexpr std::size_t kTakeBytes = std::size_t{16} * 1024;
 
 /// Collects the body of one request.
 struct body_collector {
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -41,6 +41,7 @@
       ("seconds", "length of the run", cxxopts::value(seconds)->default_value("60"))
       ("change-ms", "mean time between two versions; 0 for none", cxxopts::value(change_ms)->default_value("2000"))
       ("fault-ms", "mean time between two faults of the store; 0 for none", cxxopts::value(fault_ms)->default_value("0"))
+      ("silent-connections", "play only the fault in which the open connections to the store fall silent")
       ("load", "requests per second as a share of those of the site", cxxopts::value(options.load)->default_value("1"))
       ("seed", "seed of names, requests, changes and faults", cxxopts::value(options.seed)->default_value("1"))
       ("h,help", "print this help")
@@ -61,6 +62,9 @@
     }
     options.length = std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000));
     options.change_period = std::chrono::milliseconds(change_ms);
+    if (parsed.count("silent-connections") != 0) {
+      options.fault = bronzeroute::standin::store_fault::kSilentConnections;
+    }
     options.fault_period = std::chrono::milliseconds(fault_ms);
     const auto site = bronzeroute::standin::ReadSite(site_file);
     std::filesystem::create_directories(options.folder);
--- a/standins/platform/platform_run.cc
+++ b/standins/platform/platform_run.cc
@@ -142,7 +142,6 @@
 }
 
 void platform_run::AwaitReady(const std::atomic<bool>& stop) {
-  std::atomic<std::size_t> ready = 0;
   const auto until = clock::now() + kReadyLimit;
   for (const machine_place& place : places_) {
     bool is_ready = false;
@@ -206,10 +205,13 @@
                                         store_fault::kSilentConnections,
                                         store_fault::kNone};
         std::uniform_int_distribution<std::size_t> pick(0, kFaults.size() - 1);
-        const store_fault fault = kFaults[pick(fault_random_)];
+        const store_fault fault = options_.fault.value_or(kFaults[pick(fault_random_)]);
         if (fault == store_fault::kNone) store_.Compact(kOperatorTopic);
         store_.SetFault(fault);
-        oracle_.OnStoreFault(clock::now(), clock::now() + kFaultTime);
+        // Connections that fall silent count as reset at that moment, and new ones work.
+        const bool is_moment = fault == store_fault::kSilentConnections;
+        oracle_.OnStoreFault(clock::now(),
+                             is_moment ? clock::now() : clock::now() + kFaultTime);
         std::cout << absl::StrFormat("store fault at %.3f: %s\n", SecondsOfDay(),
                                      StoreFaultName(fault))
                   << std::flush;
@@ -276,7 +278,7 @@
 
 void platform_run::Play(const std::atomic<bool>& stop) {
   const auto require = [](const absl::Status& status) {
-    if (!status.ok()) throw std::runtime_error(std::string(status.message()));
+    if (!status.ok()) throw std::runtime_error(status.ToString());
   };
   require(store_.Start(Address(kStoreIp, kStorePort)));
   std::uint64_t seed = options_.seed;
@@ -336,7 +338,8 @@
       in_effect.emplace_back(std::atoll(line.c_str() + at + 24),
                              1000 * std::atof(line.c_str() + line.find("ts=") + 3));
     }
-    for (const auto& [version, confirmed_ms] : confirmed_) {
+    for (const auto& [number, confirmed_ms] : confirmed_) {
+      const std::int64_t version = number;
       const auto found = std::ranges::find_if(
           in_effect, [&](const auto& row) { return row.first >= version; });
       if (found == in_effect.end()) {
--- a/standins/platform/run_options.h
+++ b/standins/platform/run_options.h
@@ -2,8 +2,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
+#include "standins/platform/store_fault.h"
+
 namespace bronzeroute::standin {
 
 /// Options of one run.
@@ -17,6 +20,8 @@
   std::chrono::milliseconds change_period{2'000};
   /// Mean time between two faults of the store; 0 for none.
   std::chrono::milliseconds fault_period{0};
+  /// The only fault to play; nullopt for one of all at random.
+  std::optional<store_fault> fault;
   std::chrono::milliseconds retention{20'000};
   /// Requests per second, as a share of those of the site.
   double load = 1;
--- a/tests/configuration/silent_log_test.cc
+++ b/tests/configuration/silent_log_test.cc
@@ -63,7 +63,8 @@
 
   /// The open read never gets a response.
   void LoseRead() { open_from_.reset(); }
-  void Tick(time_point now, std::int64_t end, const std::string& newest) {
+  /// One step of the daemon while the log ends at `end` with the version `newest`.
+  void Step(time_point now, std::int64_t end, const std::string& newest) {
     now_ = now;
     if (open_from_ && *open_from_ < end) {
       const std::int64_t from = *open_from_;
@@ -134,7 +135,7 @@
 
  private:
   void Step() {
-    for (const auto& each : daemons_) each->Tick(now_, end_, newest_);
+    for (const auto& each : daemons_) each->Step(now_, end_, newest_);
     if (now_ >= next_message_) {
       next_message_ = now_ + kMessagePeriod;
       for (const auto& each : daemons_) {
@@ -197,7 +198,7 @@
   Run(kCalm);
   // One renewal in 300 ms over all daemons, beside the reads that end after their wait.
   constexpr int kRenewals = 60'000 / 300;
-  const int ended = static_cast<int>(daemons_.size()) * (kCalm / kWait + 1);
+  const int ended = static_cast<int>(daemons_.size()) * static_cast<int>(kCalm / kWait + 1);
   EXPECT_LE(reads() - before, kRenewals * 5 / 4 + ended);
 }
 
--- /dev/null
+++ b/tests/platform_run/small_deployment_test.cc
@@ -0,0 +1,79 @@
+// The deployed program on a small deployment of the platform, as separate processes.
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "tests/process/child_process.h"
+
+namespace bronzeroute::testing {
+namespace {
+
+// `config_ms` of the example.
+constexpr int kConfigurationBoundMs = 3000;
+
+struct run_result {
+  int code = 0;
+  std::string output;
+};
+
+class small_deployment : public ::testing::Test {
+ protected:
+  small_deployment() { std::filesystem::create_directories(folder_); }
+  ~small_deployment() override { std::filesystem::remove_all(folder_); }
+
+  run_result Play(std::vector<std::string> arguments) {
+    const std::string output = folder_ + "/output";
+    const std::string source = BRONZEROUTE_SOURCE;
+    arguments.insert(arguments.end(),
+                     {"--daemon", std::string(BRONZEROUTE_BIN) + "/bronzerouted-platform",
+                      "--settings", source + "/deploy/settings.toml", "--folder", folder_});
+    child_process run("brstandin_platform", arguments, output);
+    run_result result;
+    result.code = run.Wait();
+    std::ifstream file(output);
+    std::stringstream text;
+    text << file.rdbuf();
+    result.output = text.str();
+    return result;
+  }
+  static std::string Example() {
+    return std::string(BRONZEROUTE_SOURCE) + "/examples/platform-small.toml";
+  }
+
+  std::string folder_ = std::filesystem::temp_directory_path() /
+                        ("bronzeroute-platform-" + std::to_string(getpid()));
+};
+
+// Guards against confirmed versions that reach no daemon in time after the connections to the
+// store fell silent.
+TEST_F(small_deployment, VersionsAreInEffectWhileConnectionsToTheStoreFallSilent) {
+  const run_result run = Play({"--site", Example(), "--seconds", "30", "--change-ms", "2500",
+                               "--fault-ms", "12000", "--silent-connections", "--seed", "3"});
+  EXPECT_EQ(run.code, 0) << run.output;
+  EXPECT_NE(run.output.find("never: 0"), std::string::npos) << run.output;
+  std::smatch longest;
+  ASSERT_TRUE(std::regex_search(run.output, longest, std::regex("max ([0-9]+) over")))
+      << run.output;
+  EXPECT_LE(std::stoi(longest[1]), kConfigurationBoundMs) << run.output;
+}
+
+// Guards against a faulty site file whose error does not say what is wrong and where.
+TEST_F(small_deployment, FaultySiteFileIsNamed) {
+  const std::string site = folder_ + "/site.toml";
+  std::ofstream(site) << "zones = [{ name = 7, region = \"north\" }]\n";
+  const run_result run = Play({"--site", site, "--seconds", "1"});
+  EXPECT_EQ(run.code, 2);
+  EXPECT_NE(run.output.find(site + ": zones[0].name: found 7 in line 1; expected a text"),
+            std::string::npos)
+      << run.output;
+}
+
+}  // namespace
+}  // namespace bronzeroute::testing
