Join the event loop's thread before static objects are destroyed

The core shows the detached loop thread inside Boost.Asio, whose thread-local key exit() had just destroyed (scheduler::compensating_work_started on a null thread record). The daemons, brload and the other stand-ins end through _Exit and aren't affected. Change: an exit handler, which runs before those destructors, stops the loop and joins its thread.

--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <chrono>
+#include <cstdlib>
 #include <ctime>
 #include <exception>
 #include <future>
@@ -38,12 +39,17 @@
 void StartEventLoop() {
   static std::once_flag once;
   std::call_once(once, [] {
-    // Runs until the process ends; nothing stops it earlier.
-    std::thread([] {
+    // Runs until the process exits.
+    static auto* const loop = new std::thread([] {
       const auto work = boost::asio::make_work_guard(LoopService());
       while (!RunUntilError()) {
       }
-    }).detach();
+    });
+    // Destructors of static objects that the loop uses run after this function.
+    std::atexit([] {
+      LoopService().stop();
+      if (loop->get_id() != std::this_thread::get_id()) loop->join();
+    });
   });
 }
 
