--- a/bench/transport_bench.cc
+++ b/bench/transport_bench.cc
@@ -129,6 +129,7 @@
     OnUpstreamLost(exchange, attempt, now);
   }
   void OnUpstreamLoad(const load_report& /*report*/, time_point /*now*/) override {}
+  void OnUpstreamNotice(const upstream_notice& /*notice*/, time_point /*now*/) override {}
   void OnStrayResponse(exchange_id /*exchange*/, const attempt_id& /*attempt*/,
                        time_point /*now*/) override {}
   void OnDatagram(std::string_view /*from*/, std::string_view /*payload*/,
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -353,6 +353,10 @@
   runtime_.OnUpstreamLoad(report, now);
 }
 
+void daemon::OnUpstreamNotice(const upstream_notice& notice, time_point now) {
+  runtime_.OnUpstreamNotice(notice, now);
+}
+
 void daemon::OnStrayResponse(exchange_id /*exchange*/, const attempt_id& attempt,
                              time_point /*now*/) {
   log_line line(log_weight::kProblem, "call", "stray_answer_dropped");
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -75,6 +75,7 @@
   void OnUpstreamRefused(exchange_id exchange, const attempt_id& attempt,
                          time_point now) override;
   void OnUpstreamLoad(const load_report& report, time_point now) override;
+  void OnUpstreamNotice(const upstream_notice& notice, time_point now) override;
   void OnStrayResponse(exchange_id exchange, const attempt_id& attempt,
                        time_point now) override;
   void OnDatagram(std::string_view from, std::string_view payload, time_point now) override;
--- a/src/node/decision_log.cc
+++ b/src/node/decision_log.cc
@@ -21,6 +21,8 @@
 constexpr int kServerError = 500;
 // Unknown values of a document that are listed; the others are only counted.
 constexpr std::size_t kMaxListedValues = 4;
+// Bytes of a malformed value that are listed.
+constexpr std::size_t kMaxListedBytes = 64;
 
 std::string MemberText(member_id id) { return absl::StrFormat("%016x", id.value); }
 
@@ -135,6 +137,23 @@
   sink_->Write(line);
 }
 
+void decision_log::OnUpstreamRate(std::string_view identity, std::optional<double> per_second) {
+  if (sink_ == nullptr) return;
+  log_line line(log_weight::kState, "admit", per_second ? "limit_named" : "limit_ended");
+  line.Add("identity", identity);
+  if (per_second) line.Add("per_second", absl::StrFormat("%.3f", *per_second));
+  sink_->Write(line);
+}
+
+void decision_log::OnMalformedRate(std::string_view identity, std::string_view found) {
+  if (sink_ == nullptr) return;
+  log_line line(log_weight::kProblem, "admit", "malformed_limit");
+  line.Add("identity", identity)
+      .Add("found", found.substr(0, kMaxListedBytes))
+      .Add("expected", "a number of requests per second, 0 or more");
+  sink_->Write(line);
+}
+
 void decision_log::OnUpstream(std::string_view event, std::string_view identity,
                               std::string_view address, std::uint64_t sequence) {
   if (sink_ == nullptr) return;
--- a/src/node/decision_log.h
+++ b/src/node/decision_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,6 +28,10 @@
   void OnMembership(const membership_event& event);
   void OnConfigurationRecord(const folded_record& record);
   void OnConfigurationInEffect(std::int64_t version, std::string_view source);
+  /// The upstream names a limit in requests per second, or no longer names one.
+  void OnUpstreamRate(std::string_view identity, std::optional<double> per_second);
+  /// The upstream names a limit with the value `found`, which is no number.
+  void OnMalformedRate(std::string_view identity, std::string_view found);
   void OnUpstream(std::string_view event, std::string_view identity, std::string_view address,
                   std::uint64_t sequence);
 
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -1,8 +1,10 @@
 #include "src/node/node_runtime.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
+#include "src/admission/upstream_notice.h"
 #include "src/base/concat.h"
 #include "src/base/error_response.h"
 #include "src/calls/attempt_head.h"
@@ -27,6 +29,8 @@
 // Time allowed for the leave to reach peers before the process exits; pushes are sent every
 // 100 ms.
 constexpr auto kLeavePropagationTime = std::chrono::milliseconds(250);
+// Relative change of a named limit that is worth a line in the log.
+constexpr double kLoggedRateChange = 0.1;
 // Limits of the measuring budget until a configuration document sets them.
 constexpr std::uint64_t kInitialBytesPerSecond = 2000;
 constexpr auto kInitialUpstreamTime = std::chrono::milliseconds(6);
@@ -229,6 +233,24 @@
   admission_.OnServiceTimePercent(report.service_time_percent, now);
 }
 
+void node_runtime::OnUpstreamNotice(const upstream_notice& notice, time_point /*now*/) {
+  LogRate(notice);
+}
+
+void node_runtime::LogRate(const upstream_notice& notice) {
+  if (!notice.malformed_rate.empty()) {
+    decisions_.OnMalformedRate(applied_identity_, notice.malformed_rate);
+    return;
+  }
+  if (!notice.max_rate && !notice.is_complete) return;
+  const double rate = notice.max_rate.value_or(kNoRate);
+  const bool is_change = (rate < 0) != (logged_rate_ < 0) ||
+                         std::abs(rate - logged_rate_) > kLoggedRateChange * logged_rate_;
+  if (rate == logged_rate_ || !is_change) return;
+  logged_rate_ = rate;
+  decisions_.OnUpstreamRate(applied_identity_, notice.max_rate);
+}
+
 void node_runtime::DrainUpstream(time_point now) {
   if (upstream_leaves_) return;
   upstream_leaves_ = true;
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -41,6 +41,7 @@
 struct log_read;
 struct runtime_ports;
 struct runtime_settings;
+struct upstream_notice;
 
 /// All decision logic of one daemon: calls, routing, admission, membership, configuration and
 /// measuring. Events enter through the functions below, effects leave through the ports. All
@@ -80,6 +81,8 @@
                          std::int64_t unix_ms, time_point now);
   /// The upstream reported its load with a response.
   void OnUpstreamLoad(const load_report& report, time_point now);
+  /// The upstream named a limit with a response, or none, or said that it leaves.
+  void OnUpstreamNotice(const upstream_notice& notice, time_point now);
 
   /// Refuses new work for the upstream until this process exits, and reports the drain to the
   /// peers.
@@ -108,12 +111,16 @@
   std::size_t ServingMembers() const;
 
  private:
+  static constexpr double kNoRate = -1;
+
   void ApplyConfiguration(time_point now);
   void SetObjectives(const document& current);
   void ApplyUpstream(time_point now);
   /// True for an announcement of a service that the configuration does not name, unless it is
   /// one of the upstream in use.
   bool IsFromAnotherWriter(const upstream_announcement& announcement) const;
+  /// Logs the limit that the upstream names, unless it is about the one logged last.
+  void LogRate(const upstream_notice& notice);
   /// Refuses new work for the current incarnation of the upstream.
   void DrainUpstream(time_point now);
   void ApplyMembers(time_point now);
@@ -144,6 +151,8 @@
   upstream_history history_;
   /// The current incarnation of the upstream leaves.
   bool upstream_leaves_ = false;
+  /// Requests per second that the upstream named last, as logged; -1 for no limit.
+  double logged_rate_ = kNoRate;
   /// An operator drained this daemon, or it is stopping.
   bool drained_ = false;
   duration stop_linger_;
--- a/src/transport/http_dialect.h
+++ b/src/transport/http_dialect.h
@@ -21,6 +21,10 @@
   std::string not_run;
   /// Response of an upstream: its load, in the format of `ParseLoadReport`.
   std::string load;
+  /// Response of an upstream: requests per second that it takes from all daemons together.
+  std::string max_rate;
+  /// Response of an upstream: present with the value 1 if it is about to end.
+  std::string leaving;
   /// Response of an upstream: shows that the upstream itself made the response. A response with
   /// status 2xx that lacks it is treated as lost.
   std::string seal;
--- a/src/transport/transport_events.h
+++ b/src/transport/transport_events.h
@@ -13,6 +13,7 @@
 struct caller_request;
 struct load_report;
 struct owner_report;
+struct upstream_notice;
 
 /// Receives every event of the transport, on the event loop. Implemented by the daemon.
 /// The entry of a call is the daemon that took the caller's request; the owner of an attempt is
@@ -70,6 +71,9 @@
                                  time_point now) = 0;
   /// The upstream reported its load in a response.
   virtual void OnUpstreamLoad(const load_report& report, time_point now) = 0;
+  /// The head of a response of the current upstream was read, in a dialect in which it may name
+  /// a limit or say that the upstream leaves.
+  virtual void OnUpstreamNotice(const upstream_notice& notice, time_point now) = 0;
   /// Instead of the response to `attempt`, a response to another request was received and
   /// dropped.
   virtual void OnStrayResponse(exchange_id exchange, const attempt_id& attempt,
--- a/src/transport/upstream_attempt.cc
+++ b/src/transport/upstream_attempt.cc
@@ -9,10 +9,13 @@
 #include <boost/asio/error.hpp>
 #include <boost/beast/http/field.hpp>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 
+#include "src/admission/upstream_notice.h"
 #include "src/calls/call_id_text.h"
 #include "src/routing/load_report.h"
 #include "src/transport/absl_text.h"
@@ -62,6 +65,13 @@
   return std::max<std::int64_t>(0, left.count());
 }
 
+// A number of requests per second, or nothing if `field` is none.
+std::optional<double> ParseRate(const std::string& field) {
+  double rate = 0;
+  if (!absl::SimpleAtod(field, &rate) || !std::isfinite(rate) || rate < 0) return std::nullopt;
+  return rate;
+}
+
 // The timeout in a Keep-Alive field, or `kKeepTime`.
 duration KeepTime(const std::string& field) {
   for (const absl::string_view part : absl::StrSplit(field, ',')) {
@@ -160,6 +170,8 @@
     message.content_length(*row_->content_length);
   }
   sent_ = false;
+  generation_ = owner_->generation();
+  sent_at_ = MonotonicNow();
   connection_->reader.Begin(kResponseHeadBytes, 0);
   if (row_->method == "HEAD") connection_->reader.SkipBody();
   writer_ = std::make_shared<writer>(connection_, connection_->socket, std::move(message),
@@ -273,6 +285,8 @@
   }
   is_refusal_ = !dialect.not_run.empty() &&
                 (FindField(fields, dialect.not_run) != nullptr || status == kMisdirected);
+  ReportNotice(fields);
+  if (finished_) return false;
   if (is_refusal_) {
     connection_->refused_request = request_id_;
     return true;
@@ -301,6 +315,26 @@
   return !finished_;
 }
 
+void upstream_attempt::ReportNotice(const header_list& fields) const {
+  const http_dialect& dialect = owner_->dialect();
+  if (dialect.max_rate.empty() || generation_ != owner_->generation()) return;
+  upstream_notice notice;
+  notice.asked = sent_at_;
+  notice.is_complete =
+      !is_refusal_ && (dialect.seal.empty() || FindField(fields, dialect.seal) != nullptr);
+  if (const std::string* const rate = FindField(fields, dialect.max_rate)) {
+    notice.max_rate = ParseRate(*rate);
+    if (!notice.max_rate) notice.malformed_rate = *rate;
+  }
+  const std::string* const leaving = FindField(fields, dialect.leaving);
+  notice.is_leaving = leaving != nullptr && *leaving == "1";
+  if (!notice.is_complete && !notice.max_rate && notice.malformed_rate.empty() &&
+      !notice.is_leaving) {
+    return;
+  }
+  owner_->events().OnUpstreamNotice(notice, MonotonicNow());
+}
+
 void upstream_attempt::AnnounceHead() {
   head_announced_ = true;
   response_->body->SetWriter([weak = weak_from_this()] {
--- a/src/transport/upstream_attempt.h
+++ b/src/transport/upstream_attempt.h
@@ -9,6 +9,7 @@
 
 #include "src/base/attempt_id.h"
 #include "src/base/time.h"
+#include "src/transport/header_list.h"
 #include "src/transport/message_reader.h"
 #include "src/transport/message_writer.h"
 
@@ -51,6 +52,8 @@
   bool ParseBody();
   /// Processes the parsed response head; false if the attempt ended.
   bool ProcessHead();
+  /// Reports what the upstream states about itself in `fields` of its response.
+  void ReportNotice(const header_list& fields) const;
   void AnnounceHead();
   /// The response was read completely.
   void OnResponseRead();
@@ -92,6 +95,9 @@
   bool received_any_ = false;
   bool may_resend_ = false;
   bool finished_ = false;
+  /// The upstream to which the request is sent; see `upstream_client::generation`.
+  std::uint64_t generation_ = 0;
+  time_point sent_at_;
 };
 
 }  // namespace bronzeroute
--- a/src/transport/upstream_client.cc
+++ b/src/transport/upstream_client.cc
@@ -40,6 +40,7 @@
 void upstream_client::SetUpstream(std::string_view address, std::string_view identity) {
   used_ = true;
   identity_ = identity;
+  ++generation_;
   if (address == address_) return;
   address_ = address;
   kept_.clear();
--- a/src/transport/upstream_client.h
+++ b/src/transport/upstream_client.h
@@ -55,6 +55,9 @@
   const http_dialect& dialect() const { return dialect_; }
   const std::string& address() const { return address_; }
   const std::string& identity() const { return identity_; }
+  /// Counts the calls of `SetUpstream`, which tells the upstream in use from earlier ones with
+  /// the same address and identity.
+  std::uint64_t generation() const { return generation_; }
   /// An idle connection that is still open, or null. Not one on which the upstream refused the
   /// request with the caller's id `request_id`: it might repeat that refusal.
   std::shared_ptr<upstream_connection> TakeIdle(std::string_view request_id);
@@ -69,6 +72,7 @@
   const http_dialect& dialect_;
   std::string address_;
   std::string identity_;
+  std::uint64_t generation_ = 0;
   absl::flat_hash_map<key, std::shared_ptr<upstream_attempt>> running_;
   /// Idle connections; the most recently used one is last.
   std::vector<std::shared_ptr<upstream_connection>> kept_;
--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -20,6 +20,8 @@
   dialect.expected_upstream = "X-Expect";
   dialect.not_run = "X-Not-Run";
   dialect.load = "X-Load";
+  dialect.max_rate = "X-Limit";
+  dialect.leaving = "X-Leaving";
   dialect.seal = "X-Seal";
   dialect.has_own_fields = false;
   return dialect;
@@ -454,5 +456,59 @@
                            return info.param ? "RemoteUpstream" : "LocalUpstream";
                          });
 
+// Guards against a limit that is missed on a refusal, taken from a value that is no number, or
+// ended by a response that does not come from the upstream itself.
+TEST_F(DialectTest, LimitAndLeavingAreReadFromEachResponseOfTheUpstream) {
+  struct row {
+    std::string response;
+    std::string events;
+  };
+  const std::string seal = "X-Id: 1\r\nX-Seal: s\r\n";
+  const row rows[] = {
+      {Response("200 OK", seal + "X-Limit: 12.5\r\n", "ok"), "limit 12.500000"},
+      {Response("503 Full", "X-Id: 1\r\nX-Not-Run: 1\r\nX-Limit: 0\r\n", ""), "limit 0.000000"},
+      {Response("503 Full", "X-Id: 1\r\nX-Not-Run: 1\r\n", ""), ""},
+      {Response("500 Failed", "X-Id: 1\r\n", ""), ""},
+      {Response("500 Failed", seal, ""), "no limit"},
+      {Response("200 OK", seal + "X-Limit: 1e999\r\n", "ok"), "malformed limit"},
+      {Response("200 OK", seal + "X-Limit: -1\r\n", "ok"), "malformed limit"},
+      {Response("200 OK", seal + "X-Limit: nan\r\n", "ok"), "malformed limit"},
+      {Response("200 OK", seal + "X-Limit: 3\r\nX-Leaving: 1\r\n", "ok"), "leaving"},
+      {Response("200 OK", seal + "X-Limit: 3\r\nX-Leaving: 0\r\n", "ok"), "limit 3.000000"},
+  };
+  for (const auto& [response, event] : rows) {
+    test_daemon daemon(1, nullptr, OtherDialect());
+    raw_upstream upstream([&](raw_socket& peer) {
+      peer.ReceiveUntil("\r\n\r\n");
+      peer.Send(response);
+      peer.ReceiveAll();
+    });
+    RunOnLoop([&] { daemon.sockets().upstream().SetUpstream(upstream.address(), "run-7"); });
+    Ask(daemon, Request("1"));
+    for (const std::string name : {"limit 12.500000", "limit 0.000000", "limit 3.000000",
+                                    "no limit", "malformed limit", "leaving"}) {
+      const bool is_expected =
+          name == event || (event == "leaving" && name == "limit 3.000000");
+      EXPECT_EQ(daemon.Count(name), is_expected ? 1 : 0) << name << " after " << response;
+    }
+  }
+}
+
+// Guards against a limit of an upstream that has been replaced being taken for one of its
+// successor.
+TEST_F(DialectTest, ResponseOfAReplacedUpstreamSaysNothingOfItsSuccessor) {
+  raw_upstream upstream([&](raw_socket& peer) {
+    peer.ReceiveUntil("\r\n\r\n");
+    Use(upstream.address());
+    peer.Send(
+        Response("200 OK", "X-Id: 1\r\nX-Seal: s\r\nX-Limit: 3\r\nX-Leaving: 1\r\n", "ok"));
+    peer.ReceiveAll();
+  });
+  Use(upstream.address());
+  EXPECT_TRUE(Ask(daemon_, Request("1")).starts_with("HTTP/1.1 200"));
+  EXPECT_EQ(daemon_.Count("limit 3.000000"), 0);
+  EXPECT_EQ(daemon_.Count("leaving"), 0);
+}
+
 }  // namespace
 }  // namespace bronzeroute
--- a/tests/transport/test_daemon.h
+++ b/tests/transport/test_daemon.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "src/admission/upstream_notice.h"
 #include "src/base/error_kind.h"
 #include "src/calls/attempt_head.h"
 #include "src/calls/caller_request.h"
@@ -210,6 +211,14 @@
   void OnUpstreamLoad(const load_report& /*report*/, time_point /*now*/) override {
     Record("upstream_load");
   }
+  void OnUpstreamNotice(const upstream_notice& notice, time_point /*now*/) override {
+    if (notice.max_rate) Record("limit " + std::to_string(*notice.max_rate));
+    if (!notice.malformed_rate.empty()) Record("malformed limit");
+    if (notice.is_leaving) Record("leaving");
+    if (notice.is_complete && !notice.max_rate && notice.malformed_rate.empty()) {
+      Record("no limit");
+    }
+  }
   void OnStrayResponse(exchange_id /*exchange*/, const attempt_id& /*attempt*/,
                        time_point /*now*/) override {
     Record("stray_response");
