--- a/standins/platform/configuration_oracle.cc
+++ b/standins/platform/configuration_oracle.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "src/base/concat.h"
+#include "standins/platform/upstream_oracle.h"
 
 namespace bronzeroute::standin {
 namespace {
@@ -35,12 +36,24 @@
 }
 
 void configuration_oracle::OnStoreFault(clock::time_point from, clock::time_point until) {
-  faults_.emplace_back(from, until);
+  faults_.push_back({"", from, until});
 }
 
-bool configuration_oracle::IsInTouch(clock::time_point sent) const {
-  return std::ranges::none_of(faults_, [&](const auto& fault) {
-    return fault.first <= sent && sent < fault.second + bounds_.stability;
+void configuration_oracle::OnDaemonFault(const std::string& entry, clock::time_point from,
+                                         clock::time_point until) {
+  faults_.push_back({entry, from, until});
+}
+
+void configuration_oracle::OnDaemonStarted(const std::string& entry, clock::time_point now) {
+  for (fault_row& fault : faults_) {
+    if (fault.entry == entry) fault.until = std::min(fault.until, now);
+  }
+}
+
+bool configuration_oracle::IsInTouch(const std::string& entry, clock::time_point sent) const {
+  return std::ranges::none_of(faults_, [&](const fault_row& fault) {
+    return (fault.entry.empty() || fault.entry == entry) && fault.from <= sent &&
+           sent < fault.until + bounds_.stability;
   });
 }
 
@@ -73,7 +86,7 @@
 
 void configuration_oracle::Break(std::string rule, const std::string& id,
                                  const request_row& row, const std::string& text) {
-  if (rule == "CONFIG" && !IsInTouch(row.sent)) {
+  if (rule == "CONFIG" && !IsInTouch(row.entry, row.sent)) {
     ++excused_;
     return;
   }
@@ -83,6 +96,13 @@
               ", newest version confirmed when sent: ", Newest(row.sent), "; ", text)});
 }
 
+void configuration_oracle::OnArrival(const std::string& id, const std::string& upstream,
+                                     upstream_oracle& upstreams, clock::time_point now) const {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return;
+  upstreams.OnArrival(upstream, found->second.entry, id, found->second.sent, now);
+}
+
 void configuration_oracle::OnRun(const std::string& id, const std::string& service,
                                  clock::time_point now) {
   const auto found = requests_.find(id);
--- a/standins/platform/configuration_oracle.h
+++ b/standins/platform/configuration_oracle.h
@@ -10,15 +10,12 @@
 #include <vector>
 
 #include "standins/platform/configuration_author.h"
+#include "standins/platform/rule_break.h"
 #include "standins/platform/site_shape.h"
 
 namespace bronzeroute::standin {
 
-/// A rule that was broken, as seen from outside.
-struct rule_break {
-  std::string rule;
-  std::string text;
-};
+class upstream_oracle;
 
 /// Judges what callers and upstreams saw against the versions that the operator confirmed. It
 /// knows nothing of daemons but their names. Times are of one steady clock.
@@ -34,9 +31,16 @@
   void OnConfirmed(std::int64_t version, clock::time_point now);
   /// The store has a fault, which excuses versions that are late.
   void OnStoreFault(clock::time_point from, clock::time_point until);
+  /// The daemon `entry` is stopped at `from`, which excuses its versions that are late, and
+  /// runs again from `until` on.
+  void OnDaemonFault(const std::string& entry, clock::time_point from, clock::time_point until);
+  void OnDaemonStarted(const std::string& entry, clock::time_point now);
   /// A caller sends a request to the daemon `entry`.
   void OnRequest(const std::string& id, const std::string& entry, const std::string& host,
                  const std::string& path, bool is_protected, clock::time_point now);
+  /// The request reached `upstream`, which `upstreams` judges by where and when it was sent.
+  void OnArrival(const std::string& id, const std::string& upstream, upstream_oracle& upstreams,
+                 clock::time_point now) const;
   /// An upstream of `service` begins to run the request.
   void OnRun(const std::string& id, const std::string& service, clock::time_point now);
   /// The caller has a complete response, or none (status 0).
@@ -69,11 +73,18 @@
   void Break(std::string rule, const std::string& id, const request_row& row,
              const std::string& text);
   std::int64_t Newest(clock::time_point sent) const;
-  /// True if the store was sound for the time before `sent` in which a version must arrive.
-  bool IsInTouch(clock::time_point sent) const;
+  /// True if the store and the daemon `entry` were sound for the time before `sent` in which a
+  /// version must arrive.
+  bool IsInTouch(const std::string& entry, clock::time_point sent) const;
 
   bound_shape bounds_;
-  std::vector<std::pair<clock::time_point, clock::time_point>> faults_;
+  struct fault_row {
+    /// The daemon with the fault; empty for the store.
+    std::string entry;
+    clock::time_point from;
+    clock::time_point until;
+  };
+  std::vector<fault_row> faults_;
   std::deque<version_row> versions_;
   std::map<std::string, request_row> requests_;
   std::vector<rule_break> breaks_;
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -32,6 +32,7 @@
   double seconds = 60;
   int change_ms = 2000;
   int fault_ms = 0;
+  int restart_ms = 0;
   // clang-format off
   parser.add_options()
       ("site", "site file (TOML)", cxxopts::value(site_file))
@@ -42,6 +43,10 @@
       ("change-ms", "mean time between two versions; 0 for none", cxxopts::value(change_ms)->default_value("2000"))
       ("fault-ms", "mean time between two faults of the store; 0 for none", cxxopts::value(fault_ms)->default_value("0"))
       ("silent-connections", "play only the fault in which the open connections to the store fall silent")
+      ("restart-ms", "mean time between two planned restarts of a daemon; 0 for none", cxxopts::value(restart_ms)->default_value("0"))
+      ("limited-share", "share of the upstreams of the first service that name a limit", cxxopts::value(options.limited_share)->default_value("0"))
+      ("limit-factor", "limit as a share of the requests that an upstream got before", cxxopts::value(options.limit_factor)->default_value("0.5"))
+      ("leaving", "number of upstreams that leave", cxxopts::value(options.leaving)->default_value("0"))
       ("load", "requests per second as a share of those of the site", cxxopts::value(options.load)->default_value("1"))
       ("seed", "seed of names, requests, changes and faults", cxxopts::value(options.seed)->default_value("1"))
       ("h,help", "print this help")
@@ -65,6 +70,7 @@
     if (parsed.count("silent-connections") != 0) {
       options.fault = bronzeroute::standin::store_fault::kSilentConnections;
     }
+    options.restart_period = std::chrono::milliseconds(restart_ms);
     options.fault_period = std::chrono::milliseconds(fault_ms);
     const auto site = bronzeroute::standin::ReadSite(site_file);
     std::filesystem::create_directories(options.folder);
--- a/standins/platform/platform_run.cc
+++ b/standins/platform/platform_run.cc
@@ -27,6 +27,9 @@
 constexpr std::chrono::seconds kReadyLimit{30};
 constexpr std::chrono::seconds kStopLimit{12};
 constexpr std::chrono::seconds kFaultTime{3};
+constexpr milliseconds kCallersLeaveAfter{2'000};
+// Time in which a daemon that was started again is ready.
+constexpr milliseconds kStartTime{1'500};
 constexpr std::size_t kMaxShown = 20;
 const std::string kStoreIp = "127.40.0.1";
 const std::string kOperatorTopic = "keyed.op";
@@ -78,8 +81,11 @@
       random_(options.seed),
       change_random_(options.seed + 1),
       fault_random_(options.seed + 2),
+      restart_random_(options.seed + 3),
+      upstream_random_(options.seed + 4),
       author_(site, options.seed),
       oracle_(site.bounds),
+      upstream_oracle_(site.bounds),
       store_(options.retention) {
   PlaceMachines();
 }
@@ -133,12 +139,15 @@
 }
 
 void platform_run::StartDaemons() {
-  for (const machine_place& place : places_) {
-    const std::string name = options_.folder + "/" + place.name;
-    std::ofstream(name + ".toml") << Settings(place);
-    daemons_.push_back(
-        std::make_unique<daemon_process>(options_.daemon, name + ".toml", name + ".log"));
-  }
+  daemons_.resize(places_.size());
+  for (std::size_t machine = 0; machine < places_.size(); ++machine) StartDaemon(machine);
+}
+
+void platform_run::StartDaemon(std::size_t machine) {
+  const std::string name = options_.folder + "/" + places_[machine].name;
+  std::ofstream(name + ".toml") << Settings(places_[machine]);
+  daemons_[machine] =
+      std::make_unique<daemon_process>(options_.daemon, name + ".toml", name + ".log");
 }
 
 void platform_run::AwaitReady(const std::atomic<bool>& stop) {
@@ -220,10 +229,98 @@
       });
 }
 
+void platform_run::ScheduleRestart() {
+  if (options_.restart_period.count() == 0) return;
+  std::uniform_real_distribution<double> spread(0.5, 1.5);
+  RunAfter(std::chrono::microseconds(
+               static_cast<std::int64_t>(spread(restart_random_) * 1000 *
+                                         static_cast<double>(options_.restart_period.count()))),
+           [this] {
+             if (is_ended_ || clock::now() >= ends_at_) return;
+             std::uniform_int_distribution<std::size_t> pick(0, places_.size() - 1);
+             const std::size_t machine = pick(restart_random_);
+             const std::string& name = places_[machine].name;
+             if (restarting_.insert(name).second) {
+               std::cout << absl::StrFormat("restart of %s at %.3f\n", name, SecondsOfDay())
+                         << std::flush;
+               // Callers leave the machine after two questions of the platform, one a second.
+               RunAfter(kCallersLeaveAfter, [this, name] { avoided_.insert(name); });
+               daemons_[machine]->Signal(SIGTERM);
+               oracle_.OnDaemonFault(name, clock::now(), clock::time_point::max());
+               StartAgain(machine);
+             }
+             ScheduleRestart();
+           });
+}
+
+void platform_run::StartAgain(std::size_t machine) {
+  if (is_ended_) return;
+  const std::string& name = places_[machine].name;
+  if (!daemons_[machine]->HasEnded()) {
+    RunAfter(kPoll, [this, machine] { StartAgain(machine); });
+    return;
+  }
+  upstream_oracle_.OnRestart(name, clock::now());
+  StartDaemon(machine);
+  RunAfter(kStartTime, [this, name] {
+    oracle_.OnDaemonStarted(name, clock::now());
+    restarting_.erase(name);
+    avoided_.erase(name);
+  });
+}
+
+void platform_run::ScheduleLimits() {
+  if (options_.limited_share <= 0) return;
+  const std::string& service = site_.services.front().name;
+  const auto limited = std::make_shared<std::vector<platform_upstream*>>();
+  std::uniform_real_distribution<double> share(0, 1);
+  for (const auto& upstream : upstreams_) {
+    if (upstream->place().service != service) continue;
+    if (share(upstream_random_) < options_.limited_share) limited->push_back(upstream.get());
+  }
+  static constexpr milliseconds kMeasured{3000};
+  RunAfter(milliseconds(500), [this, limited] {
+    if (is_ended_) return;
+    for (platform_upstream* const each : *limited) each->TakeArrivals();
+  });
+  RunAfter(milliseconds(500) + kMeasured, [this, limited] {
+    if (is_ended_) return;
+    for (platform_upstream* const each : *limited) {
+      const double per_second = 1000.0 * each->TakeArrivals() / kMeasured.count();
+      each->SetLimit(per_second * options_.limit_factor);
+      std::cout << absl::StrFormat("%s at %s names a limit of %.2f/s at %.3f\n",
+                                   each->identity(), each->place().name,
+                                   per_second * options_.limit_factor, SecondsOfDay())
+                << std::flush;
+    }
+  });
+  RunAfter(options_.length * 4 / 5, [this, limited] {
+    if (is_ended_) return;
+    for (platform_upstream* const each : *limited) each->SetLimit(-1);
+    std::cout << absl::StrFormat("limits end at %.3f\n", SecondsOfDay()) << std::flush;
+  });
+}
+
+void platform_run::ScheduleLeaving() {
+  constexpr std::chrono::seconds kReportDelay{4};
+  for (int i = 0; i < options_.leaving; ++i) {
+    RunAfter(options_.length * (i + 1) / (options_.leaving + 2), [this, kReportDelay] {
+      if (is_ended_) return;
+      std::uniform_int_distribution<std::size_t> pick(0, upstreams_.size() - 1);
+      platform_upstream& leaving = *upstreams_[pick(upstream_random_)];
+      leaving.BeginLeaving(clock::now() + kReportDelay);
+      std::cout << absl::StrFormat("%s at %s leaves at %.3f\n", leaving.identity(),
+                                   leaving.place().name, SecondsOfDay())
+                << std::flush;
+    });
+  }
+}
+
 void platform_run::SendRequest(const traffic_shape& from, const class_shape& described) {
   const auto& machines = by_zone_[from.zone];
   std::uniform_int_distribution<std::size_t> pick(0, machines.size() - 1);
   const machine_place& entry = *machines[pick(random_)];
+  if (avoided_.contains(entry.name)) return;
   const std::string id = absl::StrFormat("%016x", random_());
   route_place place = author_.PlaceOf(described.name);
   const auto& added = author_.added();
@@ -246,8 +343,9 @@
   const bool is_protected = described.kind == "unsafe" || described.kind == "upload";
   oracle_.OnRequest(id, entry.name, place.host, request.target, is_protected, clock::now());
   client_.Send(Address(entry.ip, kOutboundPort), std::move(request),
-               [this, id](const client_response& response) {
+               [this, id, machine = entry.name](const client_response& response) {
                  oracle_.OnResponse(id, response.status, clock::now());
+                 PassOn(response.headers, machine, upstream_oracle_);
                });
 }
 
@@ -283,8 +381,8 @@
   require(store_.Start(Address(kStoreIp, kStorePort)));
   std::uint64_t seed = options_.seed;
   for (const machine_place& place : places_) {
-    upstreams_.push_back(
-        std::make_unique<platform_upstream>(site_, author_, place, client_, oracle_, ++seed));
+    upstreams_.push_back(std::make_unique<platform_upstream>(
+        site_, author_, place, client_, oracle_, upstream_oracle_, ++seed));
     require(upstreams_.back()->Start());
   }
   RunOnLoop([this] {
@@ -318,6 +416,9 @@
     Tick();
     ScheduleChange();
     ScheduleFault();
+    ScheduleRestart();
+    ScheduleLimits();
+    ScheduleLeaving();
   });
   while (clock::now() < end && !stop) std::this_thread::sleep_for(kPoll);
   RunOnLoop([this] { sends_requests_ = false; });
@@ -367,8 +468,12 @@
   }
   std::cout << absl::StrFormat("\nlate, excused by a fault of the store: %d\n",
                                oracle_.excused());
+  std::cout << absl::StrFormat("arrivals counted against limits: %d\n",
+                               upstream_oracle_.limited_arrivals());
   std::map<std::string, std::size_t> by_rule;
-  for (const rule_break& each : oracle_.breaks()) {
+  std::vector<rule_break> breaks = oracle_.breaks();
+  std::ranges::copy(upstream_oracle_.breaks(), std::back_inserter(breaks));
+  for (const rule_break& each : breaks) {
     if (++by_rule[each.rule] <= kMaxShown) std::cout << each.rule << ": " << each.text << "\n";
   }
   for (const auto& [rule, count] : by_rule) std::cout << rule << " broken: " << count << "\n";
--- a/standins/platform/platform_run.h
+++ b/standins/platform/platform_run.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
 #include "standins/platform/platform_store.h"
 #include "standins/platform/platform_upstream.h"
 #include "standins/platform/run_options.h"
+#include "standins/platform/upstream_oracle.h"
 
 namespace bronzeroute::standin {
 
@@ -39,11 +41,17 @@
 
   void PlaceMachines();
   void StartDaemons();
+  void StartDaemon(std::size_t machine);
   void AwaitReady(const std::atomic<bool>& stop);
   std::string Settings(const machine_place& place) const;
   void Publish(const authored_version& version);
   void ScheduleChange();
   void ScheduleFault();
+  void ScheduleRestart();
+  void StartAgain(std::size_t machine);
+  /// Lets some upstreams name a limit, and later no limit again.
+  void ScheduleLimits();
+  void ScheduleLeaving();
   void Tick();
   void SendRequest(const traffic_shape& from, const class_shape& described);
   /// Delays from the confirmation of each version to the line with which a daemon puts it, or
@@ -57,8 +65,11 @@
   /// Times and kinds of changes and faults, which do not depend on the requests sent so far.
   std::mt19937_64 change_random_;
   std::mt19937_64 fault_random_;
+  std::mt19937_64 restart_random_;
+  std::mt19937_64 upstream_random_;
   configuration_author author_;
   configuration_oracle oracle_;
+  upstream_oracle upstream_oracle_;
   platform_store store_;
   caller_client client_;
   std::deque<machine_place> places_;
@@ -67,6 +78,9 @@
   std::vector<std::unique_ptr<daemon_process>> daemons_;
   /// Version with the Unix milliseconds of its confirmation.
   std::vector<std::pair<std::int64_t, std::int64_t>> confirmed_;
+  /// Machines whose daemon is being started again, and those that callers avoid meanwhile.
+  std::set<std::string> restarting_;
+  std::set<std::string> avoided_;
   std::map<std::string, clock::time_point> next_request_;
   clock::time_point ends_at_;
   bool sends_requests_ = false;
--- a/standins/platform/platform_upstream.cc
+++ b/standins/platform/platform_upstream.cc
@@ -21,12 +21,14 @@
 
 platform_upstream::platform_upstream(const site_shape& site, const configuration_author& author,
                                      const machine_place& place, caller_client& client,
-                                     configuration_oracle& oracle, std::uint64_t seed)
+                                     configuration_oracle& oracle, upstream_oracle& upstreams,
+                                     std::uint64_t seed)
     : site_(site),
       author_(author),
       place_(place),
       client_(client),
       oracle_(oracle),
+      upstreams_(upstreams),
       random_(seed),
       service_(*site.FindService(place.service)),
       identity_(absl::StrFormat("i-%08x", static_cast<std::uint32_t>(random_()))),
@@ -40,15 +42,18 @@
 }
 
 void platform_upstream::Announce() {
-  const json body = {
-      {"address", Address(place_.ip, kUpstreamPort)},
-      {"born", born_},
-      {"info",
-       {{"service", author_.ServiceName(place_.service)},
-        {"version", "v1"},
-        {"zone", place_.zone},
-        {"slots", service_.slots}}},
-      {"status", {{"state", "ready"}, {"sequence", ++sequence_}, {"coldLeftMs", 0}}}};
+  const bool says_leaving = is_leaving_ && steady_clock::now() >= leaving_reported_at_;
+  const json body = {{"address", Address(place_.ip, kUpstreamPort)},
+                     {"born", born_},
+                     {"info",
+                      {{"service", author_.ServiceName(place_.service)},
+                       {"version", "v1"},
+                       {"zone", place_.zone},
+                       {"slots", service_.slots}}},
+                     {"status",
+                      {{"state", says_leaving ? "draining" : "ready"},
+                       {"sequence", ++sequence_},
+                       {"coldLeftMs", 0}}}};
   client_request report;
   report.method = "POST";
   report.target = "/api/instances/" + identity_ + "/heartbeat";
@@ -63,9 +68,26 @@
   return absl::StrFormat("%d,%d,%d,100", running_, queue_.size(), service_.slots);
 }
 
+void platform_upstream::SetLimit(double per_second) {
+  limit_ = per_second;
+  upstreams_.OnLimit(identity_, per_second, steady_clock::now());
+}
+
+void platform_upstream::BeginLeaving(steady_clock::time_point reported_at) {
+  is_leaving_ = true;
+  leaving_reported_at_ = reported_at;
+}
+
+header_list platform_upstream::WithNotice(header_list fields) const {
+  fields.emplace_back("Instance-Id", identity_);
+  fields.emplace_back("Server-Load", Load());
+  if (limit_ >= 0) fields.emplace_back("Server-Limit", absl::StrFormat("%.2f", limit_));
+  if (is_leaving_) fields.emplace_back("Server-Leaving", "1");
+  return fields;
+}
+
 void platform_upstream::RefuseRun(const http_endpoint::responder& respond, int status) {
-  respond(status, {{"Not-Executed", "1"}, {"Instance-Id", identity_}, {"Server-Load", Load()}},
-          "");
+  respond(status, WithNotice({{"Not-Executed", "1"}}), "");
 }
 
 void platform_upstream::Handle(const received_request& request,
@@ -76,6 +98,8 @@
   work->id = request.Field("Attempt-Id");
   const std::string expected = request.Field("Expected-Instance");
   const std::string deadline = request.Field("Deadline-Ms");
+  ++arrivals_;
+  oracle_.OnArrival(work->id, identity_, upstreams_, steady_clock::now());
   if (!expected.empty() && expected != identity_) {
     RefuseRun(respond, 421);
   } else if (work->id.empty()) {
@@ -141,6 +165,7 @@
   client_.Send(Address(place_.ip, kOutboundPort), std::move(request),
                [this, work, id](const client_response& response) {
                  oracle_.OnResponse(id, response.status, steady_clock::now());
+                 PassOn(response.headers, place_.name, upstreams_);
                  if (response.status != 200) work->has_failed = true;
                  if (--work->open_calls == 0) Finish(work);
                });
@@ -152,10 +177,8 @@
   const bool is_late = steady_clock::now() >= work->deadline;
   const int status = is_late ? 504 : work->has_failed ? 500 : 200;
   work->respond(status,
-                {{"Attempt-Id", work->id},
-                 {"Response-Seal", absl::StrFormat("3e1b.07.%s", work->id)},
-                 {"Instance-Id", identity_},
-                 {"Server-Load", Load()}},
+                WithNotice({{"Attempt-Id", work->id},
+                            {"Response-Seal", absl::StrFormat("3e1b.07.%s", work->id)}}),
                 std::string(static_cast<std::size_t>(described.response_bytes), 'r'));
   while (running_ < service_.slots && !queue_.empty()) {
     const auto next = queue_.front();
--- a/standins/platform/platform_upstream.h
+++ b/standins/platform/platform_upstream.h
@@ -8,12 +8,14 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "standins/platform/caller_client.h"
 #include "standins/platform/configuration_author.h"
 #include "standins/platform/configuration_oracle.h"
 #include "standins/platform/http_endpoint.h"
 #include "standins/platform/site_shape.h"
+#include "standins/platform/upstream_oracle.h"
 
 namespace bronzeroute::standin {
 
@@ -33,13 +35,23 @@
  public:
   platform_upstream(const site_shape& site, const configuration_author& author,
                     const machine_place& place, caller_client& client,
-                    configuration_oracle& oracle, std::uint64_t seed);
+                    configuration_oracle& oracle, upstream_oracle& upstreams,
+                    std::uint64_t seed);
 
   /// Listens. Not on the event loop.
   absl::Status Start();
   void Stop() { endpoint_.Stop(); }
   /// Sends the next liveness report.
   void Announce();
+  /// Names a limit in requests per second in each response from now on; below 0 for none.
+  void SetLimit(double per_second);
+  /// Says in each response that it leaves; its reports say so from `reported_at` on, since they
+  /// may be late.
+  void BeginLeaving(std::chrono::steady_clock::time_point reported_at);
+  const machine_place& place() const { return place_; }
+  const std::string& identity() const { return identity_; }
+  /// Requests that it got since the last call.
+  int TakeArrivals() { return std::exchange(arrivals_, 0); }
 
  private:
   struct job {
@@ -58,12 +70,15 @@
   void Finish(const std::shared_ptr<job>& work);
   const class_shape* ClassOf(const received_request& request) const;
   std::string Load() const;
+  /// `fields` and those in which the upstream states its load, its limit and that it leaves.
+  header_list WithNotice(header_list fields) const;
 
   const site_shape& site_;
   const configuration_author& author_;
   machine_place place_;
   caller_client& client_;
   configuration_oracle& oracle_;
+  upstream_oracle& upstreams_;
   std::mt19937_64 random_;
   const service_shape& service_;
   std::string identity_;
@@ -71,6 +86,10 @@
   std::uint64_t sequence_ = 0;
   std::uint64_t calls_ = 0;
   int running_ = 0;
+  int arrivals_ = 0;
+  double limit_ = -1;
+  bool is_leaving_ = false;
+  std::chrono::steady_clock::time_point leaving_reported_at_;
   std::deque<std::shared_ptr<job>> queue_;
   http_endpoint endpoint_;
 };
--- a/standins/platform/run_options.h
+++ b/standins/platform/run_options.h
@@ -22,6 +22,14 @@
   std::chrono::milliseconds fault_period{0};
   /// The only fault to play; nullopt for one of all at random.
   std::optional<store_fault> fault;
+  /// Mean time between two planned restarts of a daemon; 0 for none.
+  std::chrono::milliseconds restart_period{0};
+  /// Share of the upstreams of the first service that name a limit for a part of the run.
+  double limited_share = 0;
+  /// The limit as a share of the requests that the upstream got before.
+  double limit_factor = 0.5;
+  /// Number of upstreams that leave, one after the other.
+  int leaving = 0;
   std::chrono::milliseconds retention{20'000};
   /// Requests per second, as a share of those of the site.
   double load = 1;
--- a/standins/platform/site_shape.cc
+++ b/standins/platform/site_shape.cc
@@ -165,6 +165,7 @@
   const site_table bounds = site.Table("bounds");
   result.bounds.configuration = bounds.Time("config_ms");
   result.bounds.stability = bounds.Time("touch_ms");
+  result.bounds.drain = bounds.Time("drain_ms");
   result.bounds.grace =
       milliseconds(static_cast<std::int64_t>(bounds.Number("grace_s") * 1000));
   return result;
--- a/standins/platform/site_shape.h
+++ b/standins/platform/site_shape.h
@@ -70,6 +70,8 @@
   /// A fault of the store excuses late versions until this time after its end.
   milliseconds stability{0};
   milliseconds grace{0};
+  /// Time in which a daemon has to stop the use of an upstream that leaves.
+  milliseconds drain{0};
 };
 
 /// A deployment as a site file describes it: the part that the stand-ins need.
--- a/tests/platform_run/configuration_oracle_test.cc
+++ b/tests/platform_run/configuration_oracle_test.cc
@@ -115,5 +115,21 @@
   EXPECT_EQ(Broken(), "CONFIG ");
 }
 
+// A planned stop excuses the daemon until the stability time after its start, and no other one.
+TEST_F(ConfigurationOracleTest, ExcusesLateVersionsOnlyOfADaemonThatWasStopped) {
+  oracle_.OnDaemonFault("daemon-2", At(10'000), configuration_oracle::clock::time_point::max());
+  Send("1", 14'000);
+  oracle_.OnRun("1", "orders", At(14'050));
+  EXPECT_EQ(Broken(), "CONFIG ");
+  oracle_.OnDaemonFault("daemon-1", At(10'000), configuration_oracle::clock::time_point::max());
+  oracle_.OnDaemonStarted("daemon-1", At(11'000));
+  Send("2", 14'900);
+  oracle_.OnRun("2", "orders", At(14'950));
+  EXPECT_EQ(Broken(), "CONFIG ");
+  Send("3", 15'100);
+  oracle_.OnRun("3", "orders", At(15'150));
+  EXPECT_EQ(Broken(), "CONFIG CONFIG ");
+}
+
 }  // namespace
 }  // namespace bronzeroute::standin
--- a/tests/platform_run/small_deployment_test.cc
+++ b/tests/platform_run/small_deployment_test.cc
@@ -64,6 +64,27 @@
   EXPECT_LE(std::stoi(longest[1]), kConfigurationBoundMs) << run.output;
 }
 
+// Guards against upstreams that get more than the limit that they name, restarts of daemons
+// included.
+TEST_F(small_deployment, UpstreamsGetNoMoreThanTheLimitThatTheyName) {
+  const run_result run =
+      Play({"--site", Example(), "--seconds", "20", "--change-ms", "0", "--limited-share",
+            "0.7", "--restart-ms", "5000", "--seed", "4"});
+  EXPECT_EQ(run.code, 0) << run.output;
+  std::smatch counted;
+  ASSERT_TRUE(std::regex_search(run.output, counted, std::regex("against limits: ([0-9]+)")))
+      << run.output;
+  EXPECT_GT(std::stoi(counted[1]), 0) << run.output;
+}
+
+// Guards against the use of an upstream that says in its responses that it leaves, while its
+// report is late.
+TEST_F(small_deployment, UpstreamThatSaysThatItLeavesGetsNoFurtherRequests) {
+  const run_result run = Play({"--site", Example(), "--seconds", "15", "--change-ms", "0",
+                               "--leaving", "5", "--seed", "5"});
+  EXPECT_EQ(run.code, 0) << run.output;
+}
+
 // Guards against a faulty site file whose error does not say what is wrong and where.
 TEST_F(small_deployment, FaultySiteFileIsNamed) {
   const std::string site = folder_ + "/site.toml";
