Stop using an upstream as soon as it says in a response that it leaves

Users' new rule on DRAIN: the field in a response binds like an acknowledged report. Cause of the break: only reports ended the use of an upstream, and those may arrive seconds late. The owner now retires the incarnation that said so, so that late reports of it bring nothing back, and drains as after a report. Ruled out: the response of a replaced upstream has no effect, since responses are tied to the upstream in use (DialectTest). Open: a daemon that starts again knows of the leaving only from a report or its first response.

--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -236,6 +236,11 @@
 void node_runtime::OnUpstreamNotice(const upstream_notice& notice, time_point now) {
   LogRate(notice);
   admission_.OnNotice(notice, now);
+  if (!notice.is_leaving || upstream_leaves_) return;
+  // A report that says otherwise is older than this response.
+  history_.Retire(applied_identity_, applied_start_, 0, now);
+  DrainUpstream(now);
+  ApplyMembers(now);
 }
 
 void node_runtime::LogRate(const upstream_notice& notice) {
--- a/tests/node/node_runtime_test.cc
+++ b/tests/node/node_runtime_test.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "src/admission/upstream_notice.h"
 #include "src/base/error_response.h"
 #include "src/calls/call_history.h"
 #include "src/calls/issued_key.h"
@@ -86,6 +87,29 @@
   EXPECT_EQ(daemon.membership().upstream()->identity, "own");
 }
 
+// Guards against the use of an upstream that says in a response that it leaves, while reports
+// from before arrive late.
+TEST(NodeRuntime, UpstreamThatSaysThatItLeavesIsNotUsedAgain) {
+  runtime_world world(2, {});
+  ASSERT_TRUE(world.Publish());
+  world.Advance(seconds(20));
+  world.RemoveUpstream(0);
+  node_runtime& daemon = world.daemon(0);
+  ASSERT_TRUE(daemon.OnAnnouncement(Announced("media", "own", 100, 1), world.now()));
+  EXPECT_FALSE(daemon.admission().system().draining());
+  upstream_notice leaving;
+  leaving.is_leaving = true;
+  daemon.OnUpstreamNotice(leaving, world.now());
+  EXPECT_TRUE(daemon.admission().system().draining());
+  for (std::uint64_t sequence = 2; sequence < 6; ++sequence) {
+    EXPECT_FALSE(daemon.OnAnnouncement(Announced("media", "own", 100, sequence), world.now()));
+    world.Advance(seconds(1));
+    EXPECT_TRUE(daemon.admission().system().draining());
+  }
+  EXPECT_TRUE(daemon.OnAnnouncement(Announced("media", "own", 200, 1), world.now()));
+  EXPECT_FALSE(daemon.admission().system().draining());
+}
+
 // Guards against a daemon that stays isolated after its clock went back across a restart while
 // the log is unavailable: its peers dropped its datagrams as those of an earlier incarnation
 // and sent no reply.
