Read the log anew and append the own record again after the store was restored

Cause: a position in a topic was taken as valid for good. After a restore, offsets go back and are given out again: if as many records as were lost had been written before the next read, the daemon waited behind a confirmed version, and of the members' topic it missed records of other keys. A member whose record was lost did not append it again, so that daemons which start later could not find it. The class of fault is a cursor without the identity of the history that it points into.

A member that does not find its record among the newest ones appends it. Logged as log_restored and own_record_lost.

Before: RecordBeforeTheOldPositionInARestoredStoreIsRead, AllKeysOfARestoredStoreAreRead, NewEraInAnyResponseEndsTheWaitingReadsOfAllStreams, ResponseOfAnEarlierEraIsAFailedRead and RecordThatTheLogHasLostIsAppendedAgain failed on the code before; they pass now.

--- a/src/membership/membership_event.cc
+++ b/src/membership/membership_event.cc
@@ -37,6 +37,8 @@
       return "log_lost";
     case kLogRegained:
       return "log_regained";
+    case kOwnRecordLost:
+      return "own_record_lost";
     case kNewerConfiguration:
       break;
   }
--- a/src/membership/membership_event.h
+++ b/src/membership/membership_event.h
@@ -30,6 +30,8 @@
   kUpstreamGone,
   kLogLost,
   kLogRegained,
+  /// The log no longer has the record that this member appended last.
+  kOwnRecordLost,
   /// A peer has a configuration version above all seen before; `number` is the version.
   kNewerConfiguration,
 };
--- a/src/membership/membership_system.cc
+++ b/src/membership/membership_system.cc
@@ -984,11 +984,13 @@
     }
   }
   next_offset_ = std::max(next_offset_, read.first);
+  bool has_own_record = false;
   for (const log_record& record : read.records) {
     next_offset_ = std::max(next_offset_, record.offset + 1);
     const std::optional<member_update> update = DecodeMemberLogRecord(record.data);
     if (!update) continue;
     if (update->row.id == self().id) {
+      has_own_record = has_own_record || IsOwnRecord(*update);
       if (update->row.incarnation.value > self().incarnation.value ||
           (update->row.incarnation == self().incarnation && !append_started_)) {
         BumpIncarnation(update->row.incarnation, now);
@@ -1010,6 +1012,7 @@
       unconfirmed_until_ = std::max(unconfirmed_until_, now + settings_.confirmation_timeout);
     }
   }
+  if (read.is_newest_of_each && !has_own_record) AppendAgain(now);
   // Each append completes the pending reads of all members. Without the pause, n joins per
   // second would cause n reads per second from every member; with it, one read returns all of
   // them.
@@ -1019,6 +1022,19 @@
       has_more ? now : now + (settled ? settings_.settled_read_pause : settings_.read_pause);
 }
 
+bool membership_system::IsOwnRecord(const member_update& update) const {
+  return update.row.incarnation == self().incarnation && update.row.state == self().state &&
+         update.row.service == self().service;
+}
+
+void membership_system::AppendAgain(time_point now) {
+  const bool is_due = next_append_ <= now + settings_.join_spread;
+  if (!append_started_ || pending_token_ != 0 || is_due || leave_recorded_) return;
+  Report(membership_event_kind::kOwnRecordLost, 0);
+  next_append_ =
+      std::min(next_append_, now + Jittered(duration::zero(), settings_.join_spread));
+}
+
 void membership_system::OnLogFailed(std::string_view stream, time_point now) {
   if (stream != settings_.stream) return;
   Observe(now);
--- a/src/membership/membership_system.h
+++ b/src/membership/membership_system.h
@@ -140,6 +140,10 @@
   void TickExpiry(time_point now);
   void TickLog(time_point now);
   void TickAppend(time_point now);
+  /// True if `update` is what this member has appended last.
+  bool IsOwnRecord(const member_update& update) const;
+  /// The log has lost the record of this member, unless it is still to be appended.
+  void AppendAgain(time_point now);
 
   /// Replies to a datagram of an earlier incarnation. If the clock of a restarted sender was
   /// set back, this reply lets it raise its incarnation even while the log is unavailable.
--- a/src/node/decision_log.cc
+++ b/src/node/decision_log.cc
@@ -154,6 +154,12 @@
   sink_->Write(line);
 }
 
+void decision_log::OnLogRestored(std::string_view stream) {
+  if (sink_ == nullptr) return;
+  log_line line(log_weight::kState, "config", "log_restored");
+  sink_->Write(line.Add("stream", stream));
+}
+
 void decision_log::OnUpstream(std::string_view event, std::string_view identity,
                               std::string_view address, std::uint64_t sequence) {
   if (sink_ == nullptr) return;
--- a/src/node/decision_log.h
+++ b/src/node/decision_log.h
@@ -32,6 +32,8 @@
   void OnUpstreamRate(std::string_view identity, std::optional<double> per_second);
   /// The upstream names a limit with the value `found`, which is no number.
   void OnMalformedRate(std::string_view identity, std::string_view found);
+  /// The log came back from an older copy; the stream is read anew.
+  void OnLogRestored(std::string_view stream);
   void OnUpstream(std::string_view event, std::string_view identity, std::string_view address,
                   std::uint64_t sequence);
 
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -161,6 +161,7 @@
 }
 
 void node_runtime::OnLogRead(const log_read& read, time_point now) {
+  if (read.is_restored) decisions_.OnLogRestored(read.stream);
   configuration_.OnLogRead(read, now);
   membership_.OnLogRead(read, now);
   ApplyConfiguration(now);
--- a/src/platform/log_read.h
+++ b/src/platform/log_read.h
@@ -18,6 +18,11 @@
   /// Time after which the log deletes records.
   std::int64_t retention_ms = 0;
   std::vector<log_record> records;
+  /// `records` are the newest record of each key rather than those from an offset on.
+  bool is_newest_of_each = false;
+  /// The log came back from an older copy since the previous read: records that it had
+  /// confirmed may be gone, and their offsets are given out again.
+  bool is_restored = false;
 };
 
 }  // namespace bronzeroute
--- a/src/transport/http_fetcher.cc
+++ b/src/transport/http_fetcher.cc
@@ -132,7 +132,12 @@
 
   void Take() {
     fetch_response response{static_cast<int>(response_->get().result_int()),
-                            std::move(response_->get().body())};
+                            std::move(response_->get().body()),
+                            {}};
+    for (const auto& field : response_->get()) {
+      response.fields.emplace_back(std::string(field.name_string()),
+                                   std::string(field.value()));
+    }
     if (response_->get().keep_alive() && connection_->buffer.size() == 0) {
       connection_->kept_until = MonotonicNow() + kKeepTime;
       owner_->kept_.push_back(std::exchange(connection_, nullptr));
--- a/src/transport/http_fetcher.h
+++ b/src/transport/http_fetcher.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "src/base/time.h"
+#include "src/transport/header_list.h"
 
 namespace bronzeroute {
 
@@ -28,6 +29,7 @@
 struct fetch_response {
   int status = 0;
   std::string body;
+  header_list fields;
 };
 
 /// Sends requests to one address and reads each response completely before reporting it.
--- a/tests/membership/membership_system_test.cc
+++ b/tests/membership/membership_system_test.cc
@@ -560,6 +560,51 @@
   EXPECT_LE(appends, 16);
 }
 
+// Guards against a member that daemons which start later cannot find, because the log was
+// restored from a copy without its record.
+TEST(Membership, RecordThatTheLogHasLostIsAppendedAgain) {
+  testing::NiceMock<mock_datagrams> datagrams;
+  testing::NiceMock<mock_log> log;
+  budget_account budget(5000, duration(0));
+  time_point now{seconds(1)};
+  member_row row;
+  row.id.value = 5;
+  row.incarnation.value = 3;
+  membership_system system(row, {}, datagrams, log, budget, 1, now);
+  std::vector<std::string> appended;
+  std::uint64_t pending = 0;
+  ON_CALL(log, Append).WillByDefault([&](auto, auto, auto data, std::uint64_t token) {
+    appended.emplace_back(data);
+    pending = token;
+  });
+  const auto run = [&](duration time) {
+    for (const time_point until = now + time; now < until;) {
+      now += milliseconds(10);
+      system.Tick(now);
+      if (pending != 0) system.OnAppendResult(std::exchange(pending, 0), true, now);
+    }
+  };
+  const auto read_newest = [&](const std::vector<std::string>& records) {
+    log_read read;
+    read.stream = "members";
+    read.retention_ms = 600'000'000;
+    read.is_newest_of_each = true;
+    for (const std::string& data : records) {
+      read.records.push_back({.offset = read.next++, .age_ms = 0, .data = data});
+    }
+    system.OnLogRead(read, now);
+  };
+  run(seconds(10));
+  ASSERT_EQ(appended.size(), 1U);
+  read_newest({appended.back(), JoinRecord(9, 1)});
+  run(seconds(5));
+  EXPECT_EQ(appended.size(), 1U);
+  read_newest({JoinRecord(9, 1)});
+  run(seconds(5));
+  ASSERT_EQ(appended.size(), 2U);
+  EXPECT_EQ(appended[0], appended[1]);
+}
+
 // Guards against n joins per second that cause n reads per second from every member, and
 // against a pause between the pages of a long stream.
 TEST(Membership, JoinsOfOtherMembersDoNotMultiplyReads) {
--- a/tests/platform/store_log_port_test.cc
+++ b/tests/platform/store_log_port_test.cc
@@ -160,5 +160,97 @@
   EXPECT_EQ(reads_[0].records[0].data, std::string("\0row", 4));
 }
 
+// Guards against a confirmed record that is missed because the store was restored, and as many
+// records as were lost were written before the next read.
+TEST_F(StoreLogPortTest, RecordBeforeTheOldPositionInARestoredStoreIsRead) {
+  RunOnLoop([&] {
+    store_.era = 1;
+    for (const char* value : {"1", "2", "3"}) store_.Put("keyed.op", "config", value);
+  });
+  Read(kConfiguration);
+  Await([&] { return reads_.size() == 1; });
+  EXPECT_FALSE(reads_[0].is_restored);
+  RunOnLoop([&] { store_.refuse_with = 503; });
+  Read(kConfiguration);
+  Await([&] { return failures_.size() == 1; });
+  RunOnLoop([&] {
+    store_.Restore(1);
+    store_.refuse_with.reset();
+    store_.Put("keyed.op", "config", "3");
+    store_.Put("keyed.op", "config", "4");
+  });
+  Read(kConfiguration);
+  Await([&] { return reads_.size() == 2; });
+  ASSERT_EQ(reads_[1].records.size(), 1U);
+  EXPECT_EQ(reads_[1].records[0].data, "4");
+  EXPECT_TRUE(reads_[1].is_restored);
+  EXPECT_TRUE(reads_[1].is_newest_of_each);
+  Read(kConfiguration);
+  RunOnLoop([&] { store_.Put("keyed.op", "config", "5"); });
+  Await([&] { return reads_.size() == 3; });
+  EXPECT_EQ(reads_[2].records[0].data, "5");
+  EXPECT_FALSE(reads_[2].is_restored);
+}
+
+// Guards against records of other keys that are missed because a read in the new history
+// continues at the old position.
+TEST_F(StoreLogPortTest, AllKeysOfARestoredStoreAreRead) {
+  RunOnLoop([&] {
+    store_.era = 7;
+    store_.Put("keyed.members", "a", "1");
+    store_.Put("keyed.members", "b", "1");
+  });
+  Read(kMembers);
+  Await([&] { return reads_.size() == 1; });
+  RunOnLoop([&] {
+    store_.Restore(0);
+    for (const char* key : {"c", "d", "e"}) store_.Put("keyed.members", key, "1");
+  });
+  Read(kMembers);
+  Await([&] { return reads_.size() == 2; });
+  EXPECT_EQ(reads_[1].records.size(), 3U);
+  EXPECT_TRUE(reads_[1].is_newest_of_each);
+}
+
+// Guards against a read that waits in the new history of a restored store although the response
+// to another call has named the new era.
+TEST_F(StoreLogPortTest, NewEraInAnyResponseEndsTheWaitingReadsOfAllStreams) {
+  RunOnLoop([&] {
+    store_.era = 1;
+    store_.Put("keyed.op", "config", "1");
+    store_.Put("keyed.op", "config", "2");
+  });
+  Read(kConfiguration);
+  Await([&] { return reads_.size() == 1; });
+  RunOnLoop([&] {
+    store_.Restore(0);
+    store_.Put("keyed.op", "config", "2");
+    store_.Put("keyed.op", "config", "3");
+  });
+  Read(kConfiguration);
+  RunOnLoop([&] { port_->Append(kMembers, "a", "1", 1); });
+  Await([&] { return reads_.size() == 2; });
+  ASSERT_EQ(reads_[1].records.size(), 1U);
+  EXPECT_EQ(reads_[1].records[0].data, "3");
+}
+
+// Guards against a position that goes back to an era that has ended, by a response that was
+// held up.
+TEST_F(StoreLogPortTest, ResponseOfAnEarlierEraIsAFailedRead) {
+  RunOnLoop([&] {
+    store_.era = 2;
+    store_.Put("keyed.op", "config", "1");
+  });
+  Read(kConfiguration);
+  Await([&] { return reads_.size() == 1; });
+  RunOnLoop([&] {
+    store_.era = 1;
+    store_.Put("keyed.op", "config", "0");
+  });
+  Read(kConfiguration);
+  Await([&] { return failures_.size() == 1; });
+  EXPECT_EQ(reads_.size(), 1U);
+}
+
 }  // namespace
 }  // namespace bronzeroute::platform
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -3,6 +3,7 @@
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <functional>
@@ -46,6 +47,8 @@
   /// Largest number of items on one page of newest records.
   std::size_t page_items = 500;
   int calls = 0;
+  /// Named in each response; nothing for a store without eras.
+  std::optional<int> era;
   /// Called for each request.
   std::function<void()> on_call = [] {};
 
@@ -65,6 +68,15 @@
     }
   }
 
+  /// The store returns from a copy with the first `kept` records of each topic.
+  void Restore(std::size_t kept) {
+    era = era.value_or(0) + 1;
+    for (auto& [name, topic] : topics_) {
+      topic.records.resize(std::min(kept, topic.records.size()));
+    }
+    waiting_.clear();
+  }
+
  private:
   struct topic_state {
     std::vector<keyed_record> records;
@@ -74,6 +86,7 @@
     std::shared_ptr<http_connection> connection;
     std::string topic;
     std::int64_t from;
+    bool is_answered_at_once;
   };
 
   std::int64_t End(const std::string& topic) {
@@ -122,7 +135,8 @@
     } else if (row.path.starts_with("/api/log-newest")) {
       SendResponse(*connection, 200, Newest(topic, Parameter(row.path, "after")));
     } else if (row.path.starts_with("/api/log-read")) {
-      waiting_.push_back({connection, topic, std::stoll(Parameter(row.path, "from"))});
+      waiting_.push_back({connection, topic, std::stoll(Parameter(row.path, "from")),
+                          Parameter(row.path, "waitMs") == "0"});
       RespondToWaiting();
     } else {
       SendResponse(*connection, 404, "{}");
@@ -152,9 +166,9 @@
     std::vector<waiting_read> rest;
     for (waiting_read& each : std::exchange(waiting_, {})) {
       const topic_state& topic = topics_[each.topic];
-      if (each.from < topic.first) {
+      if (each.from < topic.first || each.from > End(each.topic)) {
         SendResponse(*each.connection, 410, absl::StrCat("{\"first\":", topic.first, "}"));
-      } else if (each.from < End(each.topic)) {
+      } else if (each.from < End(each.topic) || each.is_answered_at_once) {
         std::string body = Number(End(each.topic), 8) + Number(topic.first, 8);
         for (std::int64_t at = each.from; at < End(each.topic); ++at) {
           const keyed_record& record = topic.records[static_cast<std::size_t>(at)];
@@ -176,7 +190,9 @@
 
   void SendResponse(http_connection& connection, int status, std::string_view body) {
     if (silent_.contains(connection.shared_from_this())) return;
-    connection.SendResponse(TextResponse(status, "application/json", body));
+    http_response_message response = TextResponse(status, "application/json", body);
+    if (era) response.headers.emplace_back("Store-Era", std::to_string(*era));
+    connection.SendResponse(std::move(response));
   }
 
   http_server server_;
