Name the results of all calls when KilledOwnerLeavesProtectedCallsUnknown fails early

Nothing shows what the calls got instead. The failure message now lists the result of each call; the checks are unchanged.

--- a/tests/process/owner_loss_test.cc
+++ b/tests/process/owner_loss_test.cc
@@ -55,9 +55,11 @@
   for (int i = 0; i < 4; ++i) {
     oracle.StartRepeatable(kEntry, "/orders/1?work_us=1000000", "5000");
   }
-  ASSERT_TRUE(deployment::WaitFor([this] {
+  const bool are_running = deployment::WaitFor([this] {
     return deployment_.RunsOfMark("p0") == 1 && deployment_.RunRecord(kFirst, "in_use") >= 3;
-  }));
+  });
+  if (!are_running) oracle.Join();
+  ASSERT_TRUE(are_running) << oracle.Results();
   deployment_.pair(kFirst).daemon->Signal(SIGKILL);
   deployment_.pair(kFirst).daemon->Wait();
   oracle.Join();
