Play a store that comes back from an older copy around real daemons

brstandin_platform: the store keeps copies of the last 16 s, is away for 3 s and returns with the copy that is 9 s older; what the operator wrote since is written again, and Store-Era rises. A read from an offset that it does not have gets 410. The oracle judges CONFIG and the other rules as before; daemons are stopped and started meanwhile.

--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -43,6 +43,7 @@
       ("change-ms", "mean time between two versions; 0 for none", cxxopts::value(change_ms)->default_value("2000"))
       ("fault-ms", "mean time between two faults of the store; 0 for none", cxxopts::value(fault_ms)->default_value("0"))
       ("silent-connections", "play only the fault in which the open connections to the store fall silent")
+      ("restored", "play only the fault in which the store comes back from an older copy")
       ("restart-ms", "mean time between two planned restarts of a daemon; 0 for none", cxxopts::value(restart_ms)->default_value("0"))
       ("limited-share", "share of the upstreams of the first service that name a limit", cxxopts::value(options.limited_share)->default_value("0"))
       ("limit-factor", "limit as a share of the requests that an upstream got before", cxxopts::value(options.limit_factor)->default_value("0.5"))
@@ -70,6 +71,9 @@
     if (parsed.count("silent-connections") != 0) {
       options.fault = bronzeroute::standin::store_fault::kSilentConnections;
     }
+    if (parsed.count("restored") != 0) {
+      options.fault = bronzeroute::standin::store_fault::kRestored;
+    }
     options.restart_period = std::chrono::milliseconds(restart_ms);
     options.fault_period = std::chrono::milliseconds(fault_ms);
     const auto site = bronzeroute::standin::ReadSite(site_file);
--- a/standins/platform/platform_run.cc
+++ b/standins/platform/platform_run.cc
@@ -27,6 +27,8 @@
 constexpr std::chrono::seconds kReadyLimit{30};
 constexpr std::chrono::seconds kStopLimit{12};
 constexpr std::chrono::seconds kFaultTime{3};
+// Age of the copy from which the store returns, when it goes away.
+constexpr milliseconds kCopyAge{9'000};
 constexpr milliseconds kCallersLeaveAfter{2'000};
 // Time in which a daemon that was started again is ready.
 constexpr milliseconds kStartTime{1'500};
@@ -67,6 +69,8 @@
       return "silent";
     case store_fault::kSilentConnections:
       return "open connections silent";
+    case store_fault::kRestored:
+      return "away, and back from an older copy";
     case store_fault::kLostResponses:
       return "responses to appends lost";
   }
@@ -212,6 +216,7 @@
                                         store_fault::kSilent,
                                         store_fault::kLostResponses,
                                         store_fault::kSilentConnections,
+                                        store_fault::kRestored,
                                         store_fault::kNone};
         std::uniform_int_distribution<std::size_t> pick(0, kFaults.size() - 1);
         const store_fault fault = options_.fault.value_or(kFaults[pick(fault_random_)]);
@@ -224,7 +229,11 @@
         std::cout << absl::StrFormat("store fault at %.3f: %s\n", SecondsOfDay(),
                                      StoreFaultName(fault))
                   << std::flush;
-        RunAfter(kFaultTime, [this] { store_.SetFault(store_fault::kNone); });
+        RunAfter(kFaultTime, [this, fault] {
+          if (is_ended_) return;
+          if (fault == store_fault::kRestored) store_.Restore(kFaultTime + kCopyAge);
+          store_.SetFault(store_fault::kNone);
+        });
         ScheduleFault();
       });
 }
--- a/standins/platform/platform_store.cc
+++ b/standins/platform/platform_store.cc
@@ -17,7 +17,9 @@
 constexpr milliseconds kUsualTime{4};
 constexpr milliseconds kSlowTime{240};
 constexpr milliseconds kMaxWait{30'000};
+constexpr milliseconds kCopyPeriod{500};
 constexpr std::size_t kPageItems = 500;
+const std::string kOperatorTopic = "keyed.op";
 constexpr std::size_t kPageBytes = 1'000'000;
 
 std::string BigEndian(std::uint64_t value, int size) {
@@ -59,9 +61,27 @@
   AnswerWaiting();
 }
 
+void platform_store::Restore(milliseconds age) {
+  const auto wanted = clock::now() - age;
+  while (copies_.size() > 1 && copies_.back().taken > wanted) copies_.pop_back();
+  if (copies_.empty()) return;
+  const topic_state written = topics_[kOperatorTopic];
+  topics_ = copies_.back().topics;
+  copies_.clear();
+  ++era_;
+  for (const auto& [key, newest] : written.newest) {
+    const auto& restored = topics_[kOperatorTopic].newest;
+    const auto found = restored.find(key);
+    if (found == restored.end() || found->second.second != newest.second) {
+      Put(kOperatorTopic, key, newest.second);
+    }
+  }
+}
+
 void platform_store::SetFault(store_fault fault) {
   fault_ = fault;
-  if (fault == store_fault::kSilent) waiting_.clear();
+  const bool is_away = fault == store_fault::kSilent || fault == store_fault::kRestored;
+  if (is_away) waiting_.clear();
   if (fault == store_fault::kSilentConnections) {
     waiting_.clear();
     endpoint_.SilenceConnections();
@@ -76,19 +96,28 @@
       ++state.first;
     }
   }
+  if (copies_.empty() || copies_.back().taken + kCopyPeriod <= clock::now()) {
+    copies_.push_back({clock::now(), topics_});
+    if (copies_.size() > kCopiesKept) copies_.pop_front();
+  }
   AnswerWaiting();
 }
 
 void platform_store::Handle(const received_request& request,
                             const http_endpoint::responder& respond) {
   ++calls_;
-  if (fault_ == store_fault::kSilent) return;
+  if (fault_ == store_fault::kSilent || fault_ == store_fault::kRestored) return;
+  const auto with_era = [this, respond](int status, header_list headers,
+                                        std::string_view body) {
+    headers.emplace_back("Store-Era", std::to_string(era_));
+    respond(status, headers, body);
+  };
   if (fault_ == store_fault::kBusy) {
-    respond(503, {}, "{}");
+    with_era(503, {}, "{}");
     return;
   }
   RunAfter(fault_ == store_fault::kSlow ? kSlowTime : kUsualTime,
-           [this, request, respond] { Serve(request, respond); });
+           [this, request, with_era] { Serve(request, with_era); });
 }
 
 void platform_store::Serve(const received_request& request,
@@ -173,7 +202,7 @@
 
 bool platform_store::TryRead(const waiting_read& read) {
   const topic_state& state = topics_[read.topic];
-  if (read.from < state.first) {
+  if (read.from < state.first || read.from > state.end()) {
     read.respond(410, {}, json{{"first", state.first}}.dump());
     return true;
   }
--- a/standins/platform/platform_store.h
+++ b/standins/platform/platform_store.h
@@ -16,8 +16,7 @@
 
 /// The platform's store as far as PROTOCOL.md describes it for a daemon: keyed topics with one
 /// partition, append, waiting read, newest record of each key, and a history that expires. What
-/// the page leaves open: a read from beyond the end waits like one from the end; a topic that
-/// was never written is empty. Used on the event loop.
+/// the page leaves open: a topic that was never written is empty. Used on the event loop.
 class platform_store {
  public:
   /// Records older than `retention` are deleted; the newest of each key stays readable by key.
@@ -30,6 +29,9 @@
   /// Deletes the history of a topic now.
   void Compact(const std::string& topic);
   void SetFault(store_fault fault);
+  /// The store returns with its content of `age` ago. What the operator has written since is
+  /// written again. Only copies of the last `kCopiesKept` periods exist.
+  void Restore(std::chrono::milliseconds age);
   /// Responds to waiting reads whose time has passed and deletes old records. Call it about
   /// every 20 ms.
   void Tick();
@@ -64,8 +66,18 @@
   bool TryRead(const waiting_read& read);
   void AnswerWaiting();
 
+  struct copy {
+    clock::time_point taken;
+    std::map<std::string, topic_state> topics;
+  };
+
+  static constexpr std::size_t kCopiesKept = 32;
+
   std::chrono::milliseconds retention_;
   std::map<std::string, topic_state> topics_;
+  std::deque<copy> copies_;
+  /// Rises with each restored copy.
+  int era_ = 1;
   std::vector<waiting_read> waiting_;
   store_fault fault_ = store_fault::kNone;
   std::uint64_t calls_ = 0;
--- a/standins/platform/store_fault.h
+++ b/standins/platform/store_fault.h
@@ -14,6 +14,8 @@
   /// The connections that are open at the start of the fault never carry another response; new
   /// ones work.
   kSilentConnections,
+  /// The store is away and comes back from an older copy of its content.
+  kRestored,
   /// Appends take effect and get no response.
   kLostResponses,
 };
--- a/tests/platform_run/small_deployment_test.cc
+++ b/tests/platform_run/small_deployment_test.cc
@@ -85,6 +85,16 @@
   EXPECT_EQ(run.code, 0) << run.output;
 }
 
+// Guards against confirmed versions that are missed, and daemons that are not found, after the
+// store came back from an older copy, while daemons are stopped and started again.
+TEST_F(small_deployment, VersionsAreInEffectAfterTheStoreWasRestored) {
+  const run_result run =
+      Play({"--site", Example(), "--seconds", "30", "--change-ms", "1500", "--fault-ms", "9000",
+            "--restored", "--restart-ms", "7000", "--seed", "6"});
+  EXPECT_EQ(run.code, 0) << run.output;
+  EXPECT_NE(run.output.find("back from an older copy"), std::string::npos) << run.output;
+}
+
 // Guards against a faulty site file whose error does not say what is wrong and where.
 TEST_F(small_deployment, FaultySiteFileIsNamed) {
   const std::string site = folder_ + "/site.toml";
