Wait for the channels to both owners in KilledOwnerLeavesProtectedCallsUnknown

Both are the honest answers while the channel to an owner is not open yet, and the cause that KilledEntryClosesConnectionsAndKeysRunAtMostOnce already waits for. The wait is now one function of the fixture, used before the calls and, for each entry, after the restart. Every check stays.

--- a/tests/process/owner_loss_test.cc
+++ b/tests/process/owner_loss_test.cc
@@ -15,6 +15,21 @@
 
 class owner_loss : public deployed_test {
  protected:
+  // A member is listed before the channel to it is open; until then its calls are refused.
+  // More calls at once than one upstream has slots go to both.
+  bool AwaitOwners(std::size_t entry) {
+    const std::int64_t first = deployment_.Runs(kFirst);
+    const std::int64_t second = deployment_.Runs(kSecond);
+    return deployment::WaitFor([&] {
+      call_oracle burst(deployment_, "burst");
+      for (std::int64_t i = 0; i < 2 * kSlots; ++i) {
+        burst.StartRepeatable(entry, "/orders/1?work_us=50000", "5000");
+      }
+      burst.Join();
+      return deployment_.Runs(kFirst) > first && deployment_.Runs(kSecond) > second;
+    });
+  }
+
   // The members that each daemon lists, for failure messages.
   std::string MembersText() {
     std::string text;
@@ -38,6 +53,7 @@
 // killed, and against a restarted daemon that runs a key of the lost incarnation again.
 TEST_F(owner_loss, KilledOwnerLeavesProtectedCallsUnknown) {
   Deploy();
+  ASSERT_TRUE(AwaitOwners(kEntry)) << "the entry did not reach both owners within 30 s";
   const std::string lost_key = KeyOfHome(kFirst, kEntry);
   ASSERT_FALSE(lost_key.empty());
   // The entry chooses the homes of issued keys, so three keys with the home kFirst are selected
@@ -82,6 +98,7 @@
            deployment_.Runs(kFirst) > before;
   }));
   for (std::size_t entry = 0; entry < kPairs; ++entry) {
+    ASSERT_TRUE(AwaitOwners(entry)) << "entry " << entry << " did not reach both owners";
     const call_result again =
         deployment_.Call(entry, "POST", "/orders/new", "x", lost_key, "", "2");
     EXPECT_EQ(again.error, "key_home_lost");
@@ -135,16 +152,7 @@
 // Guards against a call that runs twice when its entry is killed and its caller tries again.
 TEST_F(owner_loss, KilledEntryClosesConnectionsAndKeysRunAtMostOnce) {
   Deploy();
-  // A member is listed before the channel to it is open; until then its calls are refused.
-  // More calls at once than one upstream has slots go to both.
-  ASSERT_TRUE(deployment::WaitFor([this] {
-    call_oracle burst(deployment_, "burst");
-    for (std::int64_t i = 0; i < 2 * kSlots; ++i) {
-      burst.StartRepeatable(kEntry, "/orders/1?work_us=50000", "5000");
-    }
-    burst.Join();
-    return deployment_.Runs(kFirst) > 0 && deployment_.Runs(kSecond) > 0;
-  })) << "the entry did not reach both owners within 30 s";
+  ASSERT_TRUE(AwaitOwners(kEntry)) << "the entry did not reach both owners within 30 s";
   call_oracle oracle(deployment_);
   for (int i = 0; i < 16; ++i) {
     oracle.StartProtected(kEntry, "/orders/new?work_us=700000",
