--- a/src/transport/http_fetcher.cc
+++ b/src/transport/http_fetcher.cc
@@ -29,6 +29,8 @@
 // Largest part of a response that is parsed as a whole, for example a chunk header.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{64} * 1024;
 
+std::string Text(boost::beast::string_view from) { return {from.data(), from.size()}; }
+
 }  // namespace
 
 struct http_fetcher::connection {
@@ -135,8 +137,7 @@
                             std::move(response_->get().body()),
                             {}};
     for (const auto& field : response_->get()) {
-      response.fields.emplace_back(std::string(field.name_string()),
-                                   std::string(field.value()));
+      response.fields.emplace_back(Text(field.name_string()), Text(field.value()));
     }
     if (response_->get().keep_alive() && connection_->buffer.size() == 0) {
       connection_->kept_until = MonotonicNow() + kKeepTime;
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -192,7 +192,7 @@
     if (silent_.contains(connection.shared_from_this())) return;
     http_response_message response = TextResponse(status, "application/json", body);
     if (era) response.headers.emplace_back("Store-Era", std::to_string(*era));
-    connection.SendResponse(std::move(response));
+    connection.SendResponse(response);
   }
 
   http_server server_;
--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -476,11 +476,11 @@
       {Response("200 OK", seal + "X-Limit: 3\r\nX-Leaving: 1\r\n", "ok"), "leaving"},
       {Response("200 OK", seal + "X-Limit: 3\r\nX-Leaving: 0\r\n", "ok"), "limit 3.000000"},
   };
-  for (const auto& [response, event] : rows) {
+  for (const row& each : rows) {
     test_daemon daemon(1, nullptr, OtherDialect());
     raw_upstream upstream([&](raw_socket& peer) {
       peer.ReceiveUntil("\r\n\r\n");
-      peer.Send(response);
+      peer.Send(each.response);
       peer.ReceiveAll();
     });
     RunOnLoop([&] { daemon.sockets().upstream().SetUpstream(upstream.address(), "run-7"); });
@@ -488,8 +488,8 @@
     for (const std::string name : {"limit 12.500000", "limit 0.000000", "limit 3.000000",
                                    "no limit", "malformed limit", "leaving"}) {
       const bool is_expected =
-          name == event || (event == "leaving" && name == "limit 3.000000");
-      EXPECT_EQ(daemon.Count(name), is_expected ? 1 : 0) << name << " after " << response;
+          name == each.event || (each.event == "leaving" && name == "limit 3.000000");
+      EXPECT_EQ(daemon.Count(name), is_expected ? 1 : 0) << name << " after " << each.response;
     }
   }
 }
