--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -461,7 +461,7 @@
 TEST_F(DialectTest, LimitAndLeavingAreReadFromEachResponseOfTheUpstream) {
   struct row {
     std::string response;
-    std::string events;
+    std::string event;
   };
   const std::string seal = "X-Id: 1\r\nX-Seal: s\r\n";
   const row rows[] = {
