Do not let Abseil check the daemon's locks for deadlocks

Cause, one part: Debian builds Abseil without NDEBUG, so that every lock of the process, gRPC's included, is checked for cycles. Abseil offers a switch per process; nothing in the product uses the check. Ruled out: building Abseil ourselves.

--- a/src/daemon/run_daemon.cc
+++ b/src/daemon/run_daemon.cc
@@ -1,5 +1,6 @@
 #include "src/daemon/run_daemon.h"
 
+#include <absl/synchronization/mutex.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -111,6 +112,8 @@
   const sigset_t signals = HandledSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  // Debian builds Abseil so that it checks each lock, gRPC's included, for deadlocks.
+  absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   StartEventLoop();
   // Never destroyed: the process ends through _Exit().
   auto* const events = new log_writer(STDOUT_FILENO, options.log_bytes_per_second);
