--- a/bench/member_crowd.cc
+++ b/bench/member_crowd.cc
@@ -1,9 +1,10 @@
 // Simulates many daemons around one real daemon: each fake member runs the membership logic on
 // its own UDP socket and accepts gRPC peer channels, all in one process. Prints once a second
 // how many bytes the real daemon sent and received as datagrams. Usage: member_crowd MEMBERS
-// LOG_ADDRESS [FIRST_PORT] [RETURNING] With RETURNING, that many members are partitioned from
-// all others from 60 s to 120 s, like an availability zone or a region, and return at the same
-// time.
+// LOG_ADDRESS [FIRST_PORT] [RETURNING] [SERVICES] With RETURNING, that many members are
+// partitioned from all others from 60 s to 120 s, like an availability zone or a region, and
+// return at the same time. SERVICES is the number of services that the members serve, 43 unless
+// given.
 
 #include <grpcpp/generic/async_generic_service.h>
 #include <grpcpp/security/server_credentials.h>
@@ -28,6 +29,7 @@
 #include "src/measuring/budget_account.h"
 #include "src/membership/datagram_port.h"
 #include "src/membership/member_codec.h"
+#include "src/membership/membership_settings.h"
 #include "src/membership/membership_system.h"
 #include "src/platform/log_client.h"
 #include "src/platform/log_port.h"
@@ -42,7 +44,8 @@
 using std::chrono::seconds;
 
 constexpr std::uint64_t kHeaderBytes = 28;
-constexpr std::size_t kServices = 43;
+// The stream of daemons whose settings name the environment "production".
+constexpr const char* kStream = "members.production";
 constexpr std::size_t kZones = 6;
 constexpr auto kPartitionStart = seconds(60);
 constexpr auto kPartitionEnd = seconds(120);
@@ -52,6 +55,7 @@
   std::string log_address;
   std::uint16_t first_port = 22000;
   std::size_t returning = 0;
+  std::size_t services = 43;
 };
 
 // Bytes of datagrams between this process and the real daemon, with their IP and UDP headers.
@@ -66,7 +70,7 @@
   member_row row;
   row.id.value = 0x9E3779B97F4A7C15ULL * (slot + 1);
   row.incarnation.value = incarnation;
-  row.service = Concat("service-", slot % kServices);
+  row.service = Concat("service-", slot % options.services);
   row.region = zone < kZones / 2 ? "north" : "south";
   row.availability_zone = Concat(row.region, "-", zone % 3);
   row.peer_address = address;
@@ -88,7 +92,7 @@
         socket_(loop, udp::endpoint(boost::asio::ip::address_v4::loopback(),
                                     static_cast<std::uint16_t>(options.first_port + slot))),
         budget_(2000, duration(0)),
-        system_(RowOf(options, slot, incarnation), {}, *this, *this, budget_, slot + 1,
+        system_(RowOf(options, slot, incarnation), Settings(), *this, *this, budget_, slot + 1,
                 MonotonicNow()) {}
 
   void Start(log_read joins) {
@@ -124,6 +128,11 @@
   std::size_t member_count() const { return system_.members().size(); }
 
  private:
+  static membership_settings Settings() {
+    membership_settings settings;
+    settings.stream = kStream;
+    return settings;
+  }
   bool IsFake(std::uint16_t port) const {
     return port >= options_.first_port && port < options_.first_port + options_.members;
   }
@@ -168,7 +177,7 @@
                                        .count());
     log_client log(options_.log_address, seconds(5));
     log_read joins;
-    joins.stream = "members";
+    joins.stream = kStream;
     joins.retention_ms = 3'600'000;
     grpc::ServerBuilder builder;
     for (std::size_t slot = 0; slot < options_.members; ++slot) {
@@ -188,7 +197,7 @@
     joins.next = static_cast<std::int64_t>(options_.members);
     for (const auto& member : members_) member->Start(joins);
     for (const log_record& record : joins.records) {
-      if (!log.Append("members", record.data).get().ok()) {
+      if (!log.Append(kStream, record.data).get().ok()) {
         std::fprintf(stderr, "the log did not accept the append of a member record\n");
         std::exit(1);
       }
@@ -235,7 +244,9 @@
 
 int main(int argc, char** argv) {
   if (argc < 3) {
-    std::fprintf(stderr, "usage: member_crowd MEMBERS LOG_ADDRESS [FIRST_PORT] [RETURNING]\n");
+    std::fprintf(
+        stderr,
+        "usage: member_crowd MEMBERS LOG_ADDRESS [FIRST_PORT] [RETURNING] [SERVICES]\n");
     return 2;
   }
   bronzeroute::crowd_options options;
@@ -243,6 +254,7 @@
   options.log_address = argv[2];
   if (argc > 3) options.first_port = static_cast<std::uint16_t>(std::atoi(argv[3]));
   if (argc > 4) options.returning = static_cast<std::size_t>(std::atoi(argv[4]));
+  if (argc > 5) options.services = static_cast<std::size_t>(std::atoi(argv[5]));
   boost::asio::io_service loop;
   const bronzeroute::crowd fakes(loop, options);
   loop.run();
--- a/tools/bench_capacity.py
+++ b/tools/bench_capacity.py
@@ -315,7 +315,7 @@
         deployment.start_log()
         deployment.publish(document())
         deployment.start("member_crowd", str(count - 1), deployment.log_address(),
-                         str(deployment.crowd_port))
+                         str(deployment.crowd_port), "0", str(options.services))
         deadline = time.monotonic() + 60
         while deployment.log_counters()["total_appends"] < count + 1:
             if time.monotonic() > deadline:
@@ -513,6 +513,7 @@
     parser.add_argument("--first-port", type=int, default=20990, help="first port; about 1600 ports from it are used")
     parser.add_argument("--publications", type=int, default=8)
     parser.add_argument("--members", type=int, default=540, help="members of `return`")
+    parser.add_argument("--services", type=int, default=SERVICES, help="services of `crowd`")
     parser.add_argument("--turns", type=int, default=3)
     parser.add_argument("command", choices=["sizes", "crowd", "return", "stream", "calls", "memory"])
     parser.add_argument("numbers", nargs="*", type=int)
