Open channels on demand, and check the ones that are kept in turn

What callers saw (SHORT): requests reach their first upstream late at 294 members. Cause, one part: an entry had a channel to each member and asked each for its state ten times a second, 2,930 times; and a member without an open channel could not be called at all, so that no channel could be left out.

Now a link says whether its channel is kept open. Other members are connected by the first attempt, which waits for that for 500 ms at most and is otherwise reported as not sent; their channels are closed after 10 s without use. Kept channels are checked every 500 ms, and all of them at once after one broke. Calls with an idempotency key, which have one possible target, wait for their channel too.

Tests: AMemberThatIsNotKeptOpenIsConnectedWithTheFirstAttempt, AnAttemptWithoutAConnectionIsReportedAsNotSent, AnAttemptThatWaitsForItsConnectionCanBeCancelled (the interface is new, so that they can't be built before). Ruled out: gRPC's notifications of state changes.

--- a/bench/transport_bench.cc
+++ b/bench/transport_bench.cc
@@ -57,7 +57,7 @@
   }
   void UseOwner(const bench_daemon& owner) {
     owner_ = owner.id_;
-    RunOnLoop([&] { sockets_->peers().client().OpenPeer(owner_, owner.addresses_.peers); });
+    RunOnLoop([&] { sockets_->peers().client().OpenPeer(owner_, owner.addresses_.peers, true); });
     for (bool ready = false; !ready;) {
       RunOnLoop([&] { ready = sockets_->peers().IsReady(owner_, false); });
     }
@@ -105,6 +105,11 @@
                      time_point /*now*/) override {
     sockets_->callers().RespondWithError(exchange, attempt.call, error_kind::kAnswerLost, 0);
   }
+  void OnAttemptNotSent(exchange_id exchange, const attempt_id& attempt,
+                        time_point /*now*/) override {
+    sockets_->callers().RespondWithError(exchange, attempt.call,
+                                         error_kind::kPeerUnreachable, 0);
+  }
   void OnUpstreamConnectFailed(exchange_id exchange, const attempt_id& attempt,
                                time_point /*now*/) override {
     sockets_->callers().RespondWithError(exchange, attempt.call,
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -324,6 +324,11 @@
   runtime_.calls().OnAttemptLost(attempt, true, now);
 }
 
+void daemon::OnAttemptNotSent(exchange_id /*exchange*/, const attempt_id& attempt,
+                              time_point now) {
+  runtime_.calls().OnAttemptLost(attempt, false, now);
+}
+
 void daemon::OnUpstreamConnectFailed(exchange_id /*exchange*/, const attempt_id& attempt,
                                      time_point now) {
   runtime_.calls().OnUpstreamConnectFailed(attempt, now);
@@ -380,8 +385,8 @@
       });
 }
 
-void daemon::OpenPeer(member_id peer, std::string_view address) {
-  transport_.peers().client().OpenPeer(peer, address);
+void daemon::OpenPeer(member_id peer, std::string_view address, bool keeps_open) {
+  transport_.peers().client().OpenPeer(peer, address, keeps_open);
 }
 
 void daemon::ClosePeer(member_id peer) { transport_.peers().client().ClosePeer(peer); }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -65,6 +65,8 @@
   void OnAttemptFinished(exchange_id exchange, const attempt_id& attempt, bool complete,
                          const owner_report& report, time_point now) override;
   void OnAttemptLost(exchange_id exchange, const attempt_id& attempt, time_point now) override;
+  void OnAttemptNotSent(exchange_id exchange, const attempt_id& attempt,
+                        time_point now) override;
   void OnUpstreamConnectFailed(exchange_id exchange, const attempt_id& attempt,
                                time_point now) override;
   void OnUpstreamResponseHead(exchange_id exchange, const attempt_id& attempt, int status,
@@ -81,7 +83,7 @@
   void OnDatagram(std::string_view from, std::string_view payload, time_point now) override;
 
   void FetchSnapshot(member_id peer, std::int64_t known_version) override;
-  void OpenPeer(member_id peer, std::string_view address) override;
+  void OpenPeer(member_id peer, std::string_view address, bool keeps_open) override;
   void ClosePeer(member_id peer) override;
   void SetUpstream(std::string_view address, std::string_view identity) override;
 
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -430,7 +430,7 @@
       std::string& linked = linked_[row.id];
       if (linked != row.peer_address) {
         linked = row.peer_address;
-        links_.OpenPeer(row.id, row.peer_address);
+        links_.OpenPeer(row.id, row.peer_address, true);
       }
     } else if (linked_.erase(row.id) > 0) {
       links_.ClosePeer(row.id);
--- a/src/node/peer_link_port.h
+++ b/src/node/peer_link_port.h
@@ -11,9 +11,10 @@
  public:
   virtual ~peer_link_port() = default;
 
-  /// Opens the channels to `peer` at `address` ("ip:port") unless they are open at that
-  /// address.
-  virtual void OpenPeer(member_id peer, std::string_view address) = 0;
+  /// Makes `peer` at `address` ("ip:port") a possible target of attempts. With `keeps_open` the
+  /// channel for short work is opened now and whenever it breaks, otherwise with the first
+  /// attempt.
+  virtual void OpenPeer(member_id peer, std::string_view address, bool keeps_open) = 0;
   /// Closes the channels once all attempts on them have ended.
   virtual void ClosePeer(member_id peer) = 0;
   /// Sets the address at which the upstream beside this daemon accepts requests; empty if there
--- a/src/transport/peer_client.cc
+++ b/src/transport/peer_client.cc
@@ -6,10 +6,12 @@
 #include <grpcpp/security/credentials.h>
 #include <grpcpp/support/channel_arguments.h>
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "proto/peer.grpc.pb.h"
 #include "src/calls/attempt_head.h"
@@ -18,12 +20,22 @@
 #include "src/transport/exchange_table.h"
 #include "src/transport/http_address.h"
 #include "src/transport/peer_window.h"
+#include "src/transport/transport_events.h"
 
 namespace bronzeroute {
 namespace {
 
-// Interval at which idle or broken channels for short work are reconnected.
-constexpr std::chrono::milliseconds kConnectPeriod(100);
+// Interval at which some of the channels that are kept open are checked, and the number of
+// rounds in which each of them is checked once.
+constexpr std::chrono::milliseconds kCheckPeriod(100);
+constexpr std::uint64_t kCheckRounds = 5;
+// Interval at which channels are checked for which attempts wait.
+constexpr std::chrono::milliseconds kWaitPeriod(5);
+// Longest time for which an attempt waits until the channel that is opened for it is open.
+constexpr std::chrono::milliseconds kOpenTime(500);
+// Channels that are not kept open are closed when they were not used for this time.
+constexpr std::chrono::seconds kUnusedTime(10);
+constexpr std::chrono::seconds kClosePeriod(1);
 // Bounds of the wait between two connection attempts to an unreachable peer.
 constexpr int kMinBackoffMs = 100;
 constexpr int kMaxBackoffMs = 2000;
@@ -54,6 +66,12 @@
 
 }  // namespace
 
+struct peer_client::waiting_attempt {
+  std::shared_ptr<exchange> row;
+  attempt_head head;
+  time_point until;
+};
+
 struct peer_client::peer_channels {
   struct channel {
     explicit channel(const std::string& to) : connection(OpenChannel(to)) {
@@ -63,9 +81,7 @@
     std::unique_ptr<proto::Peer::Stub> stub;
   };
 
-  explicit peer_channels(std::string_view to) : address(to), for_short(address) {
-    for_short.connection->GetState(true);
-  }
+  explicit peer_channels(std::string_view to) : address(to) {}
 
   /// Opens the channel for long work with its first use, since most pairs of daemons never
   /// exchange long work and each connection costs memory at both ends.
@@ -75,24 +91,23 @@
   }
 
   std::string address;
-  channel for_short;
+  bool keeps_open = false;
+  /// State of the channel for short work when it was last checked.
+  grpc_connectivity_state state = GRPC_CHANNEL_IDLE;
+  time_point used_at;
+  std::optional<channel> for_short;
   std::optional<channel> for_long;
+  std::vector<waiting_attempt> waiting;
 };
 
-// A timer that reconnects the channels for short work after they broke or became idle. gRPC
-// reconnects by itself only when a call is made, and no short attempt is sent on a channel that
-// is not open.
-struct peer_client::channel_reconnector
-    : std::enable_shared_from_this<peer_client::channel_reconnector> {
-  explicit channel_reconnector(peer_client& client) : owner(&client), timer(LoopService()) {}
+struct peer_client::tick_timer : std::enable_shared_from_this<peer_client::tick_timer> {
+  explicit tick_timer(peer_client& client) : owner(&client), timer(LoopService()) {}
 
   void Arm() {
-    timer.expires_after(kConnectPeriod);
+    timer.expires_after(owner->waiting_.empty() ? kCheckPeriod : kWaitPeriod);
     timer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
       if (error || self->owner == nullptr) return;
-      for (const auto& [peer, row] : self->owner->peers_) {
-        row->for_short.connection->GetState(true);
-      }
+      self->owner->Tick(MonotonicNow());
       self->Arm();
     });
   }
@@ -108,8 +123,8 @@
 peer_client::~peer_client() { Stop(); }
 
 void peer_client::Start() {
-  reconnector_ = std::make_shared<channel_reconnector>(*this);
-  RunOnLoop([this] { reconnector_->Arm(); });
+  timer_ = std::make_shared<tick_timer>(*this);
+  RunOnLoop([this] { timer_->Arm(); });
 }
 
 void peer_client::Stop() {
@@ -118,10 +133,11 @@
   RunOnLoop([this, &drained] {
     stopped_ = true;
     drained_ = &drained;
-    if (reconnector_ != nullptr) {
-      reconnector_->owner = nullptr;
-      reconnector_->timer.cancel();
+    if (timer_ != nullptr) {
+      timer_->owner = nullptr;
+      timer_->timer.cancel();
     }
+    waiting_.clear();
     for (const auto& [id, stream] : attempts_) stream->Cancel();
     ReportDrained();
   });
@@ -134,26 +150,70 @@
   std::exchange(drained_, nullptr)->set_value();
 }
 
-void peer_client::OpenPeer(member_id peer, std::string_view address) {
+void peer_client::OpenPeer(member_id peer, std::string_view address, bool keeps_open) {
   if (stopped_) return;
   if (!ParseAddress(address).ok()) {
     // From a record of another writer; gRPC would keep trying to connect.
-    peers_.erase(peer);
+    ClosePeer(peer);
     return;
   }
+  const auto found = peers_.find(peer);
+  if (found != peers_.end() && found->second->address != address) ClosePeer(peer);
   auto& row = peers_[peer];
-  if (row == nullptr || row->address != address) {
-    row = std::make_shared<peer_channels>(address);
+  if (row == nullptr) row = std::make_shared<peer_channels>(address);
+  if (row->keeps_open && !keeps_open) row->used_at = MonotonicNow();
+  row->keeps_open = keeps_open;
+  if (keeps_open) OpenShort(*row);
+}
+
+void peer_client::ClosePeer(member_id peer) {
+  const auto found = peers_.find(peer);
+  if (found == peers_.end()) return;
+  const auto row = found->second;
+  peers_.erase(found);
+  FailWaiting(*row, time_point::max());
+}
+
+void peer_client::OpenShort(peer_channels& peer) {
+  if (!peer.for_short) {
+    peer.state = GRPC_CHANNEL_IDLE;
+    peer.for_short.emplace(peer.address);
+  }
+  peer.for_short->connection->GetState(true);
+}
+
+bool peer_client::Check(peer_channels& peer) {
+  if (!peer.for_short) return false;
+  // gRPC connects an idle channel by itself only when a call is made.
+  const bool opens = peer.keeps_open || !peer.waiting.empty();
+  const grpc_connectivity_state state = peer.for_short->connection->GetState(opens);
+  const grpc_connectivity_state last = std::exchange(peer.state, state);
+  if (state == GRPC_CHANNEL_READY) {
+    SendWaiting(peer);
+  } else if (state == GRPC_CHANNEL_TRANSIENT_FAILURE) {
+    FailWaiting(peer, time_point::max());
   }
+  return last == GRPC_CHANNEL_READY && state != GRPC_CHANNEL_READY;
 }
 
-void peer_client::ClosePeer(member_id peer) { peers_.erase(peer); }
+void peer_client::CheckKept() {
+  // Channels mostly break in groups, for example when a peer's network fails.
+  const bool checks_all = std::exchange(any_broke_, false);
+  ++check_round_;
+  std::vector<std::shared_ptr<peer_channels>> due;
+  for (const auto& [id, peer] : peers_) {
+    if (!peer->keeps_open) continue;
+    const bool is_turn = (id.value + check_round_) % kCheckRounds == 0;
+    if (checks_all || is_turn || peer->state != GRPC_CHANNEL_READY) due.push_back(peer);
+  }
+  for (const auto& peer : due) any_broke_ = Check(*peer) || any_broke_;
+}
 
 bool peer_client::IsReady(member_id peer, bool is_long) const {
   const auto found = peers_.find(peer);
-  if (found == peers_.end()) return false;
+  if (found == peers_.end() || !found->second->for_short) return false;
   const peer_channels& row = *found->second;
-  const bool is_reachable = row.for_short.connection->GetState(false) == GRPC_CHANNEL_READY;
+  const bool is_reachable = row.for_short->connection->GetState(false) == GRPC_CHANNEL_READY;
   if (!is_long || !row.for_long) return is_reachable;
   // The channel for long work may still be closed while the one for short work shows that the
   // peer is reachable. A call then opens the channel and waits until it is open.
@@ -164,21 +224,100 @@
 
 bool peer_client::SendAttempt(exchange_id exchange, const attempt_head& head) {
   const auto row = exchanges_.Find(exchange);
-  if (stopped_ || row == nullptr || !IsReady(head.target, head.is_long) ||
-      attempts_.contains(head.id) || !row->body->Rewind()) {
+  const auto found = peers_.find(head.target);
+  if (stopped_ || row == nullptr || found == peers_.end() || attempts_.contains(head.id) ||
+      waiting_.contains(head.id)) {
     return false;
   }
+  const auto peer = found->second;
+  peer->used_at = MonotonicNow();
+  const bool is_ready = IsReady(head.target, head.is_long);
+  any_broke_ = any_broke_ || (!is_ready && peer->state == GRPC_CHANNEL_READY);
+  if (!is_ready && !MayWait(*peer, head)) return false;
+  if (!row->body->Rewind()) return false;
+  if (is_ready) {
+    StartAttempt(*peer, row, head);
+  } else {
+    Wait(peer, row, head);
+  }
+  return true;
+}
+
+void peer_client::StartAttempt(peer_channels& peer, const std::shared_ptr<exchange>& row,
+                               const attempt_head& head) {
   auto stream = std::make_shared<attempt_stream>(*this, events_, counters_, row, head);
   attempts_.emplace(head.id, stream);
   ++counters_.attempts_sent;
-  peer_channels& peer = *peers_[head.target];
-  stream->Start(*(head.is_long ? peer.ForLong() : peer.for_short).stub);
-  return true;
+  stream->Start(*(head.is_long ? peer.ForLong() : *peer.for_short).stub);
+}
+
+bool peer_client::MayWait(const peer_channels& peer, const attempt_head& head) {
+  // Other members can take an attempt without a key at once.
+  if (peer.keeps_open && head.key.empty()) return false;
+  return !peer.for_short ||
+         peer.for_short->connection->GetState(false) != GRPC_CHANNEL_TRANSIENT_FAILURE;
+}
+
+void peer_client::Wait(const std::shared_ptr<peer_channels>& peer,
+                       const std::shared_ptr<exchange>& row, const attempt_head& head) {
+  const time_point until = std::min(MonotonicNow() + kOpenTime, head.deadline);
+  waiting_.emplace(head.id, peer);
+  peer->waiting.push_back({.row = row, .head = head, .until = until});
+  OpenShort(*peer);
+  if (waiting_.size() == 1) timer_->Arm();
+}
+
+void peer_client::SendWaiting(peer_channels& peer) {
+  for (const waiting_attempt& each : std::exchange(peer.waiting, {})) {
+    if (waiting_.erase(each.head.id) > 0) StartAttempt(peer, each.row, each.head);
+  }
+}
+
+void peer_client::FailWaiting(peer_channels& peer, time_point now) {
+  std::vector<waiting_attempt> late;
+  std::erase_if(peer.waiting, [&](const waiting_attempt& each) {
+    if (each.until > now) return false;
+    late.push_back(each);
+    return true;
+  });
+  for (const waiting_attempt& each : late) {
+    if (waiting_.erase(each.head.id) > 0) {
+      events_.OnAttemptNotSent(each.row->id, each.head.id, MonotonicNow());
+    }
+  }
 }
 
 void peer_client::CancelAttempt(exchange_id /*exchange*/, const attempt_id& attempt) {
   const auto found = attempts_.find(attempt);
   if (found != attempts_.end()) found->second->Cancel();
+  waiting_.erase(attempt);
+}
+
+void peer_client::Tick(time_point now) {
+  std::vector<std::shared_ptr<peer_channels>> awaited;
+  for (const auto& [id, peer] : waiting_) awaited.push_back(peer);
+  for (const auto& peer : awaited) {
+    Check(*peer);
+    FailWaiting(*peer, now);
+  }
+  if (now >= next_check_) {
+    next_check_ = now + kCheckPeriod;
+    CheckKept();
+  }
+  if (now >= next_close_) {
+    next_close_ = now + kClosePeriod;
+    CloseUnused(now);
+  }
+}
+
+void peer_client::CloseUnused(time_point now) {
+  for (const auto& [id, peer] : peers_) {
+    if (peer->keeps_open || !peer->waiting.empty() || peer->used_at + kUnusedTime > now) {
+      continue;
+    }
+    peer->for_short.reset();
+    peer->for_long.reset();
+  }
 }
 
 void peer_client::Forget(const attempt_id& attempt) {
@@ -208,6 +347,7 @@
   call->context.set_deadline(std::chrono::system_clock::now() + kFetchTimeout);
   call->request.set_known_version(known_version);
   call->channels = found->second;
+  call->channels->used_at = MonotonicNow();
   call->done = std::move(done);
   ++open_fetches_;
   call->channels->ForLong().stub->async()->FetchConfiguration(
--- a/src/transport/peer_client.h
+++ b/src/transport/peer_client.h
@@ -12,6 +12,7 @@
 
 #include "src/base/attempt_id.h"
 #include "src/base/strong_id.h"
+#include "src/base/time.h"
 #include "src/transport/peer_counters.h"
 
 namespace bronzeroute {
@@ -20,8 +21,9 @@
 class exchange_table;
 class transport_events;
 struct attempt_head;
+struct exchange;
 
-/// Entry side of the link between daemons: two open channels to each peer, one for short and
+/// Entry side of the link between daemons: up to two channels to each peer, one for short and
 /// one for long work, and the attempts sent over them.
 class peer_client {
  public:
@@ -31,17 +33,22 @@
   peer_client(const peer_client&) = delete;
   peer_client& operator=(const peer_client&) = delete;
 
-  /// Starts to keep the channels open.
+  /// Starts to keep channels open.
   void Start();
   /// Cancels all attempts without further events. Not on the event loop.
   void Stop();
 
-  /// Opens the channels to `peer` at `address` ("ip:port"), or moves them to a new address.
-  void OpenPeer(member_id peer, std::string_view address);
+  /// Makes `peer` at `address` ("ip:port") a possible target of attempts, or moves it to a new
+  /// address. With `keeps_open` the channel for short work is opened now and whenever it
+  /// breaks; otherwise attempts open it, and it is closed when it was not used for a while.
+  void OpenPeer(member_id peer, std::string_view address, bool keeps_open);
   /// Closes the channels once the attempts on them have ended.
   void ClosePeer(member_id peer);
 
   bool IsReady(member_id peer, bool is_long) const;
+  /// False if nothing was or will be sent. An attempt whose channel is being opened for it
+  /// waits for that; if the channel does not open in time, the events report that nothing was
+  /// sent.
   bool SendAttempt(exchange_id exchange, const attempt_head& head);
   void CancelAttempt(exchange_id exchange, const attempt_id& attempt);
 
@@ -55,20 +62,44 @@
 
  private:
   struct peer_channels;
-  struct channel_reconnector;
+  struct waiting_attempt;
+  struct tick_timer;
+
+  void Tick(time_point now);
+  static void OpenShort(peer_channels& peer);
+  /// Handles a change of the channel's state; true if the channel broke.
+  bool Check(peer_channels& peer);
+  /// Checks some of the channels that are kept open in turn, or all of them after one broke.
+  void CheckKept();
+  void StartAttempt(peer_channels& peer, const std::shared_ptr<exchange>& row,
+                    const attempt_head& head);
+  /// True if the attempt may wait until the channel for short work is open.
+  static bool MayWait(const peer_channels& peer, const attempt_head& head);
+  void Wait(const std::shared_ptr<peer_channels>& peer, const std::shared_ptr<exchange>& row,
+            const attempt_head& head);
+  void SendWaiting(peer_channels& peer);
+  /// Reports the attempts that wait for `peer` as not sent, but for those whose limit is after
+  /// `now`.
+  void FailWaiting(peer_channels& peer, time_point now);
+  void CloseUnused(time_point now);
+  void ReportDrained();
 
   exchange_table& exchanges_;
   transport_events& events_;
   peer_counters& counters_;
-  std::shared_ptr<channel_reconnector> reconnector_;
+  std::shared_ptr<tick_timer> timer_;
   absl::flat_hash_map<member_id, std::shared_ptr<peer_channels>> peers_;
   absl::flat_hash_map<attempt_id, std::shared_ptr<attempt_stream>> attempts_;
-  std::uint64_t last_fetch_ = 0;
+  /// Attempts that wait for a channel, and the peer of each.
+  absl::flat_hash_map<attempt_id, std::shared_ptr<peer_channels>> waiting_;
+  time_point next_check_;
+  /// Counts the rounds of `CheckKept`.
+  std::uint64_t check_round_ = 0;
+  bool any_broke_ = false;
+  time_point next_close_;
   std::size_t open_fetches_ = 0;
   std::promise<void>* drained_ = nullptr;
   bool stopped_ = false;
-
-  void ReportDrained();
 };
 
 }  // namespace bronzeroute
--- a/src/transport/transport_events.h
+++ b/src/transport/transport_events.h
@@ -53,6 +53,10 @@
   virtual void OnAttemptLost(exchange_id exchange, const attempt_id& attempt,
                              time_point now) = 0;
 
+  /// Entry side: no channel to the owner was open in time; certainly nothing was sent.
+  virtual void OnAttemptNotSent(exchange_id exchange, const attempt_id& attempt,
+                                time_point now) = 0;
+
   /// No connection to the upstream was established; certainly nothing was sent.
   virtual void OnUpstreamConnectFailed(exchange_id exchange, const attempt_id& attempt,
                                        time_point now) = 0;
--- a/tests/node/runtime_world.h
+++ b/tests/node/runtime_world.h
@@ -500,7 +500,9 @@
         }
       });
     }
-    void OpenPeer(member_id peer, std::string_view address) override { links[peer] = address; }
+    void OpenPeer(member_id peer, std::string_view address, bool /*keeps_open*/) override {
+      links[peer] = address;
+    }
     void ClosePeer(member_id peer) override { links.erase(peer); }
     void SetUpstream(std::string_view, std::string_view) override {}
   };
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -81,6 +81,58 @@
   EXPECT_EQ(ConnectionsTo(owner.addresses().peers), 2);
 }
 
+// Guards against a connection to each member of a large deployment, and against a call that is
+// refused since its target had none.
+TEST(Peer, AMemberThatIsNotKeptOpenIsConnectedWithTheFirstAttempt) {
+  constexpr auto kUnprompted = std::chrono::milliseconds(300);
+  counting_upstream upstream(1);
+  test_daemon owner(2);
+  test_daemon entry(1);
+  owner.UseUpstream(upstream.server.address());
+  entry.target = owner.id();
+  RunOnLoop([&] {
+    entry.sockets().peers().client().OpenPeer(owner.id(), owner.addresses().peers, false);
+  });
+  std::this_thread::sleep_for(kUnprompted);
+  EXPECT_EQ(ConnectionsTo(owner.addresses().peers), 0);
+  EXPECT_TRUE(Post(entry, "s").ends_with("\r\n\r\n1"));
+  EXPECT_EQ(ConnectionsTo(owner.addresses().peers), 1);
+}
+
+// Guards against an attempt that waits without end, or is reported as possibly run, when the
+// connection opened for it fails.
+TEST(Peer, AnAttemptWithoutAConnectionIsReportedAsNotSent) {
+  raw_upstream silent([](raw_socket& peer) { peer.ReceiveAll(); });
+  const std::string refused = test_daemon::Address(FreePort());
+  for (const std::string& address : {refused, silent.address()}) {
+    test_daemon entry(1);
+    entry.target = member_id{9};
+    RunOnLoop([&] { entry.sockets().peers().client().OpenPeer(member_id{9}, address, false); });
+    const std::string response = Post(entry, "s");
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 503")) << response;
+    EXPECT_NE(response.find("Bronzeroute-Execution: not-run"), std::string::npos) << response;
+    EXPECT_EQ(entry.Count("attempt_not_sent"), 1) << address;
+  }
+}
+
+// Guards against a call that is sent, or reported, after its caller has gone.
+TEST(Peer, AnAttemptThatWaitsForItsConnectionCanBeCancelled) {
+  raw_upstream silent([](raw_socket& peer) { peer.ReceiveAll(); });
+  test_daemon entry(1);
+  entry.target = member_id{9};
+  RunOnLoop([&] {
+    entry.sockets().peers().client().OpenPeer(member_id{9}, silent.address(), false);
+  });
+  {
+    const raw_socket caller = raw_socket::Connect(entry.callers_port());
+    caller.Send("GET /orders HTTP/1.1\r\nHost: a\r\n\r\n");
+    entry.Await("request");
+  }
+  entry.Await("caller_disconnected");
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  EXPECT_EQ(entry.Count("attempt_not_sent"), 0);
+}
+
 // Guards against a short call that, after a refusal, is sent to the next owner without its
 // body.
 TEST(Peer, ResendsBodyToNextOwnerAfterRefusal) {
@@ -364,7 +416,8 @@
 TEST(Peer, ShortAndLongAttemptsUseSeparateConnections) {
   raw_upstream silent([](raw_socket& peer) { peer.ReceiveAll(); });
   test_daemon entry(1);
-  RunOnLoop([&] { entry.sockets().peers().client().OpenPeer(member_id{9}, silent.address()); });
+  RunOnLoop(
+      [&] { entry.sockets().peers().client().OpenPeer(member_id{9}, silent.address(), true); });
   while (silent.connections() < 2) std::this_thread::yield();
 }
 
@@ -378,9 +431,9 @@
   auto& client = entry.sockets().peers().client();
   RunOnLoop([&] {
     for (std::uint64_t id = 0; id < kOthers; ++id) {
-      client.OpenPeer(member_id{100 + id}, silent.address());
+      client.OpenPeer(member_id{100 + id}, silent.address(), true);
     }
-    client.OpenPeer(owner.id(), owner.addresses().peers);
+    client.OpenPeer(owner.id(), owner.addresses().peers, true);
   });
   bool is_short_ready = false;
   bool is_long_ready = false;
@@ -418,7 +471,7 @@
     for (const char* const address :
          {"127.0.0.1:65536", "127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:0", "127.0.0.1",
           "nowhere:80", "", "\xff\xfe"}) {
-      client.OpenPeer(member_id{9}, address);
+      client.OpenPeer(member_id{9}, address, true);
       EXPECT_FALSE(client.IsReady(member_id{9}, false)) << address;
       entry.sockets().datagrams().SendDatagram(address, "lost");
     }
--- a/tests/transport/test_daemon.h
+++ b/tests/transport/test_daemon.h
@@ -57,7 +57,7 @@
   void UsePeer(const test_daemon& owner) { UsePeer(owner.id_, owner.addresses_.peers); }
   void UsePeer(member_id owner, const std::string& address) {
     target = owner;
-    RunOnLoop([&] { transport_->peers().client().OpenPeer(owner, address); });
+    RunOnLoop([&] { transport_->peers().client().OpenPeer(owner, address, true); });
     for (bool ready = false; !ready;) {
       RunOnLoop([&] {
         ready = transport_->peers().IsReady(target, false) &&
@@ -179,6 +179,12 @@
     transport_->callers().RespondWithError(exchange, attempt.call, error_kind::kAnswerLost, 0);
     Record("attempt_lost");
   }
+  void OnAttemptNotSent(exchange_id exchange, const attempt_id& attempt,
+                        time_point /*now*/) override {
+    transport_->callers().RespondWithError(exchange, attempt.call,
+                                           error_kind::kPeerUnreachable, 0);
+    Record("attempt_not_sent");
+  }
   void OnUpstreamConnectFailed(exchange_id exchange, const attempt_id& attempt,
                                time_point /*now*/) override {
     EndAtOwner(exchange, attempt, error_kind::kUpstreamConnectFailed);
