Choose among a bounded subset of a service's members, and keep channels to these only

Each choice copied and scored 167 candidates, and the table was built anew ten times a second with several allocations a member.

An entry now prefers up to 16 members of a service in its zone and 8 at each greater distance, drawn by rendezvous hashing, and keeps channels open to these. The others are used while none of the subset can serve. The limit of one half on ejections holds within the subset. OnMembers updates its entries in place. Installations with few members in each zone choose among all of them as before.

--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -427,10 +427,11 @@
     if (IsLive(row)) {
       alive.push_back(row.id);
       configuration_.OnPeerVersion(row.id, row.config_version, now);
-      std::string& linked = linked_[row.id];
-      if (linked != row.peer_address) {
-        linked = row.peer_address;
-        links_.OpenPeer(row.id, row.peer_address, true);
+      const bool keeps_open = routing_.IsPreferred(row.id);
+      peer_link& linked = linked_[row.id];
+      if (linked.address != row.peer_address || linked.keeps_open != keeps_open) {
+        linked = {row.peer_address, keeps_open};
+        links_.OpenPeer(row.id, row.peer_address, keeps_open);
       }
     } else if (linked_.erase(row.id) > 0) {
       links_.ClosePeer(row.id);
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -160,8 +160,12 @@
   bool had_upstream_ = false;
   std::uint32_t applied_slots_ = 0;
   std::uint32_t applied_connections_ = 0;
-  /// Peers with open channels, and the address of each.
-  absl::flat_hash_map<member_id, std::string> linked_;
+  struct peer_link {
+    std::string address;
+    bool keeps_open = false;
+  };
+  /// Possible targets of attempts, as last passed to the transport.
+  absl::flat_hash_map<member_id, peer_link> linked_;
   time_point next_members_;
   bool members_changed_ = true;
   bool stopping_ = false;
--- a/src/node/routing_adapter.h
+++ b/src/node/routing_adapter.h
@@ -38,6 +38,8 @@
   void OnAttemptEnded(member_target owner, attempt_outcome outcome, time_point now) override;
 
   void OnMembers(std::span<const member_row> members, const member_row& self, time_point now);
+  /// True if choices prefer `member`, so that a channel to it should be kept open.
+  bool IsPreferred(member_id member) const { return system_.IsPreferred(member); }
 
  private:
   attempt_end EndOf(attempt_outcome outcome) const;
--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -8,6 +8,7 @@
 #include "src/configuration/may_run_in.h"
 #include "src/configuration/service_spec.h"
 #include "src/membership/member_row.h"
+#include "src/routing/member_subset.h"
 #include "src/routing/score_function.h"
 
 namespace bronzeroute {
@@ -50,36 +51,17 @@
 void hint_table::OnMembers(std::span<const member_row> members, member_id own,
                            std::string_view region, std::string_view availability_zone,
                            time_point now) {
-  std::vector<entry> old_entries = std::exchange(entries_, {});
-  const auto old_index = std::exchange(index_, {});
-  for (service_entry& service : services_) service.members.clear();
-  entries_.reserve(members.size());
+  ++updates_;
+  bool changed = false;
   for (const member_row& row : members) {
     if (row.service.empty() || row.state == member_state::kDead ||
         row.state == member_state::kLeft) {
       continue;
     }
-    const auto [service, is_new] = service_index_.try_emplace(row.service, services_.size());
-    if (is_new) services_.emplace_back();
-    entry item;
-    const auto found = old_index.find(row.id);
-    // The entry may have a later incarnation than `members`; see OnNewerIncarnation.
-    if (found != old_index.end() &&
-        old_entries[found->second].row.incarnation >= row.incarnation) {
-      item = std::move(old_entries[found->second]);
-    } else {
-      item.row.incarnation = row.incarnation;
-    }
-    item.row.id = row.id;
-    item.row.where = DistanceOf(row, own, region, availability_zone);
-    item.region = row.region;
-    item.state = row.state;
-    item.draining = row.draining;
-    item.service = service->second;
-    services_[item.service].members.push_back(entries_.size());
-    index_.emplace(row.id, entries_.size());
-    entries_.push_back(std::move(item));
+    changed = Update(row, DistanceOf(row, own, region, availability_zone)) || changed;
   }
+  changed = RemoveUnnamed() || changed;
+  if (changed) Regroup(own);
   // Hints are applied once the index is complete: a hint may eject a member, which depends on
   // the other members of its service.
   for (const member_row& row : members) {
@@ -90,6 +72,79 @@
   }
 }
 
+std::size_t hint_table::ServiceIndex(const std::string& name) {
+  const auto found = service_index_.find(name);
+  if (found != service_index_.end()) return found->second;
+  service_index_.emplace(name, services_.size());
+  services_.emplace_back();
+  return services_.size() - 1;
+}
+
+bool hint_table::Update(const member_row& row, distance where) {
+  const auto [found, is_new] = index_.try_emplace(row.id, entries_.size());
+  if (is_new) entries_.emplace_back();
+  entry& item = entries_[found->second];
+  // The entry may have a later incarnation than `row`; see OnNewerIncarnation.
+  const bool is_replaced = is_new || item.row.incarnation < row.incarnation;
+  if (is_replaced) {
+    item = {};
+    item.row.id = row.id;
+    item.row.incarnation = row.incarnation;
+  }
+  item.named_in = updates_;
+  const std::size_t service = ServiceIndex(row.service);
+  const bool changed = is_replaced || item.service != service || item.row.where != where ||
+                       item.draining != row.draining;
+  item.row.where = where;
+  item.service = service;
+  item.draining = row.draining;
+  item.state = row.state;
+  if (item.region != row.region) item.region = row.region;
+  return changed;
+}
+
+bool hint_table::RemoveUnnamed() {
+  const std::size_t removed =
+      std::erase_if(entries_, [this](const entry& item) { return item.named_in != updates_; });
+  if (removed == 0) return false;
+  index_.clear();
+  for (std::size_t i = 0; i < entries_.size(); ++i) index_.emplace(entries_[i].row.id, i);
+  return true;
+}
+
+void hint_table::Regroup(member_id own) {
+  for (service_entry& service : services_) {
+    service.members.clear();
+    service.preferred.clear();
+  }
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    entries_[i].preferred = false;
+    services_[entries_[i].service].members.push_back(i);
+  }
+  for (service_entry& service : services_) Prefer(service, own);
+}
+
+void hint_table::Prefer(service_entry& service, member_id own) {
+  for (const distance where : {distance::kSameInstance, distance::kSameZone,
+                               distance::kSameRegion, distance::kOtherRegion}) {
+    std::vector<subset_member> group;
+    for (const std::size_t index : service.members) {
+      const entry& item = entries_[index];
+      if (item.row.where == where) group.push_back({item.row.id, index, item.draining});
+    }
+    SelectSubset(own, SubsetLimit(where), group);
+    for (const subset_member& each : group) entries_[each.index].preferred = true;
+  }
+  for (const std::size_t index : service.members) {
+    if (entries_[index].preferred) service.preferred.push_back(index);
+  }
+}
+
+bool hint_table::IsPreferred(member_id member) const {
+  const auto found = index_.find(member);
+  return found != index_.end() && entries_[found->second].preferred;
+}
+
 void hint_table::OnNewerIncarnation(member_id member, incarnation_id incarnation) {
   entry* item = Find(member);
   if (item == nullptr || item->row.incarnation >= incarnation) return;
@@ -100,6 +155,8 @@
   replacement.region = item->region;
   replacement.state = item->state;
   replacement.service = item->service;
+  replacement.preferred = item->preferred;
+  replacement.named_in = item->named_in;
   *item = std::move(replacement);
 }
 
@@ -122,9 +179,8 @@
   // The owner sent the hint half a round trip ago, and it includes the attempts received by
   // then: those sent at least one round trip ago.
   const time_point included_until = received - TypicalRoundTrip(item.row.where);
-  while (!item.unreported_sends.empty() && item.unreported_sends.front() <= included_until) {
-    item.unreported_sends.pop_front();
-  }
+  const auto first_unreported = std::ranges::upper_bound(item.unreported_sends, included_until);
+  item.unreported_sends.erase(item.unreported_sends.begin(), first_unreported);
   item.row.sent_since_hint = static_cast<std::uint32_t>(item.unreported_sends.size());
   const bool clear = item.health.At(now) == ejection_state::kClear;
   if (hint.failing && clear && MayEject(item, now)) {
@@ -137,7 +193,9 @@
 }
 
 void hint_table::AddUnreportedSend(entry& item, time_point now) {
-  if (item.unreported_sends.size() == kMaxUnreportedSends) item.unreported_sends.pop_front();
+  if (item.unreported_sends.size() == kMaxUnreportedSends) {
+    item.unreported_sends.erase(item.unreported_sends.begin());
+  }
   item.unreported_sends.push_back(now);
   item.row.sent_since_hint = static_cast<std::uint32_t>(item.unreported_sends.size());
 }
@@ -201,7 +259,9 @@
 }
 
 bool hint_table::MayEject(const entry& item, time_point now) const {
-  const std::vector<std::size_t>& members = services_[item.service].members;
+  const service_entry& service = services_[item.service];
+  const std::vector<std::size_t>& members =
+      item.preferred ? service.preferred : service.members;
   std::size_t ejected = 1;
   for (const std::size_t index : members) {
     const entry& other = entries_[index];
@@ -245,13 +305,35 @@
   result.context.costs = costs_;
   result.context.turn = group.turns++;
 
-  double hints = 0;
   std::vector<std::size_t> suspects;
+  GatherFrom(group.preferred, spec, excluded, now, result, suspects, explanation);
+  if (result.candidates.empty() && group.preferred.size() < group.members.size()) {
+    suspects.clear();
+    explanation.candidates.clear();
+    GatherFrom(group.members, spec, excluded, now, result, suspects, explanation);
+  }
+  // Suspect members are the last resort, as the suspicion may be wrong.
+  if (result.candidates.empty()) {
+    for (const std::size_t index : suspects) AddCandidate(entries_[index], now, result);
+  }
+}
+
+void hint_table::AddCandidate(const entry& item, time_point now, eligible_members& result) {
+  result.candidates.push_back(item.row);
+  result.candidates.back().failure_share =
+      DecayedShare(item.failure_share, now - item.failed_at);
+}
+
+void hint_table::GatherFrom(std::span<const std::size_t> members, const service_spec& spec,
+                            std::span<const member_id> excluded, time_point now,
+                            eligible_members& result, std::vector<std::size_t>& suspects,
+                            choice_explanation& explanation) const {
+  double hints = 0;
   // Members may have left or started to drain since the ejections, so the limit of one half is
   // applied again to the members that can serve.
   std::size_t serving = 0;
   std::size_t excluded_and_ejected = 0;
-  for (const std::size_t index : group.members) {
+  for (const std::size_t index : members) {
     const entry& item = entries_[index];
     if (DispositionOf(item, spec, {}) != candidate_disposition::kNotSelected) continue;
     ++serving;
@@ -259,13 +341,10 @@
     if (is_excluded && item.health.At(now) != ejection_state::kClear) ++excluded_and_ejected;
   }
   std::size_t may_stay_ejected = serving / 2 - std::min(serving / 2, excluded_and_ejected);
-  const auto add_candidate = [&](const entry& item) {
-    result.candidates.push_back(item.row);
-    result.candidates.back().failure_share =
-        DecayedShare(item.failure_share, now - item.failed_at);
-  };
-  explanation.candidates.reserve(group.members.size());
-  for (const std::size_t index : group.members) {
+  explanation.candidates.reserve(members.size());
+  result.context.mean_occupancy = 0;
+  result.context.mean_service_time_us = 0;
+  for (const std::size_t index : members) {
     const entry& item = entries_[index];
     if (item.has_hint) {
       ++hints;
@@ -274,12 +353,12 @@
     }
     candidate_disposition disposition = DispositionOf(item, spec, excluded);
     if (disposition == candidate_disposition::kNotSelected && !result.trial) {
-      if (IsTrialDue(item, request, now)) {
+      if (IsTrialDue(item, result.context.request, now)) {
         result.candidates.clear();
         result.trial = true;
-        add_candidate(item);
+        AddCandidate(item, now, result);
       } else if (item.health.At(now) == ejection_state::kClear || may_stay_ejected == 0) {
-        add_candidate(item);
+        AddCandidate(item, now, result);
       } else {
         --may_stay_ejected;
         disposition = candidate_disposition::kEjected;
@@ -294,10 +373,6 @@
     result.context.mean_occupancy /= hints;
     result.context.mean_service_time_us /= hints;
   }
-  // Suspect members are the last resort, as the suspicion may be wrong.
-  if (result.candidates.empty()) {
-    for (const std::size_t index : suspects) add_candidate(entries_[index]);
-  }
 }
 
 }  // namespace bronzeroute
--- a/src/routing/hint_table.h
+++ b/src/routing/hint_table.h
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <span>
 #include <string>
 #include <string_view>
@@ -34,6 +33,11 @@
   void OnMembers(std::span<const member_row> members, member_id own, std::string_view region,
                  std::string_view availability_zone, time_point now);
 
+  /// True if `member` is in the subset that this entry chooses from. The number of such members
+  /// is bounded for each service, however many serve it; `Gather` uses the others only while
+  /// none of the subset is eligible.
+  bool IsPreferred(member_id member) const;
+
   /// Ignores hints of unknown members and earlier incarnations, and hints that are not newer
   /// than the last one. Sequence 0 marks a message without a hint.
   void OnHint(member_id member, incarnation_id incarnation, const load_hint& hint,
@@ -72,29 +76,48 @@
     bool ejected_by_owner = false;
     bool has_hint = false;
     std::size_t service = 0;
+    bool preferred = false;
+    /// Number of the call of OnMembers that last named the member.
+    std::uint64_t named_in = 0;
     ejection health;
     /// Times at which the attempts counted in candidate::sent_since_hint were sent, oldest
     /// first.
-    std::deque<time_point> unreported_sends;
+    std::vector<time_point> unreported_sends;
     /// candidate::failure_share at `failed_at`; it halves every second from then on.
     double failure_share = 0;
     time_point failed_at;
   };
   struct service_entry {
     std::vector<std::size_t> members;
+    std::vector<std::size_t> preferred;
     std::uint64_t turns = 0;
   };
 
   entry* Find(member_id member);
+  std::size_t ServiceIndex(const std::string& name);
+  /// Adds or updates the entry of `row`; true if its group or its place in it changed.
+  bool Update(const member_row& row, distance where);
+  /// Removes entries that the current call of OnMembers did not name; true if there were any.
+  bool RemoveUnnamed();
+  /// Builds the groups of services and chooses the preferred members of each.
+  void Regroup(member_id own);
+  void Prefer(service_entry& service, member_id own);
   static void AddUnreportedSend(entry& item, time_point now);
   void ApplyHint(entry& item, const load_hint& hint, time_point received, time_point now);
-  /// True if `item` may be ejected, so that at most half of the service's members are.
+  /// True if `item` may be ejected, so that at most half of the members that this entry chooses
+  /// from are.
   bool MayEject(const entry& item, time_point now) const;
   candidate_disposition DispositionOf(const entry& item, const service_spec& spec,
                                       std::span<const member_id> excluded) const;
   bool IsTrialDue(const entry& item, const choice_request& request, time_point now) const;
+  /// `Gather` among `members`, but for suspect ones, which are added to `suspects`.
+  void GatherFrom(std::span<const std::size_t> members, const service_spec& spec,
+                  std::span<const member_id> excluded, time_point now, eligible_members& result,
+                  std::vector<std::size_t>& suspects, choice_explanation& explanation) const;
+  static void AddCandidate(const entry& item, time_point now, eligible_members& result);
 
   transfer_cost costs_;
+  std::uint64_t updates_ = 0;
   std::vector<entry> entries_;
   absl::flat_hash_map<member_id, std::size_t> index_;
   std::vector<service_entry> services_;
--- a/src/routing/routing_system.h
+++ b/src/routing/routing_system.h
@@ -33,6 +33,9 @@
     table_.OnMembers(members, own, region, availability_zone, now);
   }
 
+  /// True if choices prefer `member`; see hint_table.
+  bool IsPreferred(member_id member) const { return table_.IsPreferred(member); }
+
   /// To be called for every hint, also of the own upstream.
   void OnHint(member_id member, incarnation_id incarnation, const load_hint& hint,
               time_point now) {
--- a/tests/routing/routing_system_test.cc
+++ b/tests/routing/routing_system_test.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "src/membership/member_row.h"
+#include "src/routing/member_subset.h"
 #include "src/routing/policy_least_reported.h"
 #include "src/routing/policy_random.h"
 #include "src/routing/policy_round_robin.h"
@@ -334,6 +335,57 @@
   EXPECT_THAT(pair.Picks(20), ElementsAre(1));
 }
 
+// Guards against an entry that spreads its calls over all members of a large service, with a
+// channel to each and a hint of none that is fresh.
+TEST(RoutingSystem, ALargeServiceIsServedByABoundedSubset) {
+  std::vector<member_row> members;
+  for (std::uint64_t id = 1; id <= 200; ++id) {
+    members.push_back(Member(id, id % 2 == 0 ? "a" : "b", id % 4 < 2 ? "north" : "south"));
+  }
+  default_harness set(members);
+  const std::size_t limit = SubsetLimit(distance::kSameZone) +
+                            SubsetLimit(distance::kSameRegion) +
+                            SubsetLimit(distance::kOtherRegion);
+  EXPECT_EQ(set.Choose().explanation.candidates.size(), limit);
+  const std::set<std::uint64_t> picks = set.Picks(2000);
+  EXPECT_LE(picks.size(), limit);
+  for (const std::uint64_t id : picks) {
+    EXPECT_TRUE(set.system_.IsPreferred(member_id{id})) << id;
+  }
+}
+
+// Guards against a call that is refused although members outside of the subset could serve it.
+TEST(RoutingSystem, OtherMembersServeWhileNoneOfTheSubsetCan) {
+  std::vector<member_row> members;
+  for (std::uint64_t id = 1; id <= 100; ++id) members.push_back(Member(id));
+  default_harness set(members);
+  std::vector<member_id> subset;
+  for (member_row& row : set.members_) {
+    if (!set.system_.IsPreferred(row.id)) continue;
+    subset.push_back(row.id);
+    row.state = member_state::kSuspect;
+  }
+  const choice_result other = set.Choose(At({}), {}, subset);
+  ASSERT_TRUE(other.member.has_value());
+  EXPECT_FALSE(set.system_.IsPreferred(*other.member));
+  set.Announce(At({}));
+  for (const std::uint64_t id : set.Picks(100)) {
+    EXPECT_FALSE(set.system_.IsPreferred(member_id{id})) << id;
+  }
+}
+
+// Guards against a subset that keeps members which are gone.
+TEST(RoutingSystem, MembersThatAreGoneAreReplacedInTheSubset) {
+  std::vector<member_row> members;
+  for (std::uint64_t id = 1; id <= 100; ++id) members.push_back(Member(id));
+  default_harness set(members);
+  for (member_row& row : set.members_) {
+    if (set.system_.IsPreferred(row.id)) row.state = member_state::kDead;
+  }
+  set.Announce(At({}));
+  EXPECT_EQ(set.Choose().explanation.candidates.size(), SubsetLimit(distance::kSameZone));
+}
+
 // Guards against baseline policies that do not implement the rule in their name.
 TEST(RoutingSystem, BaselinePoliciesPickByTheirRule) {
   routing_harness<policy_round_robin> round_robin({Member(1), Member(2), Member(3)});
