Relay no response whose head is invalid or can be read in two ways

Cause: the parser takes any three digits for a status, unfolds folded lines, and hands over a body of an unknown transfer coding as it is, while the coding itself ends at this hop. Nothing behind it asked again.

A response head is now checked before the parser gets it: version, status 100 to 599, field names that are tokens, values without control bytes, no folded lines. 101 and transfer codings other than chunked, or named twice, end the attempt as well.

Test: ForwardedFieldsTest.InvalidHeadIsNeverRelayed, over one daemon and over two. Before, nine of its heads were relayed: status 000, 099, 600 and 999, a folded line, transfer codings gzip, identity and two lists.

--- a/src/transport/message_reader.h
+++ b/src/transport/message_reader.h
@@ -9,8 +9,10 @@
 #include <cstdint>
 #include <limits>
 #include <optional>
+#include <string_view>
 
 #include "src/transport/byte_pipe.h"
+#include "src/transport/response_head.h"
 
 namespace bronzeroute::internal {
 
@@ -48,12 +50,17 @@
     parser_->body_limit(body_limit == 0 ? kNoLimit : body_limit);
     parser_->eager(false);
     error_ = {};
+    head_limit_ = head_limit;
   }
 
   /// Declares the message a response to HEAD: it has no body, whatever its headers state.
   void SkipBody() { parser_->skip(true); }
 
   read_step ReadHead() {
+    if constexpr (!IsRequest) {
+      const read_step checked = CheckHead();
+      if (checked != read_step::kDone) return checked;
+    }
     while (!parser_->is_header_done()) {
       if (buffer_.size() == 0) return read_step::kNeedsBytes;
       const std::size_t used = parser_->put(buffer_.data(), error_);
@@ -108,9 +115,29 @@
   boost::beast::flat_buffer& buffer() { return buffer_; }
 
  private:
+  /// Checks a response head before the parser gets it, which accepts more than can be relayed:
+  /// folded lines and any status of three digits.
+  read_step CheckHead() {
+    const std::string_view received(static_cast<const char*>(buffer_.data().data()),
+                                    buffer_.size());
+    switch (CheckResponseHead(received)) {
+      case head_state::kComplete:
+        return read_step::kDone;
+      case head_state::kInvalid:
+        error_ = boost::beast::http::error::bad_field;
+        return read_step::kBad;
+      case head_state::kIncomplete:
+        break;
+    }
+    if (received.size() < head_limit_) return read_step::kNeedsBytes;
+    error_ = boost::beast::http::error::header_limit;
+    return read_step::kBad;
+  }
+
   boost::beast::flat_buffer buffer_;
   std::optional<parser> parser_;
   boost::system::error_code error_;
+  std::size_t head_limit_ = 0;
 };
 
 }  // namespace bronzeroute::internal
--- a/src/transport/upstream_attempt.cc
+++ b/src/transport/upstream_attempt.cc
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdint>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <utility>
@@ -44,6 +45,7 @@
 // responses, late responses to earlier requests, and the body of a refusal.
 constexpr std::size_t kMaxUnusableBytes = std::size_t{1} << 20;
 constexpr unsigned kHttp11 = 11;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kMisdirected = 421;
 // Time for which an idle connection is kept if the upstream sends no Keep-Alive timeout.
 constexpr auto kKeepTime = std::chrono::seconds(4);
@@ -59,6 +61,14 @@
          absl::EqualsIgnoreCase(name, "Transfer-Encoding");
 }
 
+// True if the body has a coding other than chunks, which the parser would hand over as it is.
+template <typename Fields>
+bool HasUnknownFraming(const Fields& fields) {
+  const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
+  return first != last &&
+         (std::next(first) != last || !absl::EqualsIgnoreCase(Text(first->value()), "chunked"));
+}
+
 std::int64_t RemainingMs(time_point deadline) {
   const auto left =
       std::chrono::duration_cast<std::chrono::milliseconds>(deadline - MonotonicNow());
@@ -254,6 +264,11 @@
   const auto& message = connection_->reader.message().get();
   const http_dialect& dialect = owner_->dialect();
   const int status = static_cast<int>(message.result_int());
+  if (status == kSwitchingProtocols || HasUnknownFraming(message)) {
+    // What follows is not a body that can be relayed.
+    EndIncomplete();
+    return false;
+  }
   if (status / 100 == 1) {
     connection_->reader.Begin(kResponseHeadBytes, 0);
     return true;
--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -1,9 +1,12 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <cctype>
 #include <cstddef>
+#include <mutex>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "tests/transport/raw_socket.h"
 #include "tests/transport/raw_upstream.h"
@@ -428,6 +431,70 @@
   EXPECT_EQ(CountOf(head, "X-Odd: " + odd + "\r\n"), 1U) << head;
 }
 
+// Guards against a response that is relayed although its head is none of HTTP, or can be read
+// in two ways: a status that does not exist, a field name with a blank or a control byte, a
+// folded line, a framing that is contradictory or unknown.
+TEST_P(ForwardedFieldsTest, InvalidHeadIsNeverRelayed) {
+  const std::string fields = "X-Id: 1\r\nX-Seal: s\r\n";
+  const std::string whole = fields + "Content-Length: 5\r\n";
+  std::vector<std::string> heads;
+  for (const char* const status : {"000 None", "000", "099 Low", "101 Switch", "600 High",
+                                   "999 Odd", "2 OK", "20x OK", "-20 OK", "200OK", "2000 OK"}) {
+    heads.push_back("HTTP/1.1 " + std::string(status) + "\r\n" + whole);
+  }
+  for (const char* const line : {"HTTP/2.0 200 OK", "HTTP/1.1  200 OK", "HTTP/1.1 200 O\x01K",
+                                 "http/1.1 200 OK", "ICY 200 OK"}) {
+    heads.push_back(std::string(line) + "\r\n" + whole);
+  }
+  std::vector<std::string> lines = {" X-A: b",  "\tX-A: b", " Content-Length: 2",
+                                    ": b",      "X-A",      " ",
+                                    "X-A: b\r", "X-A: b\n", "X-A: \x7f"};
+  for (int byte = 0; byte < 256; ++byte) {
+    const bool is_token = std::isalnum(byte) != 0 ||
+                          std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(byte)) !=
+                              std::string_view::npos;
+    const std::string each(1, static_cast<char>(byte));
+    if (!is_token && byte != ':') {
+      lines.push_back("X" + each + "A: b");
+      lines.push_back("XA" + each + ": b");
+    }
+    if (byte < ' ' && byte != '\t') lines.push_back("X-A: b" + each + "c");
+  }
+  for (const std::string& line : lines) {
+    heads.push_back("HTTP/1.1 200 OK\r\n" + line + "\r\n" + whole);
+    heads.push_back("HTTP/1.1 200 OK\r\n" + whole + line + "\r\n");
+  }
+  for (const char* const framing :
+       {"Content-Length: 5\r\nContent-Length: 2\r\n", "Content-Length: 5, 2\r\n",
+        "Content-Length: -5\r\n", "Content-Length: +5\r\n", "Content-Length: five\r\n",
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "Transfer-Encoding: gzip\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked, gzip\r\n",
+        "Transfer-Encoding: identity\r\n"}) {
+    heads.push_back("HTTP/1.1 200 OK\r\n" + fields + framing);
+  }
+  std::mutex mutex;
+  std::string head;
+  raw_upstream upstream([&](raw_socket& peer) {
+    peer.ReceiveUntil("\r\n\r\n");
+    const std::lock_guard<std::mutex> lock(mutex);
+    peer.Send(head + "\r\nbytes");
+    peer.Shutdown();
+  });
+  Use(upstream);
+  for (const std::string& each : heads) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      head = each;
+    }
+    const raw_socket caller = raw_socket::Connect(entry_.callers_port());
+    caller.Send(Request("1", "Connection: close\r\n"));
+    const std::string response = caller.ReceiveAll();
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 504")) << testing::PrintToString(each) << "\n"
+                                                      << response;
+  }
+}
+
 // Guards against fields in the trailer of a request body that reach the upstream.
 TEST_P(ForwardedFieldsTest, TrailerIsNotForwarded) {
   std::string head;
