Treat a response without a length as cut off if writing its request failed

What callers saw (MIXED): an upstream answered an upload early with a 200 without a length, sent part of its body and reset the connection; the caller got the part as a complete response. Cause: when a write is pending, the reset is reported to the write, and Linux then reports an end in order to the read, which completes such a response.

A failed write is now remembered, and the end of the connection completes nothing after it. An upstream that closes in order before it has read the whole upload resets the connection as well, so that its response without a length counts as cut off if the write learns of it first.

Looked for elsewhere: http_fetcher reads only after its write has ended and fails on a failed write.

--- a/src/transport/upstream_attempt.cc
+++ b/src/transport/upstream_attempt.cc
@@ -180,6 +180,7 @@
     message.content_length(*row_->content_length);
   }
   sent_ = false;
+  write_failed_ = false;
   generation_ = owner_->generation();
   sent_at_ = MonotonicNow();
   connection_->reader.Begin(kResponseHeadBytes, 0);
@@ -196,6 +197,7 @@
 void upstream_attempt::OnSent(writer::end how) {
   if (finished_) return;
   sent_ = how == writer::end::kComplete;
+  write_failed_ = how == writer::end::kBroken;
   if (awaits_sent_) {
     Complete();
   } else if (how == writer::end::kTruncated) {
@@ -436,7 +438,9 @@
     Complete();
     return;
   }
-  if (in_body_ && !is_stray_ && !is_refusal_ && in_order && connection_->reader.FinishAtEnd()) {
+  // A reset that a write has reported appears to the read as an end in order.
+  const bool is_end = in_order && !write_failed_;
+  if (in_body_ && !is_stray_ && !is_refusal_ && is_end && connection_->reader.FinishAtEnd()) {
     // The bytes of the last read are already in the pipe; a response without a length is
     // complete at the end of the connection.
     Complete();
--- a/src/transport/upstream_attempt.h
+++ b/src/transport/upstream_attempt.h
@@ -83,6 +83,7 @@
   bool parsing_ = false;
   bool in_body_ = false;
   bool sent_ = false;
+  bool write_failed_ = false;
   /// The response is complete, but part of the request body is not sent yet.
   bool awaits_sent_ = false;
   bool head_announced_ = false;
--- a/tests/transport/early_response_test.cc
+++ b/tests/transport/early_response_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <future>
 #include <mutex>
 #include <string>
@@ -193,6 +194,35 @@
   EXPECT_LT(rest.size(), kBodyBytes - kEarlyBytes);
 }
 
+// Guards against part of a response without a length that looks complete, since the upstream
+// reset the connection while the upload was being written.
+TEST_P(EarlyResponseTest, ResetDuringTheUploadTruncatesAResponseWithoutALength) {
+  raw_upstream upstream([&](raw_socket& peer) {
+    peer.ReceiveUntil("\r\n\r\n");
+    peer.Send("HTTP/1.1 200 OK\r\n\r\npart");
+    LastHop().Await("upstream_head");
+    // The upload fills the socket buffers, so that a write is pending.
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    peer.Reset();
+  });
+  LastHop().UseUpstream(upstream.address());
+  const raw_socket caller = raw_socket::Connect(entry_.callers_port());
+  std::thread sending([&] {
+    caller.Send(RequestHead(GetParam().chunked));
+    caller.Send(Body(GetParam().chunked));
+  });
+  while (LastHop().Count("upstream_truncated") + LastHop().Count("upstream_ended") == 0) {
+    std::this_thread::yield();
+  }
+  const bool is_truncated = LastHop().Count("upstream_truncated") == 1;
+  EXPECT_TRUE(is_truncated);
+  // Without the truncation, the connection would stay open.
+  const std::string response = is_truncated ? caller.ReceiveAll() : "";
+  EXPECT_EQ(response.find("0\r\n\r\n"), std::string::npos) << response;
+  caller.Shutdown();
+  sending.join();
+}
+
 INSTANTIATE_TEST_SUITE_P(Paths, EarlyResponseTest,
                          testing::Values(upload_shape{false, false}, upload_shape{false, true},
                                          upload_shape{true, false}, upload_shape{true, true}),
