Check the response heads that other daemons relay

A status of 1000 raised an exception on the event loop and left the caller without an answer; a field value with a line end became another field.

Such a head now ends the attempt as lost, is counted as mismatched, and cancels the stream.

Test: Peer.ResponseHeadThatIsNoneIsNotRelayed; before, it relayed the statuses 0, 101 and 600 and hung at 1000.

--- a/src/transport/attempt_stream.cc
+++ b/src/transport/attempt_stream.cc
@@ -8,9 +8,21 @@
 #include "src/transport/event_loop.h"
 #include "src/transport/peer_client.h"
 #include "src/transport/peer_codec.h"
+#include "src/transport/response_head.h"
 #include "src/transport/transport_events.h"
 
 namespace bronzeroute {
+namespace {
+
+// False for a head that the owner should not have relayed.
+bool IsRelayable(const proto::AnswerHead& head) {
+  return IsFinalStatus(head.status()) &&
+         std::ranges::all_of(head.headers(), [](const proto::Header& field) {
+           return IsValidField(field.name(), field.value());
+         });
+}
+
+}  // namespace
 
 attempt_stream::attempt_stream(peer_client& owner, transport_events& events,
                                peer_counters& counters, std::shared_ptr<exchange> row,
@@ -134,6 +146,13 @@
     });
     WriteBody();
   }
+  if (incoming_.has_head() && response_ == nullptr && !IsRelayable(incoming_.head())) {
+    ++counters_.mismatched_frames;
+    EndResponse(false, report);
+    context_.TryCancel();
+    Read();
+    return;
+  }
   if (incoming_.has_head() && response_ == nullptr) {
     response_ = std::make_shared<response_stream>();
     response_->attempt = head_.id;
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -361,6 +361,58 @@
   }
 }
 
+// An owner that answers with a given head.
+class relaying_owner : public proto::Peer::Service {
+ public:
+  proto::AnswerHead head;
+
+  grpc::Status Forward(
+      grpc::ServerContext* /*context*/,
+      grpc::ServerReaderWriter<proto::AnswerFrame, proto::AttemptFrame>* stream) override {
+    proto::AttemptFrame request;
+    stream->Read(&request);
+    proto::AnswerFrame frame;
+    *frame.mutable_id() = request.id();
+    frame.set_owner_incarnation(request.head().target_incarnation());
+    *frame.mutable_head() = head;
+    frame.set_body("secret");
+    frame.set_last(true);
+    stream->Write(frame);
+    return grpc::Status::OK;
+  }
+};
+
+// Guards against a response that no upstream can have made, relayed by an owner of a version
+// that does not check it: the bytes of a field would become another field or another response.
+TEST(Peer, ResponseHeadThatIsNoneIsNotRelayed) {
+  struct row {
+    int status;
+    std::string name;
+    std::string value;
+  };
+  for (const row& each :
+       {row{0, "X-A", "b"}, row{101, "X-A", "b"}, row{600, "X-A", "b"}, row{1000, "X-A", "b"},
+        row{200, "X A", "b"}, row{200, "X-A:", "b"}, row{200, "", "b"},
+        row{200, "X-A", "b\r\nX-B: c"}, row{200, "X-A\r\nX-B", "c"},
+        row{200, "X-A", std::string("b\0", 2)}}) {
+    relaying_owner owner;
+    owner.head.set_status(each.status);
+    proto::Header* const field = owner.head.add_headers();
+    field->set_name(each.name);
+    field->set_value(each.value);
+    const std::string address = test_daemon::Address(FreePort());
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+    builder.RegisterService(&owner);
+    const auto server = builder.BuildAndStart();
+    test_daemon entry(1);
+    entry.UsePeer(member_id{9}, address);
+    const std::string response = Post(entry, "body");
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 504")) << each.status << ": " << response;
+    EXPECT_EQ(response.find("secret"), std::string::npos) << response;
+  }
+}
+
 // An owner that admits an attempt and ends its stream while the body still arrives.
 class ending_owner : public proto::Peer::Service {
  public:
