--- a/bench/transport_bench.cc
+++ b/bench/transport_bench.cc
@@ -57,7 +57,8 @@
   }
   void UseOwner(const bench_daemon& owner) {
     owner_ = owner.id_;
-    RunOnLoop([&] { sockets_->peers().client().OpenPeer(owner_, owner.addresses_.peers, true); });
+    RunOnLoop(
+        [&] { sockets_->peers().client().OpenPeer(owner_, owner.addresses_.peers, true); });
     for (bool ready = false; !ready;) {
       RunOnLoop([&] { ready = sockets_->peers().IsReady(owner_, false); });
     }
@@ -107,8 +108,8 @@
   }
   void OnAttemptNotSent(exchange_id exchange, const attempt_id& attempt,
                         time_point /*now*/) override {
-    sockets_->callers().RespondWithError(exchange, attempt.call,
-                                         error_kind::kPeerUnreachable, 0);
+    sockets_->callers().RespondWithError(exchange, attempt.call, error_kind::kPeerUnreachable,
+                                         0);
   }
   void OnUpstreamConnectFailed(exchange_id exchange, const attempt_id& attempt,
                                time_point /*now*/) override {
--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "src/base/concat.h"
 #include "tests/transport/raw_socket.h"
 #include "tests/transport/raw_upstream.h"
 #include "tests/transport/test_daemon.h"
@@ -455,10 +456,10 @@
                               std::string_view::npos;
     const std::string each(1, static_cast<char>(byte));
     if (!is_token && byte != ':') {
-      lines.push_back("X" + each + "A: b");
-      lines.push_back("XA" + each + ": b");
+      lines.push_back(Concat("X", each, "A: b"));
+      lines.push_back(Concat("XA", each, ": b"));
     }
-    if (byte < ' ' && byte != '\t') lines.push_back("X-A: b" + each + "c");
+    if (byte < ' ' && byte != '\t') lines.push_back(Concat("X-A: b", each, "c"));
   }
   for (const std::string& line : lines) {
     heads.push_back("HTTP/1.1 200 OK\r\n" + line + "\r\n" + whole);
--- a/tests/transport/test_daemon.h
+++ b/tests/transport/test_daemon.h
@@ -181,8 +181,8 @@
   }
   void OnAttemptNotSent(exchange_id exchange, const attempt_id& attempt,
                         time_point /*now*/) override {
-    transport_->callers().RespondWithError(exchange, attempt.call,
-                                           error_kind::kPeerUnreachable, 0);
+    transport_->callers().RespondWithError(exchange, attempt.call, error_kind::kPeerUnreachable,
+                                           0);
     Record("attempt_not_sent");
   }
   void OnUpstreamConnectFailed(exchange_id exchange, const attempt_id& attempt,
