--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -462,8 +462,8 @@
     if (byte < ' ' && byte != '\t') lines.push_back(Concat("X-A: b", each, "c"));
   }
   for (const std::string& line : lines) {
-    heads.push_back("HTTP/1.1 200 OK\r\n" + line + "\r\n" + whole);
-    heads.push_back("HTTP/1.1 200 OK\r\n" + whole + line + "\r\n");
+    heads.push_back(Concat("HTTP/1.1 200 OK\r\n", line, "\r\n", whole));
+    heads.push_back(Concat("HTTP/1.1 200 OK\r\n", whole, line, "\r\n"));
   }
   for (const char* const framing :
        {"Content-Length: 5\r\nContent-Length: 2\r\n", "Content-Length: 5, 2\r\n",
