Keep checking channels after an exception in a tick of the peer client

Found in the second read: the timer was armed again after the tick only, so that one exception, for example of a handler of an attempt that was not sent, would have ended the reconnection of channels for the rest of the process. The daemon's own tick guards against the same.

--- a/src/transport/peer_client.cc
+++ b/src/transport/peer_client.cc
@@ -1,5 +1,6 @@
 #include "src/transport/peer_client.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/status/status.h>
 #include <grpcpp/channel.h>
 #include <grpcpp/create_channel.h>
@@ -107,8 +108,9 @@
     timer.expires_after(owner->waiting_.empty() ? kCheckPeriod : kWaitPeriod);
     timer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
       if (error || self->owner == nullptr) return;
+      // Also after an exception, since broken channels are found by the tick only.
+      const absl::Cleanup next = [&self] { self->Arm(); };
       self->owner->Tick(MonotonicNow());
-      self->Arm();
     });
   }
 
