Serve the owners of peer_test by one class, and begin their frames in one function

ResponseHeadThatIsNoneIsNotRelayed had repeated how FramesOfAnotherAttemptAreDropped starts its owner, and relaying_owner how the other two begin a frame; UploadGoesOnAfterTheOwnerEndedItsStream had the third copy. owner_server and FrameFor serve all three.

--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -318,6 +318,31 @@
   EXPECT_NE(Post(entry, "body").find("Bronzeroute-Execution: not-run"), std::string::npos);
 }
 
+// Serves an owner that a test defines, at a free address.
+class owner_server {
+ public:
+  explicit owner_server(proto::Peer::Service& owner)
+      : address_(test_daemon::Address(FreePort())) {
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(address_, grpc::InsecureServerCredentials());
+    builder.RegisterService(&owner);
+    server_ = builder.BuildAndStart();
+  }
+  const std::string& address() const { return address_; }
+
+ private:
+  std::string address_;
+  std::unique_ptr<grpc::Server> server_;
+};
+
+// A frame of the attempt that `request` begins, from the incarnation that it addresses.
+proto::AnswerFrame FrameFor(const proto::AttemptFrame& request) {
+  proto::AnswerFrame frame;
+  *frame.mutable_id() = request.id();
+  frame.set_owner_incarnation(request.head().target_incarnation());
+  return frame;
+}
+
 // An owner whose frames name another attempt or another incarnation.
 class mismatched_owner : public proto::Peer::Service {
  public:
@@ -328,11 +353,12 @@
       grpc::ServerReaderWriter<proto::AnswerFrame, proto::AttemptFrame>* stream) override {
     proto::AttemptFrame request;
     stream->Read(&request);
-    proto::AnswerFrame frame;
-    *frame.mutable_id() = request.id();
-    frame.set_owner_incarnation(request.head().target_incarnation() +
-                                (wrong_incarnation ? 1 : 0));
-    if (!wrong_incarnation) frame.mutable_id()->set_sequence(request.id().sequence() + 1);
+    proto::AnswerFrame frame = FrameFor(request);
+    if (wrong_incarnation) {
+      frame.set_owner_incarnation(frame.owner_incarnation() + 1);
+    } else {
+      frame.mutable_id()->set_sequence(request.id().sequence() + 1);
+    }
     frame.mutable_head()->set_status(200);
     frame.set_body("secret");
     frame.set_last(true);
@@ -347,13 +373,9 @@
   for (const bool wrong_incarnation : {false, true}) {
     mismatched_owner owner;
     owner.wrong_incarnation = wrong_incarnation;
-    const std::string address = test_daemon::Address(FreePort());
-    grpc::ServerBuilder builder;
-    builder.AddListeningPort(address, grpc::InsecureServerCredentials());
-    builder.RegisterService(&owner);
-    const auto server = builder.BuildAndStart();
+    const owner_server server(owner);
     test_daemon entry(1);
-    entry.UsePeer(member_id{9}, address);
+    entry.UsePeer(member_id{9}, server.address());
     const std::string response = Post(entry, "body");
     EXPECT_TRUE(response.starts_with("HTTP/1.1 504")) << response;
     EXPECT_EQ(response.find("secret"), std::string::npos) << response;
@@ -371,9 +393,7 @@
       grpc::ServerReaderWriter<proto::AnswerFrame, proto::AttemptFrame>* stream) override {
     proto::AttemptFrame request;
     stream->Read(&request);
-    proto::AnswerFrame frame;
-    *frame.mutable_id() = request.id();
-    frame.set_owner_incarnation(request.head().target_incarnation());
+    proto::AnswerFrame frame = FrameFor(request);
     *frame.mutable_head() = head;
     frame.set_body("secret");
     frame.set_last(true);
@@ -400,13 +420,9 @@
     proto::Header* const field = owner.head.add_headers();
     field->set_name(each.name);
     field->set_value(each.value);
-    const std::string address = test_daemon::Address(FreePort());
-    grpc::ServerBuilder builder;
-    builder.AddListeningPort(address, grpc::InsecureServerCredentials());
-    builder.RegisterService(&owner);
-    const auto server = builder.BuildAndStart();
+    const owner_server server(owner);
     test_daemon entry(1);
-    entry.UsePeer(member_id{9}, address);
+    entry.UsePeer(member_id{9}, server.address());
     const std::string response = Post(entry, "body");
     EXPECT_TRUE(response.starts_with("HTTP/1.1 504")) << each.status << ": " << response;
     EXPECT_EQ(response.find("secret"), std::string::npos) << response;
@@ -421,9 +437,7 @@
       grpc::ServerReaderWriter<proto::AnswerFrame, proto::AttemptFrame>* stream) override {
     proto::AttemptFrame request;
     stream->Read(&request);
-    proto::AnswerFrame frame;
-    *frame.mutable_id() = request.id();
-    frame.set_owner_incarnation(request.head().target_incarnation());
+    proto::AnswerFrame frame = FrameFor(request);
     frame.set_admitted(true);
     stream->Write(frame);
     stream->Read(&request);
@@ -436,14 +450,10 @@
 TEST(Peer, UploadGoesOnAfterTheOwnerEndedItsStream) {
   constexpr int kRounds = 40;
   ending_owner owner;
-  const std::string address = test_daemon::Address(FreePort());
-  grpc::ServerBuilder builder;
-  builder.AddListeningPort(address, grpc::InsecureServerCredentials());
-  builder.RegisterService(&owner);
-  const auto server = builder.BuildAndStart();
+  const owner_server server(owner);
   test_daemon entry(1);
   entry.is_long = true;
-  entry.UsePeer(member_id{9}, address);
+  entry.UsePeer(member_id{9}, server.address());
   const std::string piece = "800\r\n" + std::string(0x800, 'b') + "\r\n";
   for (int round = 0; round < kRounds; ++round) {
     const raw_socket caller = raw_socket::Connect(entry.callers_port());
