Keep the attempts that wait for a channel in one place

Each of them stood in a map of the client and in a list of its peer, and the two had to agree: a cancelled one stayed in the list, and two checks walked both. The map now holds the attempt itself, and one function sends or fails what is due. CloseUnused no longer asks for waiting attempts, since these have used the peer less than a second before. An attempt whose peer is closed is reported up to 5 ms later than before, by the same event.

--- a/src/transport/peer_client.cc
+++ b/src/transport/peer_client.cc
@@ -67,12 +67,6 @@
 
 }  // namespace
 
-struct peer_client::waiting_attempt {
-  std::shared_ptr<exchange> row;
-  attempt_head head;
-  time_point until;
-};
-
 struct peer_client::peer_channels {
   struct channel {
     explicit channel(const std::string& to) : connection(OpenChannel(to)) {
@@ -98,7 +92,13 @@
   time_point used_at;
   std::optional<channel> for_short;
   std::optional<channel> for_long;
-  std::vector<waiting_attempt> waiting;
+};
+
+struct peer_client::waiting_attempt {
+  std::shared_ptr<peer_channels> peer;
+  std::shared_ptr<exchange> row;
+  attempt_head head;
+  time_point until;
 };
 
 struct peer_client::tick_timer : std::enable_shared_from_this<peer_client::tick_timer> {
@@ -168,13 +168,7 @@
   if (keeps_open) OpenShort(*row);
 }
 
-void peer_client::ClosePeer(member_id peer) {
-  const auto found = peers_.find(peer);
-  if (found == peers_.end()) return;
-  const auto row = found->second;
-  peers_.erase(found);
-  FailWaiting(*row, time_point::max());
-}
+void peer_client::ClosePeer(member_id peer) { peers_.erase(peer); }
 
 void peer_client::OpenShort(peer_channels& peer) {
   if (!peer.for_short) {
@@ -184,31 +178,19 @@
   peer.for_short->connection->GetState(true);
 }
 
-bool peer_client::Check(peer_channels& peer) {
-  if (!peer.for_short) return false;
-  // gRPC connects an idle channel by itself only when a call is made.
-  const bool opens = peer.keeps_open || !peer.waiting.empty();
-  const grpc_connectivity_state state = peer.for_short->connection->GetState(opens);
-  const grpc_connectivity_state last = std::exchange(peer.state, state);
-  if (state == GRPC_CHANNEL_READY) {
-    SendWaiting(peer);
-  } else if (state == GRPC_CHANNEL_TRANSIENT_FAILURE) {
-    FailWaiting(peer, time_point::max());
-  }
-  return last == GRPC_CHANNEL_READY && state != GRPC_CHANNEL_READY;
-}
-
 void peer_client::CheckKept() {
   // Channels mostly break in groups, for example when a peer's network fails.
   const bool checks_all = std::exchange(any_broke_, false);
   ++check_round_;
-  std::vector<std::shared_ptr<peer_channels>> due;
   for (const auto& [id, peer] : peers_) {
     if (!peer->keeps_open) continue;
     const bool is_turn = (id.value + check_round_) % kCheckRounds == 0;
-    if (checks_all || is_turn || peer->state != GRPC_CHANNEL_READY) due.push_back(peer);
+    if (!checks_all && !is_turn && peer->state == GRPC_CHANNEL_READY) continue;
+    // gRPC connects an idle channel by itself only when a call is made.
+    const grpc_connectivity_state state = peer->for_short->connection->GetState(true);
+    const grpc_connectivity_state last = std::exchange(peer->state, state);
+    any_broke_ = any_broke_ || (last == GRPC_CHANNEL_READY && state != GRPC_CHANNEL_READY);
   }
-  for (const auto& peer : due) any_broke_ = Check(*peer) || any_broke_;
 }
 
 bool peer_client::IsReady(member_id peer, bool is_long) const {
@@ -263,30 +245,34 @@
 void peer_client::Wait(const std::shared_ptr<peer_channels>& peer,
                        const std::shared_ptr<exchange>& row, const attempt_head& head) {
   const time_point until = std::min(MonotonicNow() + kOpenTime, head.deadline);
-  waiting_.emplace(head.id, peer);
-  peer->waiting.push_back({.row = row, .head = head, .until = until});
+  waiting_.emplace(head.id, std::make_shared<waiting_attempt>(waiting_attempt{
+                                .peer = peer, .row = row, .head = head, .until = until}));
   OpenShort(*peer);
   if (waiting_.size() == 1) timer_->Arm();
 }
 
-void peer_client::SendWaiting(peer_channels& peer) {
-  for (const waiting_attempt& each : std::exchange(peer.waiting, {})) {
-    if (waiting_.erase(each.head.id) > 0) StartAttempt(peer, each.row, each.head);
-  }
-}
-
-void peer_client::FailWaiting(peer_channels& peer, time_point now) {
-  std::vector<waiting_attempt> late;
-  std::erase_if(peer.waiting, [&](const waiting_attempt& each) {
-    if (each.until > now) return false;
-    late.push_back(each);
-    return true;
-  });
-  for (const waiting_attempt& each : late) {
-    if (waiting_.erase(each.head.id) > 0) {
-      events_.OnAttemptNotSent(each.row->id, each.head.id, MonotonicNow());
+void peer_client::CheckWaiting(time_point now) {
+  std::vector<std::shared_ptr<waiting_attempt>> ready;
+  std::vector<std::shared_ptr<waiting_attempt>> failed;
+  for (const auto& [id, each] : waiting_) {
+    const auto found = peers_.find(each->head.target);
+    const bool is_closed = found == peers_.end() || found->second != each->peer;
+    const grpc_connectivity_state state = each->peer->for_short->connection->GetState(true);
+    if (!is_closed && state == GRPC_CHANNEL_READY) {
+      ready.push_back(each);
+    } else if (is_closed || state == GRPC_CHANNEL_TRANSIENT_FAILURE || each->until <= now) {
+      failed.push_back(each);
     }
   }
+  for (const auto& each : ready) {
+    waiting_.erase(each->head.id);
+    StartAttempt(*each->peer, each->row, each->head);
+  }
+  for (const auto& each : failed) {
+    // A handler of an event before may have cancelled this attempt.
+    if (waiting_.erase(each->head.id) == 0) continue;
+    events_.OnAttemptNotSent(each->row->id, each->head.id, now);
+  }
 }
 
 void peer_client::CancelAttempt(exchange_id /*exchange*/, const attempt_id& attempt) {
@@ -296,12 +282,7 @@
 }
 
 void peer_client::Tick(time_point now) {
-  std::vector<std::shared_ptr<peer_channels>> awaited;
-  for (const auto& [id, peer] : waiting_) awaited.push_back(peer);
-  for (const auto& peer : awaited) {
-    Check(*peer);
-    FailWaiting(*peer, now);
-  }
+  CheckWaiting(now);
   if (now >= next_check_) {
     next_check_ = now + kCheckPeriod;
     CheckKept();
@@ -314,9 +295,7 @@
 
 void peer_client::CloseUnused(time_point now) {
   for (const auto& [id, peer] : peers_) {
-    if (peer->keeps_open || !peer->waiting.empty() || peer->used_at + kUnusedTime > now) {
-      continue;
-    }
+    if (peer->keeps_open || peer->used_at + kUnusedTime > now) continue;
     peer->for_short.reset();
     peer->for_long.reset();
   }
--- a/src/transport/peer_client.h
+++ b/src/transport/peer_client.h
@@ -67,8 +67,6 @@
 
   void Tick(time_point now);
   static void OpenShort(peer_channels& peer);
-  /// Handles a change of the channel's state; true if the channel broke.
-  bool Check(peer_channels& peer);
   /// Checks some of the channels that are kept open in turn, or all of them after one broke.
   void CheckKept();
   void StartAttempt(peer_channels& peer, const std::shared_ptr<exchange>& row,
@@ -77,10 +75,9 @@
   static bool MayWait(const peer_channels& peer, const attempt_head& head);
   void Wait(const std::shared_ptr<peer_channels>& peer, const std::shared_ptr<exchange>& row,
             const attempt_head& head);
-  void SendWaiting(peer_channels& peer);
-  /// Reports the attempts that wait for `peer` as not sent, but for those whose limit is after
-  /// `now`.
-  void FailWaiting(peer_channels& peer, time_point now);
+  /// Sends the attempts whose channel is open, and reports those as not sent whose channel
+  /// failed or is late.
+  void CheckWaiting(time_point now);
   void CloseUnused(time_point now);
   void ReportDrained();
 
@@ -90,8 +87,8 @@
   std::shared_ptr<tick_timer> timer_;
   absl::flat_hash_map<member_id, std::shared_ptr<peer_channels>> peers_;
   absl::flat_hash_map<attempt_id, std::shared_ptr<attempt_stream>> attempts_;
-  /// Attempts that wait for a channel, and the peer of each.
-  absl::flat_hash_map<attempt_id, std::shared_ptr<peer_channels>> waiting_;
+  /// Attempts that wait until the channel to their target is open.
+  absl::flat_hash_map<attempt_id, std::shared_ptr<waiting_attempt>> waiting_;
   time_point next_check_;
   /// Counts the rounds of `CheckKept`.
   std::uint64_t check_round_ = 0;
