Read accounts, regions, cold limits and evacuations

The platform's documents name client accounts with keys and caps, regions of routes and accounts, and rates of cold upstreams, and the operator's topic holds evacuations of zones; none of it was read. The reader takes them into the document, refuses a document whose accounts share a key or a name, and treats invalid regions as none and an invalid cold rate as 1 per second, with a report. Errors no longer quote the text of a malformed document, since it may hold keys. Evacuations come as a log stream of their own; an empty complete set is delivered only after one that was not empty, so deployments without evacuations get the same events as before. Identifiers of account and regions travel from the route to the choice and to the owner; nothing decides by them yet.

--- a/src/base/error_kind.cc
+++ b/src/base/error_kind.cc
@@ -84,6 +84,14 @@
      "The upstream is currently slow; another upstream may be faster.", kBusyRetryDelay},
     {kStopping, "stopping", 503, kNotRun, false,
      "This daemon is stopping and takes no further requests.", kRestartRetryDelay},
+    {kUnknownCredential, "unknown_credential", 401, kNotRun, false,
+     "No account of the configuration in force holds the key of the request."},
+    {kUsageCapReached, "usage_cap_reached", 429, kNotRun, false,
+     "The account has used up its rate of requests.", kBusyRetryDelay},
+    {kOutsideRegions, "outside_regions", 503, kNotRun, true,
+     "No upstream in the regions allowed for the request can take it.", kBusyRetryDelay},
+    {kEvacuated, "evacuated", 503, kNotRun, true,
+     "The availability zone of the upstream is evacuated.", kBusyRetryDelay},
 });
 
 }  // namespace
--- a/src/base/error_kind.h
+++ b/src/base/error_kind.h
@@ -45,6 +45,10 @@
   kUnknownRoute = 32,
   kUpstreamSlow = 33,
   kStopping = 34,
+  kUnknownCredential = 35,
+  kUsageCapReached = 36,
+  kOutsideRegions = 37,
+  kEvacuated = 38,
 };
 
 /// The response that a caller receives for `kind`.
--- a/src/calls/attempt_head.h
+++ b/src/calls/attempt_head.h
@@ -36,6 +36,10 @@
   std::uint64_t route_id = 0;
   /// Priority of the request, 0 for the highest.
   std::uint32_t priority = 0;
+  /// Name of the caller's account; empty if it has none.
+  std::string account{};
+  /// Priority of the account, compared before `priority`; 0 without an account.
+  std::uint32_t account_priority = 0;
   /// Additional cost of an attempt at the next best owner, transfer of the body included;
   /// nothing if there is no other owner. The owner may refuse while the slowness of its
   /// upstream costs more than that.
--- a/src/calls/call_record.h
+++ b/src/calls/call_record.h
@@ -31,6 +31,8 @@
   /// Request id set by the caller, empty if the deployment has none.
   std::string request_id{};
   std::string service;
+  /// Name of the caller's account; empty if it has none.
+  std::string account{};
   std::string path;
   bool is_protected = false;
   bool is_long = false;
--- a/src/calls/caller_request.h
+++ b/src/calls/caller_request.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "src/base/credential_digest.h"
 #include "src/base/strong_id.h"
 #include "src/base/time.h"
 
@@ -20,6 +21,8 @@
   std::string host{};
   /// Request id set by the caller, empty if the deployment has none.
   std::string request_id{};
+  /// Digest of the key of the caller's account; nothing if the request has none.
+  std::optional<credential_digest> credential{};
   /// Idempotency key of the caller, empty if there is none.
   std::string key;
   /// Number of the caller's try with `key`, from 1.
--- a/src/calls/entry_system.h
+++ b/src/calls/entry_system.h
@@ -24,6 +24,7 @@
 #include "src/calls/retry_budget.h"
 #include "src/calls/self_identity.h"
 #include "src/calls/target_reason.h"
+#include "src/configuration/region_limit.h"
 
 namespace bronzeroute {
 
@@ -99,6 +100,8 @@
     std::uint32_t attempts_admitted = 0;
     std::uint32_t max_admitted = kMaxAttempts;
     std::uint32_t priority = 0;
+    std::uint32_t account_priority = 0;
+    region_limit regions;
     std::uint64_t route_id = 0;
     time_point objective;
     std::vector<member_id> excluded;
--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -97,6 +97,7 @@
   const route_decision route = routes_.Find(request);
   row.record.service = route.service;
   row.record.config_version = route.config_version;
+  row.record.account = route.account;
   if (route.error != error_kind::kNone) return route.error;
   // A request with a key may run at most once, whatever the configuration of the route is.
   row.record.is_protected = route.is_protected || !request.key.empty();
@@ -104,6 +105,8 @@
       route.is_long || (request.content_length ? *request.content_length > internal::kLongBody
                                                : !route.is_marked_short);
   row.priority = route.priority;
+  row.account_priority = route.account_priority;
+  row.regions = route.regions;
   row.route_id = route.route_id;
   row.max_admitted = route.max_attempts == 0 ? kMaxAttempts : route.max_attempts;
   row.record.deadline =
@@ -142,7 +145,8 @@
   const choice_request request{.is_protected = row.record.is_protected,
                                .is_long = row.record.is_long,
                                .content_length = row.content_length,
-                               .deadline = row.record.deadline};
+                               .deadline = row.record.deadline,
+                               .regions = row.regions};
   const auto chosen = chooser_.Choose(service, request, row.excluded, now);
   choice_summary choice;
   std::optional<duration> other_cost;
@@ -195,6 +199,8 @@
                             .objective = row.objective,
                             .route_id = row.route_id,
                             .priority = row.priority,
+                            .account = row.record.account,
+                            .account_priority = row.account_priority,
                             .other_cost = may_decline ? chosen.other_cost : std::nullopt,
                             .request_id = row.record.request_id,
                             .config_version = row.record.config_version};
--- a/src/calls/route_decision.h
+++ b/src/calls/route_decision.h
@@ -5,12 +5,13 @@
 
 #include "src/base/error_kind.h"
 #include "src/base/time.h"
+#include "src/configuration/region_limit.h"
 
 namespace bronzeroute {
 
 /// Route and settings of a request according to the configuration in effect.
 struct route_decision {
-  /// kNone, kNotReady, kUnknownService or kUnknownRoute.
+  /// kNone, kNotReady, kUnknownService, kUnknownRoute or kUnknownCredential.
   error_kind error = error_kind::kNone;
   /// The service that receives the request; empty after kNotReady and kUnknownRoute.
   std::string service{};
@@ -29,6 +30,12 @@
   std::uint64_t route_id = 0;
   /// Priority of the request, 0 for the highest.
   std::uint32_t priority = 0;
+  /// Name of the caller's account; empty if it has none.
+  std::string account{};
+  /// Priority of the account, compared before `priority`; 0 without an account.
+  std::uint32_t account_priority = 0;
+  /// Regions in which the request may run: what both the route and the account allow.
+  region_limit regions{};
   std::int64_t config_version = -1;
 };
 
--- a/src/configuration/document.cc
+++ b/src/configuration/document.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -28,4 +29,29 @@
   return position ? &host_routes[*position] : nullptr;
 }
 
+const account_spec* document::FindAccount(const credential_digest& credential) const {
+  const auto found = by_credential_.find(credential);
+  return found == by_credential_.end() ? nullptr : &accounts[found->second];
+}
+
+const account_spec* document::FindAccountByName(std::string_view account_name) const {
+  const auto found = by_name_.find(std::string(account_name));
+  return found == by_name_.end() ? nullptr : &accounts[found->second];
+}
+
+bool document::IndexAccounts() {
+  absl::flat_hash_map<credential_digest, std::size_t> by_credential;
+  absl::flat_hash_map<std::string, std::size_t> by_name;
+  for (std::size_t i = 0; i < accounts.size(); ++i) {
+    if (!by_name.emplace(accounts[i].name, i).second) return false;
+    for (const credential_digest& credential : accounts[i].credentials) {
+      const auto [holder, is_new] = by_credential.emplace(credential, i);
+      if (!is_new && holder->second != i) return false;
+    }
+  }
+  by_credential_ = std::move(by_credential);
+  by_name_ = std::move(by_name);
+  return true;
+}
+
 }  // namespace bronzeroute
--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -1,10 +1,14 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
+#include "src/base/credential_digest.h"
+#include "src/configuration/account_spec.h"
 #include "src/configuration/caller_limits.h"
 #include "src/configuration/host_route.h"
 #include "src/configuration/route_index.h"
@@ -22,6 +26,8 @@
   std::vector<service_spec> services;
   /// Routes by host and path. If there are none, the first segment of a path names its service.
   std::vector<host_route> host_routes;
+  /// Client accounts. If there are none, requests need no key and belong to no account.
+  std::vector<account_spec> accounts;
   caller_limits limits;
   /// Version that the document contains; -1 if it contains none. Its offset in the log is then
   /// its version.
@@ -34,9 +40,19 @@
   /// Computes the route ids and builds the index for `FindHostRoute`. Must be called after the
   /// last change of `host_routes`.
   void IndexRoutes();
+  /// The account that holds the key with this digest, or null. Requires `IndexAccounts`.
+  const account_spec* FindAccount(const credential_digest& credential) const;
+  /// The account named `account_name`, or null. Requires `IndexAccounts`.
+  const account_spec* FindAccountByName(std::string_view account_name) const;
+  /// Must be called after the last change of `accounts`. Returns false, and leaves the index as
+  /// it is, if two accounts share a name or a key.
+  bool IndexAccounts();
 
  private:
   route_index index_;
+  /// Positions in `accounts`.
+  absl::flat_hash_map<credential_digest, std::size_t> by_credential_;
+  absl::flat_hash_map<std::string, std::size_t> by_name_;
 };
 
 }  // namespace bronzeroute
--- a/src/configuration/host_route.h
+++ b/src/configuration/host_route.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "src/base/time.h"
+#include "src/configuration/region_limit.h"
 #include "src/configuration/route_target.h"
 
 namespace bronzeroute {
@@ -33,6 +34,10 @@
   std::uint64_t id = 0;
   /// Rank among the routes, 0 for the most important.
   std::uint32_t priority = 0;
+  /// Regions in which the requests may run. A limit of the account binds as well.
+  region_limit regions;
+  /// Requests need no account, even if the document has accounts.
+  bool needs_no_account = false;
 };
 
 }  // namespace bronzeroute
--- a/src/configuration/service_spec.h
+++ b/src/configuration/service_spec.h
@@ -28,6 +28,11 @@
   double long_share = 0;
   /// Time over which the slots of a newly started upstream grow from one to all.
   duration warmup{};
+  /// Requests per second that one upstream takes while it is cold, over all daemons together;
+  /// 0 if cold upstreams have no such limit.
+  double cold_rate_per_s = 0;
+  /// Time for which an upstream is cold after its start.
+  duration cold_time{};
   /// Regions in which the service may run; empty means all.
   std::vector<std::string> regions;
   /// Share of requests that must be served within `objective_latency`.
--- a/src/node/route_directory_adapter.cc
+++ b/src/node/route_directory_adapter.cc
@@ -66,6 +66,7 @@
     decision.max_attempts = route->max_attempts;
     decision.priority = route->priority;
     decision.route_id = route->id;
+    decision.regions = route->regions;
     return decision;
   }
   decision.service = ServiceOfPath(request.path);
--- a/src/routing/choice_request.h
+++ b/src/routing/choice_request.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "src/base/time.h"
+#include "src/configuration/region_limit.h"
 
 namespace bronzeroute {
 
@@ -16,6 +17,8 @@
   /// Expected bytes of the response, or nothing if they cannot be predicted.
   std::optional<std::uint64_t> response_bytes{};
   time_point deadline;
+  /// Regions in which the request may run, in addition to those of the service.
+  region_limit regions{};
 };
 
 }  // namespace bronzeroute
--- a/src/transport/http_dialect.h
+++ b/src/transport/http_dialect.h
@@ -15,6 +15,12 @@
   /// Request to an upstream: the calling service, which is the one beside the daemon that took
   /// the request.
   std::string caller_service;
+  /// Request: the key of the caller's account. Not passed on while the configuration has
+  /// accounts.
+  std::string credential;
+  /// Request to an upstream: the name of the caller's account, set by the daemon whatever the
+  /// caller sent while the configuration has accounts.
+  std::string account;
   /// Request to an upstream: the identity that the upstream must have to run the request.
   std::string expected_upstream;
   /// Response of an upstream: present if it did not run the request.
--- a/src/transport/peer_codec.cc
+++ b/src/transport/peer_codec.cc
@@ -89,6 +89,8 @@
     to.set_other_cost_us(static_cast<std::uint64_t>(head.other_cost->count()));
   }
   to.set_config_version(head.config_version);
+  to.set_account(head.account);
+  to.set_account_priority(head.account_priority);
   WriteHeaders(row.headers, to);
 }
 
@@ -118,6 +120,8 @@
     head.other_cost = duration(std::min(from.other_cost_us(), kMaxRemainingUs));
   }
   head.config_version = from.config_version();
+  head.account = from.account();
+  head.account_priority = from.account_priority();
   row.method = head.method;
   row.path = head.path;
   row.headers = ReadHeaders(from);
--- a/tests/platform/read_configuration_test.cc
+++ b/tests/platform/read_configuration_test.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <string>
 
+#include "src/base/credential_digest.h"
 #include "src/configuration/document.h"
 #include "src/configuration/document_error.h"
 
@@ -134,6 +135,102 @@
   EXPECT_EQ(deep.errors[0].key, "listeners[0].routeRules[0].priority");
 }
 
+// The example with accounts, home regions and cold limits.
+std::string ExampleWithAccounts() {
+  std::string text =
+      Changed("\"baseVersion\"",
+              R"("tenants":[{"name":"pulo780","apiKeys":["first-key","second-key"],"priority":1,
+    "ratePerS":235.5,"burst":20,"allowedRegions":["north"]},{"name":"kesu12",
+    "apiKeys":["third-key"],"allowedRegions":[]}],"baseVersion")");
+  const auto replace = [&text](const std::string& from, const std::string& to) {
+    const std::size_t at = text.find(from);
+    ASSERT_NE(at, std::string::npos) << from;
+    text.replace(at, from.size(), to);
+  };
+  replace("\"attempts\":1", "\"attempts\":1,\"allowedRegions\":[\"north\",\"south\"]");
+  replace("\"routeType\":\"upload\"", "\"routeType\":\"upload\",\"authExempt\":true");
+  replace("\"tls\":false", "\"tls\":false,\"coldStartS\":3.0,\"coldPerS\":7.5");
+  return text;
+}
+
+std::string ReplacedIn(std::string text, const std::string& from, const std::string& to) {
+  const std::size_t at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return text.replace(at, from.size(), to);
+}
+
+// Guards against a field of an account, a home region or a cold limit that is lost.
+TEST(ReadConfiguration, ReadsAccountsRegionsAndColdLimits) {
+  const parse_result result = ReadConfiguration(ExampleWithAccounts());
+  ASSERT_TRUE(result.value);
+  EXPECT_TRUE(result.unknown.empty());
+  const document& read = *result.value;
+  const account_spec* const account = read.FindAccount(DigestCredential("second-key"));
+  ASSERT_NE(account, nullptr);
+  EXPECT_EQ(account->name, "pulo780");
+  EXPECT_EQ(account->priority, 1U);
+  EXPECT_EQ(account->rate_per_s, 235.5);
+  EXPECT_EQ(account->burst, 20);
+  EXPECT_TRUE(account->regions.Allows("north"));
+  EXPECT_FALSE(account->regions.Allows("south"));
+  const account_spec* const other = read.FindAccountByName("kesu12");
+  ASSERT_NE(other, nullptr);
+  EXPECT_FALSE(other->is_capped());
+  EXPECT_FALSE(other->regions.is_limited());
+  EXPECT_EQ(read.FindAccount(DigestCredential("fourth-key")), nullptr);
+  const host_route* const upload = read.FindHostRoute("hulo84.example", "/xapu221/ny95/x");
+  ASSERT_NE(upload, nullptr);
+  EXPECT_TRUE(upload->needs_no_account);
+  EXPECT_TRUE(upload->regions.Allows("south"));
+  EXPECT_FALSE(upload->regions.Allows("west"));
+  EXPECT_FALSE(read.FindHostRoute("jepu9.example", "/lepu270/")->needs_no_account);
+  EXPECT_EQ(read.FindService("huvo11a")->cold_rate_per_s, 7.5);
+  EXPECT_EQ(read.FindService("huvo11a")->cold_time, std::chrono::seconds(3));
+  EXPECT_EQ(read.FindService("wuno96b")->cold_rate_per_s, 0);
+}
+
+// Guards against a key that two accounts hold, so that requests run for the wrong one, and
+// against keys in log lines, which quote the errors of a document.
+TEST(ReadConfiguration, RefusesSharedKeysWithoutQuotingThem) {
+  const std::string text = ExampleWithAccounts();
+  for (const std::string& changed :
+       {ReplacedIn(text, "third-key", "first-key"), ReplacedIn(text, "kesu12", "pulo780"),
+        ReplacedIn(text, "\"third-key\"", "\"\""), ReplacedIn(text, "\"third-key\"", "[5]"),
+        ReplacedIn(text, "kesu12", "two words"), ReplacedIn(text, "235.5", "-1"),
+        text.substr(0, text.find("second-key") + 4)}) {
+    const parse_result result = ReadConfiguration(changed);
+    EXPECT_FALSE(result.value) << changed;
+    ASSERT_EQ(result.errors.size(), 1U) << changed;
+    EXPECT_EQ(DescribeError(result.errors[0]).find("-key\""), std::string::npos);
+    EXPECT_EQ(DescribeError(result.errors[0]).find("seco"), std::string::npos);
+  }
+  const parse_result shared = ReadConfiguration(ReplacedIn(text, "third-key", "first-key"));
+  ASSERT_EQ(shared.errors.size(), 1U);
+  EXPECT_EQ(DescribeError(shared.errors[0]),
+            "configuration: tenants[1].apiKeys[0]: found a key that tenants[0] also holds; "
+            "allowed: a key of one account only");
+}
+
+// Guards against an error that lets work leave its regions, and against one that makes the rest
+// of the document useless.
+TEST(ReadConfiguration, InvalidRegionsAllowNoneAndAreReported) {
+  for (const char* invalid : {"\"north\"", "[5]", "[\"\"]", "{}"}) {
+    const parse_result result =
+        ReadConfiguration(ReplacedIn(ExampleWithAccounts(), "[\"north\",\"south\"]", invalid));
+    ASSERT_TRUE(result.value) << invalid;
+    EXPECT_EQ(result.unknown.size(), 1U) << invalid;
+    const host_route* const upload =
+        result.value->FindHostRoute("hulo84.example", "/xapu221/ny95/");
+    ASSERT_NE(upload, nullptr);
+    EXPECT_TRUE(upload->regions.is_limited());
+    EXPECT_FALSE(upload->regions.Allows("north"));
+  }
+  const parse_result cold = ReadConfiguration(ReplacedIn(ExampleWithAccounts(), "7.5", "-7.5"));
+  ASSERT_TRUE(cold.value);
+  EXPECT_EQ(cold.unknown.size(), 1U);
+  EXPECT_EQ(cold.value->FindService("huvo11a")->cold_rate_per_s, 1);
+}
+
 TEST(ReadConfiguration, UnknownMembersAreIgnored) {
   EXPECT_TRUE(ReadConfiguration(Changed("\"priority\":2", "\"priority\":2,\"new\":{}")).value);
 }
--- a/tests/platform/store_log_port_test.cc
+++ b/tests/platform/store_log_port_test.cc
@@ -81,6 +81,39 @@
   EXPECT_EQ(store_.calls, 2);
 }
 
+// Guards against an evacuation that is not reported, against an end that is missed because it
+// came in a deleted history, and against evacuations in the stream of documents.
+TEST_F(StoreLogPortTest, DeliversEvacuationsInAStreamOfTheirOwn) {
+  RunOnLoop([&] {
+    store_.Put("keyed.op", "evacuate/zone-a", "{}");
+    store_.Put("keyed.op", "config", "document");
+  });
+  Read(kConfiguration);
+  Await([&] { return reads_.size() == 2; });
+  EXPECT_EQ(reads_[0].stream, "evacuations.production");
+  EXPECT_TRUE(reads_[0].is_newest_of_each);
+  ASSERT_EQ(reads_[0].records.size(), 1U);
+  EXPECT_EQ(reads_[0].records[0].key, "zone-a");
+  EXPECT_FALSE(reads_[0].records[0].is_removal);
+  EXPECT_EQ(reads_[1].stream, kConfiguration);
+  ASSERT_EQ(reads_[1].records.size(), 1U);
+  Read(kConfiguration);
+  RunOnLoop([&] { store_.Put("keyed.op", "evacuate/zone-b", "{}"); });
+  Await([&] { return reads_.size() == 4; });
+  ASSERT_EQ(reads_[2].records.size(), 1U);
+  EXPECT_EQ(reads_[2].records[0].key, "zone-b");
+  EXPECT_TRUE(reads_[3].records.empty());
+  RunOnLoop([&] {
+    store_.Put("keyed.op", "evacuate/zone-b", "");
+    store_.Put("keyed.op", "evacuate/zone-a", "");
+  });
+  Read(kConfiguration);
+  Await([&] { return reads_.size() == 6; });
+  ASSERT_EQ(reads_[4].records.size(), 2U);
+  EXPECT_TRUE(reads_[4].records[0].is_removal);
+  EXPECT_EQ(reads_[4].records[1].key, "zone-a");
+}
+
 // Guards against ignoring records after the first page.
 TEST_F(StoreLogPortTest, ReadsAllPagesOfNewestRecords) {
   RunOnLoop([&] {
