Judge regions, evacuations, cold upstreams, accounts and caps in brstandin_platform

The stand-in had no accounts, home regions, evacuations or cold upstreams, so nothing showed their rules on real daemons.

--- a/standins/platform/configuration_author.cc
+++ b/standins/platform/configuration_author.cc
@@ -12,6 +12,8 @@
 constexpr int kFullWeight = 100;
 constexpr std::size_t kMaxAdded = 6;
 
+double Seconds(milliseconds time) { return std::chrono::duration<double>(time).count(); }
+
 }  // namespace
 
 const authored_route* authored_version::Find(std::string_view host,
@@ -178,13 +180,25 @@
                                     {"healthPath", "/healthz"},
                                     {"maxConnections", service.connections},
                                     {"protocol", "h1"},
-                                    {"tls", false}});
+                                    {"tls", false},
+                                    {"coldStartS", Seconds(service.cold_time)},
+                                    {"coldPerS", service.cold_per_second}});
+  }
+  for (const account_shape& account : accounts_) {
+    document["tenants"].push_back({{"name", account.name},
+                                   {"apiKeys", {account.key}},
+                                   {"priority", 1},
+                                   {"ratePerS", account.per_second},
+                                   {"burst", account.burst},
+                                   {"allowedRegions", json::array()}});
   }
   std::map<std::string, json> rules;
   int number = 0;
   for (const auto& [place, route] : version.routes) {
     const class_shape& described = *site_.FindClass(route.request_class);
-    json action = {{"timeoutMs", route.limit.count()}, {"attempts", 2}};
+    json action = {{"timeoutMs", route.limit.count()},
+                   {"attempts", 2},
+                   {"allowedRegions", described.homes}};
     if (route.targets.size() == 1) {
       action["service"] = route.targets.front().first;
     } else {
@@ -198,6 +212,7 @@
                     {"routeType", described.kind},
                     {"targetLatencyMs", described.objective.count()},
                     {"priority", described.priority},
+                    {"authExempt", described.is_nested},
                     {"match", {{"pathPrefix", place.prefix}}},
                     {"action", std::move(action)}});
   }
--- a/standins/platform/configuration_author.h
+++ b/standins/platform/configuration_author.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "standins/platform/account_oracle.h"
 #include "standins/platform/site_shape.h"
 
 namespace bronzeroute::standin {
@@ -47,6 +48,9 @@
  public:
   configuration_author(const site_shape& site, std::uint64_t seed);
 
+  /// Client accounts of each document from now on.
+  void SetAccounts(std::vector<account_shape> accounts) { accounts_ = std::move(accounts); }
+
   /// Name on the wire of a service of the site.
   const std::string& ServiceName(std::string_view name) const;
   /// Place of the first route of a class.
@@ -83,6 +87,7 @@
   std::vector<route_place> added_;
   std::optional<authored_version> last_;
   std::int64_t base_ = 0;
+  std::vector<account_shape> accounts_;
   std::string last_change_;
 };
 
--- a/standins/platform/platform_run.cc
+++ b/standins/platform/platform_run.cc
@@ -32,6 +32,10 @@
 constexpr milliseconds kCallersLeaveAfter{2'000};
 // Time in which a daemon that was started again is ready.
 constexpr milliseconds kStartTime{1'500};
+// Cap of an account as a multiple of its usual demand.
+constexpr double kCapOverDemand = 1.6;
+// Time before the end of an evacuation at which the upstreams of the zone become cold.
+constexpr milliseconds kColdBeforeEnd{200};
 constexpr std::size_t kMaxShown = 20;
 const std::string kStoreIp = "127.40.0.1";
 const std::string kOperatorTopic = "keyed.op";
@@ -90,7 +94,11 @@
       author_(site, options.seed),
       oracle_(site.bounds),
       upstream_oracle_(site.bounds),
+      placement_oracle_(site.bounds),
+      accounts_(MakeAccounts()),
+      account_oracle_(accounts_),
       store_(options.retention) {
+  author_.SetAccounts(accounts_);
   PlaceMachines();
 }
 
@@ -103,6 +111,40 @@
   store_.Stop();
 }
 
+std::vector<account_shape> platform_run::MakeAccounts() {
+  double requests = 0;
+  for (const traffic_shape& from : site_.traffic) requests += from.per_second * options_.load;
+  // Sizes fall like 1/rank; the caps leave room above the usual demand.
+  double sum = 0;
+  for (int rank = 1; rank <= options_.accounts; ++rank) sum += 1.0 / rank;
+  std::vector<account_shape> accounts;
+  for (int rank = 1; rank <= options_.accounts; ++rank) {
+    const double cap = kCapOverDemand * requests / rank / sum;
+    accounts.push_back({.name = Concat("account-", rank),
+                        .key = absl::StrFormat("key-%016x", upstream_random_()),
+                        .per_second = cap,
+                        .burst = cap});
+  }
+  return accounts;
+}
+
+const account_shape* platform_run::PickAccount() {
+  if (accounts_.empty()) return nullptr;
+  // The first account is the hot one: its share of all requests is that of its own demand.
+  double total = 0;
+  const auto weight = [this](const account_shape& account) {
+    const bool is_hot = &account == &accounts_.front() && options_.hot_account > 1;
+    return account.per_second * (is_hot ? options_.hot_account * kCapOverDemand : 1);
+  };
+  for (const account_shape& each : accounts_) total += weight(each);
+  double rest = std::uniform_real_distribution<double>(0, total)(random_);
+  for (const account_shape& each : accounts_) {
+    rest -= weight(each);
+    if (rest <= 0) return &each;
+  }
+  return &accounts_.back();
+}
+
 void platform_run::PlaceMachines() {
   int zone_number = 0;
   for (const zone_shape& zone : site_.zones) {
@@ -325,6 +367,38 @@
   }
 }
 
+void platform_run::ScheduleEvacuations() {
+  for (int i = 0; i < options_.evacuations; ++i) {
+    const auto length = options_.length / (options_.evacuations + 1);
+    RunAfter(length * i + length / 4, [this, length] {
+      if (is_ended_) return;
+      std::uniform_int_distribution<std::size_t> pick(0, site_.zones.size() - 1);
+      const std::string zone = site_.zones[pick(upstream_random_)].name;
+      store_.Put(kOperatorTopic, Concat("evacuate/", zone), "{}");
+      placement_oracle_.OnEvacuated(zone, clock::now());
+      std::cout << absl::StrFormat("%s is evacuated at %.3f\n", zone, SecondsOfDay())
+                << std::flush;
+      RunAfter(length * 3 / 4 - kColdBeforeEnd, [this, zone] { EndEvacuation(zone); });
+    });
+  }
+}
+
+void platform_run::EndEvacuation(const std::string& zone) {
+  if (is_ended_) return;
+  for (const auto& upstream : upstreams_) {
+    if (upstream->place().zone != zone) continue;
+    const service_shape& service = *site_.FindService(upstream->place().service);
+    upstream->BecomeCold(clock::now() + service.cold_time);
+  }
+  RunAfter(kColdBeforeEnd, [this, zone] {
+    if (is_ended_) return;
+    placement_oracle_.OnEvacuationEnded(zone);
+    store_.Put(kOperatorTopic, Concat("evacuate/", zone), "");
+    std::cout << absl::StrFormat("%s is taken back at %.3f\n", zone, SecondsOfDay())
+              << std::flush;
+  });
+}
+
 void platform_run::SendRequest(const traffic_shape& from, const class_shape& described) {
   const auto& machines = by_zone_[from.zone];
   std::uniform_int_distribution<std::size_t> pick(0, machines.size() - 1);
@@ -343,6 +417,8 @@
   request.headers = {{"Host", place.host},
                      {"Attempt-Id", id},
                      {"Deadline-Ms", std::to_string(described.deadline.count())}};
+  const account_shape* const account = PickAccount();
+  if (account != nullptr) request.headers.emplace_back("X-Api-Key", account->key);
   if (described.method != "GET") {
     request.body = std::string(static_cast<std::size_t>(described.request_bytes), 'b');
     request.is_chunked = random_() % 2 == 0;
@@ -351,9 +427,11 @@
   request.patience = described.deadline + std::chrono::seconds(1);
   const bool is_protected = described.kind == "unsafe" || described.kind == "upload";
   oracle_.OnRequest(id, entry.name, place.host, request.target, is_protected, clock::now());
+  if (account != nullptr) account_oracle_.OnRequest(id, account->key, clock::now());
   client_.Send(Address(entry.ip, kOutboundPort), std::move(request),
                [this, id, machine = entry.name](const client_response& response) {
                  oracle_.OnResponse(id, response.status, clock::now());
+                 account_oracle_.OnResponse(id, response.status);
                  PassOn(response.headers, machine, upstream_oracle_);
                });
 }
@@ -390,8 +468,13 @@
   require(store_.Start(Address(kStoreIp, kStorePort)));
   std::uint64_t seed = options_.seed;
   for (const machine_place& place : places_) {
-    upstreams_.push_back(std::make_unique<platform_upstream>(
-        site_, author_, place, client_, oracle_, upstream_oracle_, ++seed));
+    upstreams_.push_back(
+        std::make_unique<platform_upstream>(site_, author_, place, client_,
+                                            run_oracles{.configuration = oracle_,
+                                                        .upstreams = upstream_oracle_,
+                                                        .placement = placement_oracle_,
+                                                        .accounts = account_oracle_},
+                                            ++seed));
     require(upstreams_.back()->Start());
   }
   RunOnLoop([this] {
@@ -428,6 +511,7 @@
     ScheduleRestart();
     ScheduleLimits();
     ScheduleLeaving();
+    ScheduleEvacuations();
   });
   while (clock::now() < end && !stop) std::this_thread::sleep_for(kPoll);
   RunOnLoop([this] { sends_requests_ = false; });
@@ -479,9 +563,18 @@
                                oracle_.excused());
   std::cout << absl::StrFormat("arrivals counted against limits: %d\n",
                                upstream_oracle_.limited_arrivals());
+  std::cout << absl::StrFormat("arrivals of requests with regions: %d; at cold upstreams: %d\n",
+                               placement_oracle_.limited_arrivals(),
+                               placement_oracle_.cold_arrivals());
+  for (const auto& [account, counts] : account_oracle_.counts()) {
+    std::cout << absl::StrFormat("%s: sent %d, ran %d, over its cap %d\n", account, counts.sent,
+                                 counts.ran, counts.over_cap);
+  }
   std::map<std::string, std::size_t> by_rule;
   std::vector<rule_break> breaks = oracle_.breaks();
   std::ranges::copy(upstream_oracle_.breaks(), std::back_inserter(breaks));
+  std::ranges::copy(placement_oracle_.breaks(), std::back_inserter(breaks));
+  std::ranges::copy(account_oracle_.breaks(), std::back_inserter(breaks));
   for (const rule_break& each : breaks) {
     if (++by_rule[each.rule] <= kMaxShown) std::cout << each.rule << ": " << each.text << "\n";
   }
--- a/standins/platform/platform_run.h
+++ b/standins/platform/platform_run.h
@@ -11,10 +11,12 @@
 #include <string>
 #include <vector>
 
+#include "standins/platform/account_oracle.h"
 #include "standins/platform/caller_client.h"
 #include "standins/platform/configuration_author.h"
 #include "standins/platform/configuration_oracle.h"
 #include "standins/platform/daemon_process.h"
+#include "standins/platform/placement_oracle.h"
 #include "standins/platform/platform_store.h"
 #include "standins/platform/platform_upstream.h"
 #include "standins/platform/run_options.h"
@@ -52,6 +54,11 @@
   /// Lets some upstreams name a limit, and later no limit again.
   void ScheduleLimits();
   void ScheduleLeaving();
+  void ScheduleEvacuations();
+  void EndEvacuation(const std::string& zone);
+  std::vector<account_shape> MakeAccounts();
+  /// The account that sends the next request, or null if there are none.
+  const account_shape* PickAccount();
   void Tick();
   void SendRequest(const traffic_shape& from, const class_shape& described);
   /// Delays from the confirmation of each version to the line with which a daemon puts it, or
@@ -70,6 +77,9 @@
   configuration_author author_;
   configuration_oracle oracle_;
   upstream_oracle upstream_oracle_;
+  placement_oracle placement_oracle_;
+  std::vector<account_shape> accounts_;
+  account_oracle account_oracle_;
   platform_store store_;
   caller_client client_;
   std::deque<machine_place> places_;
--- a/standins/platform/platform_upstream.cc
+++ b/standins/platform/platform_upstream.cc
@@ -1,13 +1,19 @@
 #include "standins/platform/platform_upstream.h"
 
+#include <algorithm>
 #include <cmath>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/strings/str_format.h"
+#include "src/configuration/region_limit.h"
+#include "standins/platform/account_oracle.h"
+#include "standins/platform/configuration_oracle.h"
 #include "standins/platform/loop_timer.h"
+#include "standins/platform/placement_oracle.h"
 #include "standins/platform/platform_addresses.h"
+#include "standins/platform/upstream_oracle.h"
 
 namespace bronzeroute::standin {
 namespace {
@@ -21,14 +27,12 @@
 
 platform_upstream::platform_upstream(const site_shape& site, const configuration_author& author,
                                      const machine_place& place, caller_client& client,
-                                     configuration_oracle& oracle, upstream_oracle& upstreams,
-                                     std::uint64_t seed)
+                                     const run_oracles& oracles, std::uint64_t seed)
     : site_(site),
       author_(author),
       place_(place),
       client_(client),
-      oracle_(oracle),
-      upstreams_(upstreams),
+      oracles_(oracles),
       random_(seed),
       service_(*site.FindService(place.service)),
       identity_(absl::StrFormat("i-%08x", static_cast<std::uint32_t>(random_()))),
@@ -53,7 +57,7 @@
                      {"status",
                       {{"state", says_leaving ? "draining" : "ready"},
                        {"sequence", ++sequence_},
-                       {"coldLeftMs", 0}}}};
+                       {"coldLeftMs", ColdLeft().count()}}}};
   client_request report;
   report.method = "POST";
   report.target = "/api/instances/" + identity_ + "/heartbeat";
@@ -64,13 +68,24 @@
                [](const client_response& /*response*/) {});
 }
 
+void platform_upstream::BecomeCold(steady_clock::time_point until) {
+  if (service_.cold_per_second <= 0) return;
+  cold_until_ = until;
+  oracles_.placement.OnCold(identity_, service_.cold_per_second, until);
+}
+
+milliseconds platform_upstream::ColdLeft() const {
+  const auto left = std::chrono::duration_cast<milliseconds>(cold_until_ - steady_clock::now());
+  return std::max(left, milliseconds(0));
+}
+
 std::string platform_upstream::Load() const {
   return absl::StrFormat("%d,%d,%d,100", running_, queue_.size(), service_.slots);
 }
 
 void platform_upstream::SetLimit(double per_second) {
   limit_ = per_second;
-  upstreams_.OnLimit(identity_, per_second, steady_clock::now());
+  oracles_.upstreams.OnLimit(identity_, per_second, steady_clock::now());
 }
 
 void platform_upstream::BeginLeaving(steady_clock::time_point reported_at) {
@@ -99,7 +114,14 @@
   const std::string expected = request.Field("Expected-Instance");
   const std::string deadline = request.Field("Deadline-Ms");
   ++arrivals_;
-  oracle_.OnArrival(work->id, identity_, upstreams_, steady_clock::now());
+  const auto now = steady_clock::now();
+  const class_shape& described = *ClassOf(request);
+  oracles_.placement.OnArrival(
+      work->id, described.homes.empty() ? region_limit() : region_limit(described.homes),
+      identity_, place_.zone, place_.region, now);
+  oracles_.accounts.OnArrival(work->id, request.Field("Tenant"), request.Field("X-Api-Key"));
+  oracles_.configuration.OnArrival(work->id, identity_, oracles_.upstreams,
+                                   steady_clock::now());
   if (!expected.empty() && expected != identity_) {
     RefuseRun(respond, 421);
   } else if (work->id.empty()) {
@@ -129,7 +151,9 @@
 
 void platform_upstream::Run(const std::shared_ptr<job>& work) {
   ++running_;
-  oracle_.OnRun(work->id, author_.ServiceName(place_.service), steady_clock::now());
+  oracles_.accounts.OnRun(work->id, steady_clock::now());
+  oracles_.configuration.OnRun(work->id, author_.ServiceName(place_.service),
+                               steady_clock::now());
   const class_shape& described = *ClassOf(work->request);
   std::normal_distribution<double> spread(0, 0.3);
   const double work_ms = described.work_ms * std::exp(spread(random_));
@@ -161,11 +185,12 @@
       {"Deadline-Ms", std::to_string(std::max<std::int64_t>(1, allowed.count()))}};
   request.reuses_connection = true;
   request.patience = std::max(allowed, milliseconds(1));
-  oracle_.OnRequest(id, place_.name, place.host, request.target, false, steady_clock::now());
+  oracles_.configuration.OnRequest(id, place_.name, place.host, request.target, false,
+                                   steady_clock::now());
   client_.Send(Address(place_.ip, kOutboundPort), std::move(request),
                [this, work, id](const client_response& response) {
-                 oracle_.OnResponse(id, response.status, steady_clock::now());
-                 PassOn(response.headers, place_.name, upstreams_);
+                 oracles_.configuration.OnResponse(id, response.status, steady_clock::now());
+                 PassOn(response.headers, place_.name, oracles_.upstreams);
                  if (response.status != 200) work->has_failed = true;
                  if (--work->open_calls == 0) Finish(work);
                });
--- a/standins/platform/platform_upstream.h
+++ b/standins/platform/platform_upstream.h
@@ -12,10 +12,9 @@
 
 #include "standins/platform/caller_client.h"
 #include "standins/platform/configuration_author.h"
-#include "standins/platform/configuration_oracle.h"
 #include "standins/platform/http_endpoint.h"
+#include "standins/platform/run_oracles.h"
 #include "standins/platform/site_shape.h"
-#include "standins/platform/upstream_oracle.h"
 
 namespace bronzeroute::standin {
 
@@ -35,8 +34,7 @@
  public:
   platform_upstream(const site_shape& site, const configuration_author& author,
                     const machine_place& place, caller_client& client,
-                    configuration_oracle& oracle, upstream_oracle& upstreams,
-                    std::uint64_t seed);
+                    const run_oracles& oracles, std::uint64_t seed);
 
   /// Listens. Not on the event loop.
   absl::Status Start();
@@ -48,6 +46,8 @@
   /// Says in each response that it leaves; its reports say so from `reported_at` on, since they
   /// may be late.
   void BeginLeaving(std::chrono::steady_clock::time_point reported_at);
+  /// Is cold from now until `until`; its reports say so, the next at the earliest.
+  void BecomeCold(std::chrono::steady_clock::time_point until);
   const machine_place& place() const { return place_; }
   const std::string& identity() const { return identity_; }
   /// Requests that it got since the last call.
@@ -70,6 +70,7 @@
   void Finish(const std::shared_ptr<job>& work);
   const class_shape* ClassOf(const received_request& request) const;
   std::string Load() const;
+  milliseconds ColdLeft() const;
   /// `fields` and those in which the upstream states its load, its limit and that it leaves.
   header_list WithNotice(header_list fields) const;
 
@@ -77,8 +78,7 @@
   const configuration_author& author_;
   machine_place place_;
   caller_client& client_;
-  configuration_oracle& oracle_;
-  upstream_oracle& upstreams_;
+  run_oracles oracles_;
   std::mt19937_64 random_;
   const service_shape& service_;
   std::string identity_;
@@ -89,6 +89,7 @@
   int arrivals_ = 0;
   double limit_ = -1;
   bool is_leaving_ = false;
+  std::chrono::steady_clock::time_point cold_until_;
   std::chrono::steady_clock::time_point leaving_reported_at_;
   std::deque<std::shared_ptr<job>> queue_;
   http_endpoint endpoint_;
--- a/standins/platform/run_options.h
+++ b/standins/platform/run_options.h
@@ -30,6 +30,11 @@
   double limit_factor = 0.5;
   /// Number of upstreams that leave, one after the other.
   int leaving = 0;
+  /// Number of client accounts; 0 for none. One of them sends `hot_account` times its cap.
+  int accounts = 0;
+  double hot_account = 1;
+  /// Number of evacuations of a zone, one after the other.
+  int evacuations = 0;
   std::chrono::milliseconds retention{20'000};
   /// Requests per second, as a share of those of the site.
   double load = 1;
--- a/standins/platform/site_shape.cc
+++ b/standins/platform/site_shape.cc
@@ -9,6 +9,9 @@
 namespace bronzeroute::standin {
 namespace {
 
+// Bound of an evacuation where the site file has none.
+constexpr milliseconds kDefaultEvacuation{5000};
+
 /// A table of the file with its place, for errors.
 class site_table {
  public:
@@ -23,6 +26,14 @@
   std::string TextOr(std::string_view key, const std::string& fallback) const {
     return table_->contains(key) ? Text(key) : fallback;
   }
+  /// The texts of a list; empty without one.
+  std::vector<std::string> Texts(std::string_view key) const {
+    std::vector<std::string> result;
+    const toml::array* const found = (*table_)[key].as_array();
+    if (found == nullptr) return result;
+    for (const toml::node& text : *found) result.push_back(text.value_or(std::string()));
+    return result;
+  }
   double Number(std::string_view key) const {
     const auto value = (*table_)[key].value<double>();
     if (!value || *value < 0) Reject(key, "a number from 0 on");
@@ -82,9 +93,7 @@
   class_shape result;
   result.name = from.Text("name");
   result.service = from.Text("service");
-  if (const toml::array* const also = from.table()["also"].as_array()) {
-    for (const toml::node& name : *also) result.also.push_back(name.value_or(std::string()));
-  }
+  result.also = from.Texts("also");
   result.kind = from.Text("kind");
   result.method = from.TextOr("method", "GET");
   result.is_nested = from.IsTrue("inner");
@@ -96,6 +105,7 @@
   result.request_bytes = from.Has("req_bytes") ? from.Table("req_bytes").Number("mean") : 0;
   result.response_bytes = from.Has("resp_bytes") ? from.Table("resp_bytes").Number("mean") : 0;
   result.priority = static_cast<int>(from.NumberOr("priority", 0));
+  result.homes = from.Texts("homes");
   if (from.Has("calls")) {
     for (const site_table& call : from.Tables("calls")) {
       result.calls.push_back(
@@ -152,7 +162,9 @@
   }
   for (const site_table& row : site.Tables("services")) {
     result.services.push_back(
-        {row.Text("name"), row.Whole("slots"), row.Whole("queue"), row.Whole("conn_cap")});
+        {row.Text("name"), row.Whole("slots"), row.Whole("queue"), row.Whole("conn_cap"),
+         row.NumberOr("cold_per_s", 0),
+         milliseconds(static_cast<std::int64_t>(row.NumberOr("cold_s", 0) * 1000))});
   }
   for (const site_table& row : site.Tables("machines")) {
     result.machines.push_back({row.Text("zone"), row.Text("app"), row.Whole("count")});
@@ -166,6 +178,8 @@
   result.bounds.configuration = bounds.Time("config_ms");
   result.bounds.stability = bounds.Time("touch_ms");
   result.bounds.drain = bounds.Time("drain_ms");
+  result.bounds.evacuation =
+      bounds.Has("evac_ms") ? bounds.Time("evac_ms") : kDefaultEvacuation;
   result.bounds.grace =
       milliseconds(static_cast<std::int64_t>(bounds.Number("grace_s") * 1000));
   return result;
--- a/standins/platform/site_shape.h
+++ b/standins/platform/site_shape.h
@@ -27,6 +27,9 @@
   int slots = 0;
   int queue = 0;
   int connections = 0;
+  /// Requests per second that a cold upstream bears, and for how long it is cold; 0 for none.
+  double cold_per_second = 0;
+  milliseconds cold_time{0};
 };
 
 /// Calls that an upstream makes while it runs a request.
@@ -53,6 +56,8 @@
   double request_bytes = 0;
   double response_bytes = 0;
   int priority = 0;
+  /// Regions in which requests may run; empty for all.
+  std::vector<std::string> homes;
   std::vector<nested_call_shape> calls;
 };
 
@@ -72,6 +77,8 @@
   milliseconds grace{0};
   /// Time in which a daemon has to stop the use of an upstream that leaves.
   milliseconds drain{0};
+  /// Time in which a daemon has to stop the use of an evacuated zone.
+  milliseconds evacuation{0};
 };
 
 /// A deployment as a site file describes it: the part that the stand-ins need.
--- a/tests/platform_run/small_deployment_test.cc
+++ b/tests/platform_run/small_deployment_test.cc
@@ -95,6 +95,27 @@
   EXPECT_NE(run.output.find("back from an older copy"), std::string::npos) << run.output;
 }
 
+// Guards against requests outside their regions, in an evacuated zone, or at cold upstreams of
+// a zone that is taken back; against another account or a key at an upstream; and against an
+// account that gets more than its cap, while daemons are stopped and started again.
+TEST_F(small_deployment, RegionsEvacuationsAccountsAndCapsHold) {
+  const run_result run =
+      Play({"--site", std::string(BRONZEROUTE_SOURCE) + "/examples/platform-accounts.toml",
+            "--seconds", "40", "--change-ms", "4000", "--accounts", "12", "--hot-account", "4",
+            "--evacuations", "2", "--restart-ms", "9000", "--seed", "7"});
+  EXPECT_EQ(run.code, 0) << run.output;
+  std::smatch counted;
+  ASSERT_TRUE(std::regex_search(
+      run.output, counted, std::regex("with regions: ([0-9]+); at cold upstreams: ([0-9]+)")))
+      << run.output;
+  EXPECT_GT(std::stoi(counted[1]), 0) << run.output;
+  EXPECT_GT(std::stoi(counted[2]), 0) << run.output;
+  ASSERT_TRUE(
+      std::regex_search(run.output, counted, std::regex("account-1: .* over its cap ([0-9]+)")))
+      << run.output;
+  EXPECT_GT(std::stoi(counted[1]), 0) << run.output;
+}
+
 // Guards against a faulty site file whose error does not say what is wrong and where.
 TEST_F(small_deployment, FaultySiteFileIsNamed) {
   const std::string site = folder_ + "/site.toml";
