Limit starts at cold upstreams

A cold upstream fails well above 1.5 times its cold rate + 8 requests in a second, and only the warm-up of slots slowed its load down. A bound on slots does not bound a rate, and a token bucket alone misses the requests that were sent before the announcement said that the upstream is cold.

cold_limit spreads starts evenly at the cold rate, counts all starts of the last second, warm ones included, and keeps few requests at the upstream, which may read them all at once after a stall. A new incarnation is cold until it states otherwise, and a cold time that an old announcement gave does not end by itself. Hints carry the smaller of this limit and the named one.

--- a/src/admission/admission_system.cc
+++ b/src/admission/admission_system.cc
@@ -50,6 +50,7 @@
   if (classifier_.Configure(spec)) ForgetRoutes();
   warmup_start_ = restart ? now : now - elapsed;
   warmup_end_ = warmup_start_ + spec.warmup;
+  cold_.Configure(spec.cold_rate_per_s, spec.cold_time, now);
   StartQueued(now);
   Notify();
 }
@@ -68,9 +69,24 @@
   draining_ = false;
   rate_limit_.Clear();
   health_.Clear();
+  AssumeCold(now);
+}
+
+void admission_system::AssumeCold(time_point now) {
+  const bool was_cold = cold_.IsCold(now);
+  cold_.AssumeCold(now);
+  if (was_cold || !cold_.IsCold(now)) return;
+  RefuseHopeless(now);
+  Notify();
 }
 
 void admission_system::SetWarmAt(time_point warm_at, time_point now) {
+  const bool was_cold = cold_.IsCold(now);
+  cold_.OnStated(warm_at, now);
+  if (!was_cold && cold_.IsCold(now)) {
+    RefuseHopeless(now);
+    Notify();
+  }
   if (warm_at <= now) {
     warmup_end_ = std::min(warmup_end_, now);
     return;
@@ -161,7 +177,11 @@
   const auto turns = static_cast<duration::rep>(position + 1);
   const std::size_t ahead = position + (is_long ? QueueOf(false).size() : 0);
   return std::max(duration(mean * turns / std::max<duration::rep>(parallel, 1)),
-                  rate_limit_.Wait(ahead, now));
+                  RateWait(ahead, now));
+}
+
+duration admission_system::RateWait(std::size_t ahead, time_point now) const {
+  return std::max(rate_limit_.Wait(ahead, now), cold_.Wait(ahead, now));
 }
 
 bool admission_system::IsQueued(exchange_id exchange) const {
@@ -197,6 +217,7 @@
     // corrected.
     Start(exchange, route, head.route_id, is_long, false, now);
   } else {
+    if (!ColdAllowsStart(now)) ++held_by_cold_limit_;
     const error_kind kind = Enqueue(exchange, head, route, is_long, now);
     result.kind = kind;
     result.state = kind == error_kind::kNone ? submit_state::kQueued : submit_state::kRefused;
@@ -274,6 +295,7 @@
 void admission_system::Start(exchange_id exchange, std::size_t route, std::uint64_t route_id,
                              bool is_long, bool is_trial, time_point now) {
   rate_limit_.OnStart(now);
+  cold_.OnStart(now);
   running_.emplace(
       exchange,
       running_row{
@@ -422,8 +444,11 @@
   hint.service_time_us = static_cast<std::uint32_t>(
       std::clamp<duration::rep>(classifier_.MeanOf(false).count(), 1,
                                 std::chrono::microseconds(std::chrono::hours(1)).count()));
-  hint.max_rate = static_cast<float>(rate_limit_.rate());
-  hint.start_wait_us = static_cast<std::uint32_t>(rate_limit_.Wait(queued(), now).count());
+  const double cold_rate = cold_.Rate(now);
+  const bool is_cold_lower =
+      cold_rate > 0 && (!rate_limit_.IsSet() || cold_rate < rate_limit_.rate());
+  hint.max_rate = static_cast<float>(is_cold_lower ? cold_rate : rate_limit_.rate());
+  hint.start_wait_us = static_cast<std::uint32_t>(RateWait(queued(), now).count());
   hint.failing = health_.At(now) != ejection_state::kClear;
   hint.draining = draining_;
   return hint;
--- a/src/admission/admission_system.h
+++ b/src/admission/admission_system.h
@@ -9,6 +9,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "src/admission/cancel_result.h"
+#include "src/admission/cold_limit.h"
 #include "src/admission/rate_limit.h"
 #include "src/admission/submit_result.h"
 #include "src/admission/upstream_end.h"
@@ -46,9 +47,13 @@
   /// state, and starts the warm-up again.
   void OnUpstreamReplaced(time_point now);
 
-  /// The upstream reports that it is slow until `warm_at`; the warm-up ends at that time.
+  /// The upstream reports that it is cold, and slow, until `warm_at`; the warm-up ends at that
+  /// time. Queued work that can no longer start before its deadline is refused.
   void SetWarmAt(time_point warm_at, time_point now);
 
+  /// The upstream may have become cold: it counts as cold until it reports otherwise.
+  void AssumeCold(time_point now);
+
   /// The upstream reports that work now takes `percent` of its usual service time.
   void SetServiceTimePercent(std::uint32_t percent, time_point now);
 
@@ -82,8 +87,16 @@
   bool draining() const { return draining_; }
   /// True if the last service-time percent is recent and at least 200.
   bool IsSlow(time_point now) const;
-  /// True if the limit that the upstream named, if any, allows a start now.
-  bool RateAllowsStart(time_point now) const { return rate_limit_.MayStart(now); }
+  /// True if the limit that the upstream named, if any, and the limit of a cold upstream allow
+  /// a start now.
+  bool RateAllowsStart(time_point now) const {
+    return rate_limit_.MayStart(now) && ColdAllowsStart(now);
+  }
+  /// Starts per second that the limit of a cold upstream allows now; 0 if it does not apply.
+  double ColdRate(time_point now) const { return cold_.Rate(now); }
+  /// Work that was queued or refused, rather than started, while the limit of a cold upstream
+  /// allowed no start.
+  std::uint64_t held_by_cold_limit() const { return held_by_cold_limit_; }
   std::size_t running() const { return running_.size(); }
   std::size_t queued() const { return queues_[0].size() + queues_[1].size(); }
   std::uint32_t running_long() const { return running_long_; }
@@ -143,6 +156,11 @@
   bool IsBetterElsewhere(const attempt_head& head, std::size_t route, bool is_long,
                          time_point now) const;
   bool MayStart(bool is_long, time_point now) const;
+  bool ColdAllowsStart(time_point now) const {
+    return cold_.MayStart(running_.size() - running_long_, now);
+  }
+  /// Time until the limits of rates allow the start that follows `ahead` others.
+  duration RateWait(std::size_t ahead, time_point now) const;
   /// True if more short work is queued than there are effective slots.
   bool IsDemandPeak(time_point now) const;
   duration ExpectedWait(bool is_long, std::size_t position, time_point now) const;
@@ -181,6 +199,8 @@
   std::uint32_t service_time_percent_ = kUsualServiceTimePercent;
   time_point service_time_percent_until_;
   rate_limit rate_limit_;
+  cold_limit cold_;
+  std::uint64_t held_by_cold_limit_ = 0;
   work_classifier classifier_;
   ejection health_;
   absl::flat_hash_map<exchange_id, running_row> running_;
--- a/src/admission/rate_limit.cc
+++ b/src/admission/rate_limit.cc
@@ -18,11 +18,12 @@
 
 }  // namespace
 
+double rate_limit::burst() const { return std::max(1.0, kBurstSeconds * rate_); }
+
 double rate_limit::CreditAt(time_point now) const {
   const double gained =
       rate_ * static_cast<double>((now - credit_at_).count()) / kMicrosecondsPerSecond;
-  const double burst = std::max(1.0, kBurstSeconds * rate_);
-  return std::min(burst, credit_ + std::max(gained, 0.0)) + kCreditRounding;
+  return std::min(burst(), credit_ + std::max(gained, 0.0)) + kCreditRounding;
 }
 
 bool rate_limit::Name(double per_second, time_point now) {
--- a/src/admission/rate_limit.h
+++ b/src/admission/rate_limit.h
@@ -22,6 +22,8 @@
   /// Starts per second; 0 without a limit. A named limit of 0 allows a few, since only a
   /// response can end it.
   double rate() const { return rate_; }
+  /// Starts that may follow at once after a pause.
+  double burst() const;
   bool MayStart(time_point now) const { return !IsSet() || CreditAt(now) >= 1; }
   void OnStart(time_point now);
   /// Time until the start that follows `ahead` others.
--- a/src/node/admission_adapter.cc
+++ b/src/node/admission_adapter.cc
@@ -34,7 +34,18 @@
   system_.Configure(spec, upstream.slots, upstream.connections, now);
 }
 
+void admission_adapter::EndDrain(time_point now) {
+  now_ = now;
+  system_.OnUpstreamReplaced(now);
+}
+
+void admission_adapter::SetWarmAt(time_point warm_at, time_point now) {
+  now_ = now;
+  system_.SetWarmAt(warm_at, now);
+}
+
 void admission_adapter::OnUpstreamReplaced(time_point now) {
+  now_ = now;
   if (!system_.draining()) system_.OnUpstreamReplaced(now);
 }
 
--- a/src/node/admission_adapter.h
+++ b/src/node/admission_adapter.h
@@ -32,9 +32,9 @@
   /// daemon stays in effect.
   void OnUpstreamReplaced(time_point now);
   /// Accepts work again after an upstream that left was replaced.
-  void EndDrain(time_point now) { system_.OnUpstreamReplaced(now); }
-  /// The upstream is warming up and therefore slow until `warm_at`.
-  void SetWarmAt(time_point warm_at, time_point now) { system_.SetWarmAt(warm_at, now); }
+  void EndDrain(time_point now);
+  /// The upstream is cold, and slow, until `warm_at`.
+  void SetWarmAt(time_point warm_at, time_point now);
 
   /// The upstream reported its current service time in percent of the usual one.
   void OnServiceTimePercent(std::uint32_t percent, time_point now) {
