Read requests of a connection only once their bytes arrived

A client that sent requests before earlier ones were answered received responses to other requests, or 400. An asynchronous read into the space behind the buffered bytes stayed pending while these bytes were parsed; consuming the last of them resets the positions of flat_buffer, so that commit() then covered the bytes of an earlier request instead of those just read. The connection now waits until the socket is readable and reads without blocking, so that no read is pending while the buffer changes. Ruled out: upstream_attempt reads only after its parser has consumed all it can without further bytes, and a read that is pending after a complete response is never committed; http_fetcher has one read or none, and keeps only connections with an empty buffer.

--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -43,6 +44,8 @@
     : socket_(std::move(socket)), server_(&server) {}
 
 void http_connection::Start() {
+  boost::system::error_code ignored;
+  socket_.non_blocking(true, ignored);
   NextRequest();
   Parse();
 }
@@ -59,16 +62,27 @@
 void http_connection::Read() {
   if (reading_ || closed_ || reader_.buffer().size() >= kAheadBytes) return;
   reading_ = true;
-  socket_.async_read_some(
-      reader_.buffer().prepare(internal::kReadBytes),
-      [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
-        self->reading_ = false;
-        self->OnRead(error, count);
-      });
+  // Bytes are read only once they have arrived. A read that is pending while the buffer is
+  // parsed would write to a place that is no longer the end of the buffer, as consuming its
+  // last byte resets its positions. An idle connection also needs no buffer this way.
+  if (reader_.buffer().size() == 0) reader_.buffer().shrink_to_fit();
+  socket_.async_wait(boost::asio::socket_base::wait_read,
+                     [self = shared_from_this()](const boost::system::error_code& error) {
+                       self->reading_ = false;
+                       self->OnReadable(error);
+                     });
 }
 
-void http_connection::OnRead(const boost::system::error_code& error, std::size_t count) {
+void http_connection::OnReadable(boost::system::error_code error) {
   if (closed_) return;
+  std::size_t count = 0;
+  if (!error) {
+    count = socket_.read_some(reader_.buffer().prepare(internal::kReadBytes), error);
+  }
+  if (error == boost::asio::error::would_block) {
+    Read();
+    return;
+  }
   if (error) {
     OnClientDisconnected();
     return;
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -46,7 +46,7 @@
   using writer = internal::message_writer<false>;
 
   void Read();
-  void OnRead(const boost::system::error_code& error, std::size_t count);
+  void OnReadable(boost::system::error_code error);
   /// Processes the bytes received so far.
   void Parse();
   /// False if the connection waits or is closed.
