Run pipelined safe requests of a connection side by side

A caller that sends requests before earlier ones are answered had them run one after the other, so that each waited for all before it. Handlers of other servers still get one request at a time.

--- a/src/transport/caller_server.cc
+++ b/src/transport/caller_server.cc
@@ -47,6 +47,12 @@
   });
 }
 
+bool caller_server::RunsConcurrently(const exchange& row) {
+  if (row.path.starts_with("/.bronzeroute/")) return false;
+  if (may_run_concurrently_) return may_run_concurrently_(row);
+  return row.method == "GET" || row.method == "HEAD" || row.method == "OPTIONS";
+}
+
 void caller_server::OnRequest(const std::shared_ptr<http_connection>& connection,
                               const std::shared_ptr<exchange>& row) {
   if (row->path.starts_with("/.bronzeroute/")) {
@@ -54,6 +60,7 @@
     return;
   }
   exchanges_.Add(row);
+  if (row->is_pipelined) ++pipelined_requests_;
   auto item = std::make_shared<caller_exchange>();
   item->row = row;
   item->connection = connection;
@@ -106,7 +113,7 @@
 void caller_server::Announce(caller_exchange& item) {
   // The request may have waited unread while the loop was late, so that its caller gave up.
   if (item.connection->HasClientLeft()) {
-    item.connection->Abort();
+    item.connection->Abort(*item.row);
     return;
   }
   item.announced = true;
@@ -157,8 +164,11 @@
   if (found == rows_.end()) return;
   const auto item = found->second;
   if (item->response_started) {
-    item->connection->Abort();
-    return;
+    if (item->connection->HasBegunResponse(*item->row)) {
+      item->connection->Abort(*item->row);
+      return;
+    }
+    if (item->relayed != nullptr) std::exchange(item->relayed, nullptr)->Close();
   }
   SendErrorResponse(*item, call, kind, recorded_status);
 }
@@ -183,7 +193,7 @@
     headers.emplace_back(dialect_.request_id, item.head.request_id);
   }
   item.response_started = true;
-  item.connection->SendResponse(response);
+  item.connection->SendResponse(*item.row, response);
 }
 
 void caller_server::RelayResponse(exchange_id exchange, const attempt_id& attempt) {
@@ -206,7 +216,7 @@
   }
   item->response_started = true;
   item->relayed = relayed->body;
-  item->connection->RelayResponse(response);
+  item->connection->RelayResponse(*item->row, response);
 }
 
 void caller_server::AbortResponse(exchange_id exchange) {
--- a/src/transport/caller_server.h
+++ b/src/transport/caller_server.h
@@ -47,6 +47,15 @@
   /// request.
   void SetCallerService(std::string_view service) { caller_service_ = service; }
 
+  /// Sets the function that says whether a request may run while others of its connection are
+  /// unanswered, from its method, host and path. Without one, these are GET, HEAD and OPTIONS.
+  void SetConcurrencyRule(std::function<bool(const exchange&)> may_run_concurrently) {
+    may_run_concurrently_ = std::move(may_run_concurrently);
+  }
+  /// Number of requests that were passed on while one before them on their connection was
+  /// unanswered.
+  std::uint64_t pipelined_requests() const { return pipelined_requests_; }
+
   /// Refuses, as not run, each request that has not been received whole, and all that follow.
   /// Requests that were passed on before are not affected.
   void EndRequests();
@@ -61,6 +70,7 @@
  private:
   struct caller_exchange;
 
+  bool RunsConcurrently(const exchange& row) override;
   void OnRequest(const std::shared_ptr<http_connection>& connection,
                  const std::shared_ptr<exchange>& row) override;
   void OnClientDisconnected(const exchange& row) override;
@@ -79,6 +89,8 @@
   std::string caller_service_;
   bool requests_ended_ = false;
   std::function<std::uint32_t(std::string_view request_id)> depth_of_;
+  std::function<bool(const exchange&)> may_run_concurrently_;
+  std::uint64_t pipelined_requests_ = 0;
   absl::flat_hash_map<exchange_id, std::shared_ptr<caller_exchange>> rows_;
 };
 
--- a/src/transport/exchange.h
+++ b/src/transport/exchange.h
@@ -33,6 +33,8 @@
   header_list headers;
   std::optional<std::uint64_t> content_length;
   std::uint32_t depth = 0;
+  /// Requests before it on its connection were unanswered when it was passed on.
+  bool is_pipelined = false;
   std::shared_ptr<byte_pipe> body;
   /// The response received last. Code that relays it first checks that it belongs to the
   /// attempt.
--- a/src/transport/http_request_handler.h
+++ b/src/transport/http_request_handler.h
@@ -12,6 +12,9 @@
  public:
   virtual ~http_request_handler() = default;
 
+  /// True if the request of `row`, whose head was read, may be handled while requests before
+  /// and behind it on its connection are unanswered.
+  virtual bool RunsConcurrently(const exchange& /*row*/) { return false; }
   /// A request head was read; the body follows in the pipe of `row`. The handler calls
   /// `SendResponse` or `Abort` on `connection` exactly once, now or later.
   virtual void OnRequest(const std::shared_ptr<http_connection>& connection,
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -4,13 +4,9 @@
 
 #include <atomic>
 #include <chrono>
-#include <condition_variable>
 #include <memory>
-#include <mutex>
 #include <string>
-#include <string_view>
 #include <thread>
-#include <utility>
 #include <vector>
 
 #include "src/transport/event_loop.h"
@@ -18,6 +14,7 @@
 #include "src/transport/http_connection.h"
 #include "src/transport/http_request_handler.h"
 #include "src/transport/http_response_message.h"
+#include "tests/transport/holding_handler.h"
 #include "tests/transport/raw_socket.h"
 
 namespace bronzeroute {
@@ -33,47 +30,6 @@
   void OnResponseEnded(const exchange& /*row*/) override {}
 };
 
-/// Keeps its requests until the test responds to them; each response holds the request's path.
-class holding_handler : public http_request_handler {
- public:
-  /// Waits until `count` requests were passed on.
-  void Await(std::size_t count) {
-    std::unique_lock<std::mutex> lock(mutex_);
-    changed_.wait(lock, [&] { return requests_.size() >= count; });
-  }
-  std::vector<std::string> Paths() {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    std::vector<std::string> paths;
-    for (const auto& [connection, row] : requests_) paths.push_back(row->path);
-    return paths;
-  }
-  void Respond(std::size_t index) {
-    RunOnLoop([&] {
-      const auto [connection, row] = requests_.at(index);
-      connection->SendResponse(TextResponse(200, "text/plain", "<" + row->path + ">"));
-    });
-  }
-
-  void OnRequest(const std::shared_ptr<http_connection>& connection,
-                 const std::shared_ptr<exchange>& row) override {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    requests_.emplace_back(connection, row);
-    changed_.notify_all();
-  }
-  void OnClientDisconnected(const exchange& /*row*/) override {}
-  void OnNothingWritten(const exchange& /*row*/) override {}
-  void OnResponseEnded(const exchange& /*row*/) override {}
-
- private:
-  std::mutex mutex_;
-  std::condition_variable changed_;
-  std::vector<std::pair<std::shared_ptr<http_connection>, std::shared_ptr<exchange>>> requests_;
-};
-
-std::string GetRequest(std::string_view path) {
-  return "GET " + std::string(path) + " HTTP/1.1\r\nHost: a\r\n\r\n";
-}
-
 // Guards against bytes that are read to the wrong place of the buffer because the requests
 // before them were parsed while the read was pending. The client then received the response to
 // an earlier request, or 400.
@@ -86,6 +42,8 @@
   const raw_socket client = raw_socket::Connect(port);
   client.Send(GetRequest("/1") + GetRequest("/2"));
   handler.Await(1);
+  // This handler does not let requests run side by side.
+  EXPECT_EQ(handler.Paths(), std::vector<std::string>{"/1"});
   handler.Respond(0);
   EXPECT_TRUE(client.ReceiveUntil(">").ends_with("</1>"));
   handler.Await(2);
