--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "src/transport/http_connection.h"
 #include "src/transport/http_request_handler.h"
 #include "src/transport/http_response_message.h"
+#include "tests/transport/holding_handler.h"
 #include "tests/transport/raw_socket.h"
 
 namespace bronzeroute {
@@ -28,6 +30,33 @@
   void OnResponseEnded(const exchange& /*row*/) override {}
 };
 
+// Guards against bytes that are read to the wrong place of the buffer because the requests
+// before them were parsed while the read was pending. The client then received the response to
+// an earlier request, or 400.
+TEST(HttpServer, RequestThatArrivesWhileEarlierOnesAreParsedIsReadUnchanged) {
+  StartEventLoop();
+  holding_handler handler;
+  http_server server(handler);
+  const std::uint16_t port = FreePort();
+  ASSERT_TRUE(server.Start("127.0.0.1:" + std::to_string(port)).ok());
+  const raw_socket client = raw_socket::Connect(port);
+  client.Send(GetRequest("/1") + GetRequest("/2"));
+  handler.Await(1);
+  // This handler does not let requests run side by side.
+  EXPECT_EQ(handler.Paths(), std::vector<std::string>{"/1"});
+  handler.Respond(0);
+  EXPECT_TRUE(client.ReceiveUntil(">").ends_with("</1>"));
+  handler.Await(2);
+  client.Send(GetRequest("/other"));
+  handler.Respond(1);
+  EXPECT_TRUE(client.ReceiveUntil(">").ends_with("</2>"));
+  handler.Await(3);
+  EXPECT_EQ(handler.Paths(), (std::vector<std::string>{"/1", "/2", "/other"}));
+  handler.Respond(2);
+  EXPECT_TRUE(client.ReceiveUntil(">").ends_with("</other>"));
+  server.Stop();
+}
+
 // Guards against a client that receives a reset instead of a response because it connects while
 // the listener is being closed: an accepted client is served, a later one cannot connect.
 TEST(HttpServer, ServesEveryClientAcceptedBeforeTheListenerCloses) {
