Carry messages on usage caps in membership datagrams

Cause: borrower and lender of usage tokens exchange short messages between daemons, and membership has the addresses, the port and the check of incarnations that they need.

Ruled out: the gRPC channels between daemons, which are kept open only to the preferred members, and the measuring budget, since callers wait for these messages and 2,000 bytes a second would not suffice.

A datagram of an earlier incarnation is dropped as any other, and one of an unknown sender is ignored.

--- a/src/membership/membership_system.cc
+++ b/src/membership/membership_system.cc
@@ -10,6 +10,7 @@
 #include "src/measuring/budget_account.h"
 #include "src/membership/datagram_port.h"
 #include "src/membership/member_codec.h"
+#include "src/membership/usage_codec.h"
 #include "src/platform/log_port.h"
 #include "src/platform/log_read.h"
 
@@ -135,6 +136,22 @@
   return std::exchange(events_, {});
 }
 
+void membership_system::SendUsage(const usage_message& message) {
+  const member_row* const peer = Find(message.peer);
+  if (peer == nullptr) return;
+  MemberDatagram datagram;
+  WriteUsageMessage(message, &datagram);
+  datagram.set_sender(self().id.value);
+  datagram.set_sender_incarnation(self().incarnation.value);
+  datagram.set_sender_refutation(self().refutation);
+  datagram.set_config_version(self().config_version);
+  datagrams_.SendDatagram(peer->membership_address, datagram.SerializeAsString());
+}
+
+std::vector<usage_message> membership_system::TakeUsageMessages() {
+  return std::exchange(usage_messages_, {});
+}
+
 void membership_system::OnAnnouncement(upstream_announcement announcement, time_point now) {
   Observe(now);
   const bool is_new = !upstream_ || upstream_->service != announcement.service;
@@ -515,6 +532,10 @@
       }
       break;
     default:
+      // A reply needs the row of the sender for its address.
+      if (auto usage = ReadUsageMessage(message); usage && table_.Find(sender) != nullptr) {
+        usage_messages_.push_back(*std::move(usage));
+      }
       break;
   }
   if (message.kind() != MemberDatagram::PING && message.wanted_size() > 0) {
--- a/src/membership/membership_system.h
+++ b/src/membership/membership_system.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "src/accounts/usage_message.h"
 #include "src/base/strong_id.h"
 #include "src/base/time.h"
 #include "src/measuring/charge_purpose.h"
@@ -85,6 +86,12 @@
   /// The upstream beside this daemon, or null without a recent announcement.
   const upstream_announcement* upstream() const { return upstream_ ? &*upstream_ : nullptr; }
 
+  /// Sends a message on usage caps to its peer; dropped if the peer is unknown. Not charged to
+  /// the measuring budget, since requests of callers wait for it.
+  void SendUsage(const usage_message& message);
+  /// Messages on usage caps received since the last call, in the order of their arrival.
+  std::vector<usage_message> TakeUsageMessages();
+
   /// Changes since the last call, oldest first.
   std::vector<membership_event> TakeEvents();
 
@@ -203,6 +210,7 @@
   load_hint hint_;
   std::optional<upstream_announcement> upstream_;
   std::vector<membership_event> events_;
+  std::vector<usage_message> usage_messages_;
 
   time_point last_observed_;
   time_point join_at_;
