Use all slots of a cold upstream that has no configured warm-up

An announced cold time raised the slots from one to all, although a cold upstream is slow, not small. The ramp now belongs to services with a configured warm-up; a service with a cold rate has that limit. Ruled out: missing members and documents, which were there within 0.2 s of the start.

--- a/src/admission/admission_system.cc
+++ b/src/admission/admission_system.cc
@@ -50,6 +50,7 @@
   if (classifier_.Configure(spec)) ForgetRoutes();
   warmup_start_ = restart ? now : now - elapsed;
   warmup_end_ = warmup_start_ + spec.warmup;
+  has_warmup_ = spec.warmup > duration(0);
   cold_.Configure(spec.cold_rate_per_s, spec.cold_time, now);
   StartQueued(now);
   Notify();
@@ -87,6 +88,10 @@
     RefuseHopeless(now);
     Notify();
   }
+  // Without a configured warm-up, all slots stay in use: a cold upstream takes longer, but it
+  // has its slots. With one slot each, a deployment that starts again as a whole would refuse
+  // most of its work beside idle upstreams.
+  if (!has_warmup_) return;
   if (warm_at <= now) {
     warmup_end_ = std::min(warmup_end_, now);
     return;
--- a/src/admission/admission_system.h
+++ b/src/admission/admission_system.h
@@ -47,8 +47,8 @@
   /// state, and starts the warm-up again.
   void OnUpstreamReplaced(time_point now);
 
-  /// The upstream reports that it is cold, and slow, until `warm_at`; the warm-up ends at that
-  /// time. Queued work that can no longer start before its deadline is refused.
+  /// The upstream reports that it is cold, and slow, until `warm_at`; a configured warm-up ends
+  /// at that time. Queued work that can no longer start before its deadline is refused.
   void SetWarmAt(time_point warm_at, time_point now);
 
   /// The upstream may have become cold: it counts as cold until it reports otherwise.
@@ -196,6 +196,7 @@
   double long_share_ = 0;
   time_point warmup_start_;
   time_point warmup_end_;
+  bool has_warmup_ = false;
   std::uint32_t service_time_percent_ = kUsualServiceTimePercent;
   time_point service_time_percent_until_;
   rate_limit rate_limit_;
--- a/tests/admission/admission_system_test.cc
+++ b/tests/admission/admission_system_test.cc
@@ -203,6 +203,23 @@
   EXPECT_EQ(system_.EffectiveSlots(At(seconds(20))), 1);
 }
 
+// Guards against idle slots beside refused work: a deployment that starts again as a whole has
+// only cold upstreams, and the load of before. Requests of 200 ms come every 10 ms, with 1 s
+// each.
+TEST_F(admission_fixture, ColdUpstreamWithoutConfiguredWarmupUsesAllItsSlots) {
+  system_.SetWarmAt(At(seconds(3)), At({}));
+  EXPECT_EQ(system_.EffectiveSlots(At({})), 6);
+  int refused = 0;
+  for (int i = 0; i < 100; ++i) {
+    const duration now = milliseconds(10 * i);
+    if (i >= 20) Complete(static_cast<std::uint64_t>(i - 19), milliseconds(200), At(now));
+    const auto id = static_cast<std::uint64_t>(i + 1);
+    if (i % 4 != 0) continue;
+    refused += Submit(id, Read(At(now + seconds(1))), At(now)).state == submit_state::kRefused;
+  }
+  EXPECT_EQ(refused, 0);
+}
+
 // Guards against new work at an upstream that drains, and against queued work that gets no end.
 TEST_F(admission_fixture, DrainRefusesQueuedAndNewWork) {
   Fill(1, 6);
