--- a/src/transport/peer_client.cc
+++ b/src/transport/peer_client.cc
@@ -90,6 +90,9 @@
   /// State of the channel for short work when it was last checked.
   grpc_connectivity_state state = GRPC_CHANNEL_IDLE;
   time_point used_at;
+  /// End of the time in which the channel for short work is expected to open for the first
+  /// time.
+  time_point first_open_until;
   std::optional<channel> for_short;
   std::optional<channel> for_long;
 };
@@ -173,6 +176,7 @@
 void peer_client::OpenShort(peer_channels& peer) {
   if (!peer.for_short) {
     peer.state = GRPC_CHANNEL_IDLE;
+    peer.first_open_until = MonotonicNow() + kOpenTime;
     peer.for_short.emplace(peer.address);
   }
   peer.for_short->connection->GetState(true);
@@ -182,8 +186,12 @@
   // Channels mostly break in groups, for example when a peer's network fails.
   const bool checks_all = std::exchange(any_broke_, false);
   ++check_round_;
+  std::size_t kept = 0;
+  std::size_t ready = 0;
   for (const auto& [id, peer] : peers_) {
     if (!peer->keeps_open) continue;
+    ++kept;
+    ready += peer->state == GRPC_CHANNEL_READY ? 1 : 0;
     const bool is_turn = (id.value + check_round_) % kCheckRounds == 0;
     if (!checks_all && !is_turn && peer->state == GRPC_CHANNEL_READY) continue;
     // gRPC connects an idle channel by itself only when a call is made.
@@ -191,6 +199,7 @@
     const grpc_connectivity_state last = std::exchange(peer->state, state);
     any_broke_ = any_broke_ || (last == GRPC_CHANNEL_READY && state != GRPC_CHANNEL_READY);
   }
+  most_are_open_ = 2 * ready > kept;
 }
 
 bool peer_client::IsReady(member_id peer, bool is_long) const {
@@ -235,9 +244,11 @@
   stream->Start(*(head.is_long ? peer.ForLong() : *peer.for_short).stub);
 }
 
-bool peer_client::MayWait(const peer_channels& peer, const attempt_head& head) {
-  // Other members can take an attempt without a key at once.
-  if (peer.keeps_open && head.key.empty()) return false;
+bool peer_client::MayWait(const peer_channels& peer, const attempt_head& head) const {
+  // Other members can take an attempt without a key at once, unless this process has just
+  // started and is still opening its channels.
+  const bool is_first_open = !most_are_open_ && MonotonicNow() < peer.first_open_until;
+  if (peer.keeps_open && head.key.empty() && !is_first_open) return false;
   return !peer.for_short ||
          peer.for_short->connection->GetState(false) != GRPC_CHANNEL_TRANSIENT_FAILURE;
 }
--- a/src/transport/peer_client.h
+++ b/src/transport/peer_client.h
@@ -72,7 +72,7 @@
   void StartAttempt(peer_channels& peer, const std::shared_ptr<exchange>& row,
                     const attempt_head& head);
   /// True if the attempt may wait until the channel for short work is open.
-  static bool MayWait(const peer_channels& peer, const attempt_head& head);
+  bool MayWait(const peer_channels& peer, const attempt_head& head) const;
   void Wait(const std::shared_ptr<peer_channels>& peer, const std::shared_ptr<exchange>& row,
             const attempt_head& head);
   /// Sends the attempts whose channel is open, and reports those as not sent whose channel
@@ -93,6 +93,8 @@
   /// Counts the rounds of `CheckKept`.
   std::uint64_t check_round_ = 0;
   bool any_broke_ = false;
+  /// At the last check, most of the channels that are kept open were open.
+  bool most_are_open_ = false;
   time_point next_close_;
   std::size_t open_fetches_ = 0;
   std::promise<void>* drained_ = nullptr;
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -99,6 +99,24 @@
   EXPECT_EQ(ConnectionsTo(owner.addresses().peers), 1);
 }
 
+// Guards against calls that a daemon refuses in the first moments after its start, while it
+// opens the channels to all members that it prefers.
+TEST(Peer, AnAttemptWaitsForAKeptChannelThatOpensForTheFirstTime) {
+  counting_upstream upstream(1);
+  test_daemon owner(2);
+  test_daemon entry(1);
+  owner.UseUpstream(upstream.server.address());
+  entry.target = owner.id();
+  const raw_socket caller = raw_socket::Connect(entry.callers_port());
+  RunOnLoop([&] {
+    entry.sockets().peers().client().OpenPeer(owner.id(), owner.addresses().peers, true);
+    // The loop reads the request next, before the channel can be open.
+    caller.Send(
+        "POST /orders HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 1\r\n\r\ns");
+  });
+  EXPECT_TRUE(caller.ReceiveAll().ends_with("\r\n\r\n1"));
+}
+
 // Guards against an attempt that waits without end, or is reported as possibly run, when the
 // connection opened for it fails.
 TEST(Peer, AnAttemptWithoutAConnectionIsReportedAsNotSent) {
