Log and expose the limit of cold upstreams

Operators could not see whether a cold upstream or its load held work back. The begin and end of the limit are logged (cold_limit_began, cold_limit_ended), and three gauges and counters join the metrics. brctl needs no change.

The limit is no part of the TOML format, whose keys are fixed for format 1, so the simulated deployment reads it through a document reader of its own.

--- a/src/measuring/exposition.cc
+++ b/src/measuring/exposition.cc
@@ -198,6 +198,25 @@
          now - start.started);
 }
 
+void AppendRestrictions(std::string& out, const restriction_metrics& restrictions) {
+  const auto append = [&out](string_view name, string_view type, string_view help,
+                             double value) {
+    AppendHeader(out, name, type, help);
+    out.append(name).append(" ");
+    AppendNumber(out, value);
+    out += '\n';
+  };
+  append("bronzeroute_evacuated_zones", "gauge",
+         "Availability zones that this daemon knows to be evacuated.",
+         static_cast<double>(restrictions.evacuated_zones));
+  append("bronzeroute_cold_rate_limit", "gauge",
+         "Requests per second that the cold upstream here takes; 0 if it is warm.",
+         restrictions.cold_rate_per_s);
+  append("bronzeroute_cold_limit_held_total", "counter",
+         "Attempts queued or refused while the cold upstream could take no request.",
+         static_cast<double>(restrictions.held_by_cold_limit));
+}
+
 template <typename Value>
 void AppendBudget(std::string& out, const budget_account& budget, string_view name,
                   string_view help, Value value) {
@@ -218,7 +237,8 @@
 }  // namespace
 
 std::string ExpositionText(const service_metrics& metrics, const budget_account& budget,
-                           time_point now, exposition_detail detail) {
+                           time_point now, exposition_detail detail,
+                           const restriction_metrics& restrictions) {
   std::string out;
   AppendRequests(out, metrics);
   AppendLatency(out, metrics, now);
@@ -227,6 +247,7 @@
   AppendWindows(out, metrics, now);
   if (detail == exposition_detail::kMinutes) AppendMinutes(out, metrics, now);
   AppendProcess(out, metrics.start(), now);
+  AppendRestrictions(out, restrictions);
   AppendBudget(out, budget, "bronzeroute_measuring_bytes_total", "Bytes sent for measuring.",
                [](const budget_counter& row) { return static_cast<double>(row.bytes); });
   AppendBudget(out, budget, "bronzeroute_measuring_upstream_seconds_total",
--- a/src/measuring/exposition.h
+++ b/src/measuring/exposition.h
@@ -4,17 +4,20 @@
 
 #include "src/base/time.h"
 #include "src/measuring/exposition_detail.h"
+#include "src/measuring/restriction_metrics.h"
 
 namespace bronzeroute {
 
 class budget_account;
 class service_metrics;
 
-/// Returns the service-level metrics and the use of the measuring budget in the Prometheus text
-/// format. Times are in seconds. The counts per window and per minute and the process start
-/// time allow exact sums over several processes. The last line is "# EOF".
+/// Returns the service-level metrics, the restrictions of upstreams and the use of the
+/// measuring budget in the Prometheus text format. Times are in seconds. The counts per window
+/// and per minute and the process start time allow exact sums over several processes. The last
+/// line is "# EOF".
 std::string ExpositionText(const service_metrics& metrics, const budget_account& budget,
                            time_point now,
-                           exposition_detail detail = exposition_detail::kMinutes);
+                           exposition_detail detail = exposition_detail::kMinutes,
+                           const restriction_metrics& restrictions = {});
 
 }  // namespace bronzeroute
--- a/src/node/decision_log.cc
+++ b/src/node/decision_log.cc
@@ -145,6 +145,17 @@
   sink_->Write(line);
 }
 
+void decision_log::OnColdLimit(std::string_view identity, double per_second,
+                               std::uint64_t held) {
+  if (sink_ == nullptr) return;
+  const bool begins = per_second > 0;
+  log_line line(log_weight::kState, "admit", begins ? "cold_limit_began" : "cold_limit_ended");
+  line.Add("identity", identity);
+  if (begins) line.Add("per_second", absl::StrFormat("%.3f", per_second));
+  line.Add("held", held);
+  sink_->Write(line);
+}
+
 void decision_log::OnMalformedRate(std::string_view identity, std::string_view found) {
   if (sink_ == nullptr) return;
   log_line line(log_weight::kProblem, "admit", "malformed_limit");
--- a/src/node/decision_log.h
+++ b/src/node/decision_log.h
@@ -30,6 +30,9 @@
   void OnConfigurationInEffect(std::int64_t version, std::string_view source);
   /// The upstream names a limit in requests per second, or no longer names one.
   void OnUpstreamRate(std::string_view identity, std::optional<double> per_second);
+  /// The limit of a cold upstream begins with `per_second` starts per second, or ends (0).
+  /// `held` counts the work that it has held back since the start of the process.
+  void OnColdLimit(std::string_view identity, double per_second, std::uint64_t held);
   /// The upstream names a limit with the value `found`, which is no number.
   void OnMalformedRate(std::string_view identity, std::string_view found);
   /// The log came back from an older copy; the stream is read anew.
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -258,6 +258,20 @@
   decisions_.OnUpstreamRate(applied_identity_, notice.max_rate);
 }
 
+void node_runtime::LogColdLimit(time_point now) {
+  const admission_system& system = admission_.system();
+  const double rate = system.ColdRate(now);
+  if ((rate > 0) == logged_cold_) return;
+  logged_cold_ = rate > 0;
+  decisions_.OnColdLimit(applied_identity_, rate, system.held_by_cold_limit());
+}
+
+restriction_metrics node_runtime::restrictions(time_point now) const {
+  const admission_system& system = admission_.system();
+  return {.cold_rate_per_s = system.ColdRate(now),
+          .held_by_cold_limit = system.held_by_cold_limit()};
+}
+
 void node_runtime::DrainUpstream(time_point now) {
   if (upstream_leaves_) return;
   upstream_leaves_ = true;
@@ -289,6 +303,7 @@
   peers_.SetTime(now);
   node_.Tick(now);
   admission_.Tick(now);
+  LogColdLimit(now);
   const load_hint hint = admission_.Hint(now);
   membership_.SetHint(hint);
   membership_.Tick(now);
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -17,6 +17,7 @@
 #include "src/calls/self_identity.h"
 #include "src/configuration/configuration_system.h"
 #include "src/measuring/budget_account.h"
+#include "src/measuring/restriction_metrics.h"
 #include "src/measuring/service_metrics.h"
 #include "src/membership/member_row.h"
 #include "src/membership/membership_system.h"
@@ -107,6 +108,7 @@
   const routing_adapter& routing() const { return routing_; }
   const budget_account& budget() const { return budget_; }
   const service_metrics& metrics() const { return metrics_; }
+  restriction_metrics restrictions(time_point now) const;
   /// Number of alive members that have an upstream, this one included.
   std::size_t ServingMembers() const;
 
@@ -121,6 +123,8 @@
   bool IsFromAnotherWriter(const upstream_announcement& announcement) const;
   /// Logs the limit that the upstream names, unless it is about the one logged last.
   void LogRate(const upstream_notice& notice);
+  /// Logs the begin and the end of the limit of a cold upstream.
+  void LogColdLimit(time_point now);
   /// Refuses new work for the current incarnation of the upstream.
   void DrainUpstream(time_point now);
   void ApplyMembers(time_point now);
@@ -153,6 +157,8 @@
   bool upstream_leaves_ = false;
   /// Requests per second that the upstream named last, as logged; -1 for no limit.
   double logged_rate_ = kNoRate;
+  /// The limit of a cold upstream applied when it was last logged.
+  bool logged_cold_ = false;
   /// An operator drained this daemon, or it is stopping.
   bool drained_ = false;
   duration stop_linger_;
--- a/tests/node/runtime_world.h
+++ b/tests/node/runtime_world.h
@@ -72,6 +72,9 @@
   /// value is 6 s.
   duration spread_without_log = seconds(6);
   broken_part broken = broken_part::kNone;
+  /// Requests per second that a cold upstream takes; 0 for no limit. With a limit there is one
+  /// version of the configuration only.
+  double cold_rate_per_s = 0;
 };
 
 /// The log service: streams with offsets and retention, outages, delays and lost responses.
@@ -152,6 +155,22 @@
   bool IsAlive(std::size_t index) const { return hosts_[index]->core != nullptr; }
   bool IsRunning(std::size_t index) const { return IsAlive(index) && !hosts_[index]->frozen; }
   void SetUpstream(std::size_t index, upstream_mode mode) { hosts_[index]->mode = mode; }
+  /// The next announcements state that the upstream is cold until `until`.
+  void SetCold(std::size_t index, time_point until) { hosts_[index]->cold_until = until; }
+  /// Times at which requests were sent to the upstream beside the daemon.
+  const std::vector<time_point>& Starts(std::size_t index) const {
+    return hosts_[index]->starts;
+  }
+  /// The log gets a record that begins or ends the evacuation of `zone`. Without reaching the
+  /// log, a daemon reads no records.
+  void SetEvacuated(const std::string& zone, bool begins) {
+    evacuations_.push_back({.offset = static_cast<std::int64_t>(evacuations_.size()),
+                            .age_ms = 0,
+                            .data = "{}",
+                            .key = zone,
+                            .is_removal = !begins});
+  }
+  void CutOffLog(std::size_t index, bool cut_off) { hosts_[index]->is_log_cut_off = cut_off; }
   void RemoveUpstream(std::size_t index) { hosts_[index]->has_upstream = false; }
 
   void Advance(duration time) {
@@ -362,11 +381,16 @@
     bool has_upstream = true;
     std::optional<time_point> leave_announced_at;
     std::set<attempt_id> at_upstream;
+    std::vector<time_point> starts;
+    bool is_log_cut_off = false;
+    /// Records of evacuations that this process has read; -1 before the first read.
+    std::int64_t evacuations_read = -1;
+    time_point cold_until;
     std::unique_ptr<node_runtime> core;
 
     std::size_t region() const { return index < world.size() / 2 ? 0 : 1; }
     bool ReachesLog() const {
-      return !world.log.is_down && (!world.is_partitioned || region() == 0);
+      return !world.log.is_down && !is_log_cut_off && (!world.is_partitioned || region() == 0);
     }
     void Clear() {
       core.reset();
@@ -482,6 +506,7 @@
           core->OnLogFailed(name, world.now_);
           return;
         }
+        if (name.starts_with("config.")) ReadEvacuations();
         const log_read read = world.log.Read(name, from, world.now_);
         if (read.records.empty() && world.now_ < until) {
           WaitRead(name, from, until, milliseconds(50));
@@ -490,6 +515,27 @@
         }
       });
     }
+    void ReadEvacuations() {
+      const auto end = static_cast<std::int64_t>(world.evacuations_.size());
+      if (evacuations_read == end) return;
+      log_read read;
+      read.stream = "evacuations.trial";
+      read.next = end;
+      read.is_newest_of_each = evacuations_read < 0;
+      std::map<std::string, log_record> newest;
+      for (const log_record& record : world.evacuations_) {
+        if (record.offset >= evacuations_read) read.records.push_back(record);
+        newest[record.key] = record;
+      }
+      if (read.is_newest_of_each) {
+        read.records.clear();
+        for (const auto& [zone, record] : newest) {
+          if (!record.is_removal) read.records.push_back(record);
+        }
+      }
+      evacuations_read = end;
+      core->OnLogRead(read, world.now_);
+    }
     void FetchSnapshot(member_id peer, std::int64_t known) override {
       host* to = world.IsLinked(*this, peer) ? world.Find(peer) : nullptr;
       world.Post(world.Delay(), *this, [this, to, peer, known] {
@@ -546,6 +592,7 @@
         at.process;
     at.started = now_;
     at.sent_bytes = 0;
+    at.evacuations_read = -1;
     MakeCore(at);
     ScheduleTick(at);
   }
@@ -558,6 +605,17 @@
     self.peer_address = AddressOf(at.index);
     self.membership_address = AddressOf(at.index);
     runtime_settings settings{.environment = "trial", .seeds = {}, .seed = random_()};
+    if (options.cold_rate_per_s > 0) {
+      // The limit is no part of the TOML format.
+      settings.form = configuration_form::kVersionedDocuments;
+      settings.read_document = [rate = options.cold_rate_per_s](std::string_view bytes) {
+        parse_result result = ReadTomlDocument(bytes);
+        if (!result.value) return result;
+        result.value->version = 0;
+        for (service_spec& spec : result.value->services) spec.cold_rate_per_s = rate;
+        return result;
+      };
+    }
     for (std::size_t i = 0; i < hosts_.size(); ++i) settings.seeds.push_back(AddressOf(i));
     at.core = std::make_unique<node_runtime>(self, settings,
                                              runtime_ports{at, at, at, at, at, at, at}, now_);
@@ -604,11 +662,14 @@
     if (!at.has_upstream) return;
     const bool is_inflated = options.broken == broken_part::kNoSlotLimit;
     Run(at, at.process, [this, &at, is_inflated] {
-      at.core->OnAnnouncement({.service = "media",
-                               .address = "10.0.1.1:80",
-                               .slots = is_inflated ? 50U : static_cast<std::uint32_t>(kSlots),
-                               .connections = 50},
-                              now_);
+      at.core->OnAnnouncement(
+          {.service = "media",
+           .address = "10.0.1.1:80",
+           .slots = is_inflated ? 50U : static_cast<std::uint32_t>(kSlots),
+           .connections = 50,
+           .warm_at =
+               options.cold_rate_per_s > 0 ? std::max(at.cold_until, now_) : time_point{}},
+          now_);
     });
   }
   void CheckBudget(host& at) {
@@ -622,6 +683,7 @@
     return fold.anchored() ? std::optional(fold.head().version) : std::nullopt;
   }
   bool PublishOn(std::optional<std::int64_t> base) {
+    if (options.cold_rate_per_s > 0) base = -1;
     if (!base || log.is_down) return false;
     const std::string id = "publication-" + std::to_string(++last_publication_);
     const std::string slots = options.broken == broken_part::kNoSlotLimit ? "50" : "2";
@@ -634,6 +696,12 @@
         "[[service.route]]\nmethod = \"POST\"\nprefix = \"/media/scores\"\nclass = \"short\"\n"
         "protected = true\n"
         "[[service.route]]\nmethod = \"POST\"\nprefix = \"/media/read\"\nclass = \"short\"\n";
+    if (options.cold_rate_per_s > 0) {
+      const std::int64_t version = log.Append("config.trial", document, now_);
+      oracle.OnPublished(version, *base);
+      oracle.OnReportedAccepted(version);
+      return true;
+    }
     const std::int64_t offset =
         log.Append("config.trial", EncodePublication(id, *base, document, std::nullopt), now_);
     oracle.OnPublished(offset, *base);
@@ -738,6 +806,7 @@
     const std::size_t request = request_of_.at(exchange);
     const upstream_mode mode = at.mode;
     at.at_upstream.insert(id);
+    at.starts.push_back(now_);
     if (mode == upstream_mode::kConnectFails) {
       Post(milliseconds(1), at, [this, &at, id] {
         if (at.at_upstream.erase(id) > 0) at.core->calls().OnUpstreamConnectFailed(id, now_);
@@ -758,6 +827,7 @@
   }
 
   std::mt19937_64 random_;
+  std::vector<log_record> evacuations_;
   time_point now_ = time_point{} + std::chrono::hours(1);
   std::uint64_t last_event_ = 0;
   std::uint64_t last_exchange_ = 0;
