Keep work from evacuated availability zones

Evacuations were read from the store, but nothing acted on them. The owner in an evacuated zone now refuses new and queued work, its hints say so, and the entry excludes members of zones that it knows to be evacuated, homes of keys included. Using the draining flag of members was ruled out: it needs a refutation to be cleared.

evacuation_set keeps the zones with era and offset of the log, so that a read that lags does not end an evacuation, while a restored log replaces the set. The store's port names the era, and delivers newest records without any evacuation too, since a peer may have told of one. After a freeze of more than 3 s the owner refuses work for 500 ms, until news held by its sockets has been handled. When the evacuation ends, the upstream counts as cold.

--- a/src/admission/admission_system.cc
+++ b/src/admission/admission_system.cc
@@ -358,8 +358,12 @@
 }
 
 void admission_system::OnFreeze(time_point now) {
+  RefuseAllQueued(error_kind::kOverloaded, now);
+}
+
+void admission_system::RefuseAllQueued(error_kind kind, time_point now) {
   DropExpired(now);
-  RefuseQueued(error_kind::kOverloaded);
+  RefuseQueued(kind);
   Notify();
 }
 
--- a/src/admission/admission_system.h
+++ b/src/admission/admission_system.h
@@ -79,6 +79,9 @@
   /// The process was suspended and continues: refuses all queued work.
   void OnFreeze(time_point now);
 
+  /// Refuses all queued work with `kind`; running work finishes.
+  void RefuseAllQueued(error_kind kind, time_point now);
+
   void Tick(time_point now);
 
   /// The state to be sent to entries, with a sequence above that of every earlier hint.
--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -128,12 +128,15 @@
         return member.id == issued->home.id && member.incarnation == issued->home.incarnation;
       });
       if (!is_live) return error_kind::kKeyHomeLost;
+      if (members_.IsEvacuated(issued->home.id)) return error_kind::kEvacuated;
       return chosen_target{issued->home, target_reason::kKeyHome, {}};
     }
     const auto home = HomeOfOwnKey(row.key, members);
     if (!home) return error_kind::kNoUpstream;
+    if (members_.IsEvacuated(home->id)) return error_kind::kEvacuated;
     return chosen_target{*home, target_reason::kKeyHome, {}};
   }
+  if (row.restarted && members_.IsEvacuated(row.restarted->id)) row.restarted.reset();
   if (row.restarted) {
     return chosen_target{
         *std::exchange(row.restarted, std::nullopt), target_reason::kChosen, {}};
--- a/src/calls/member_directory.h
+++ b/src/calls/member_directory.h
@@ -14,6 +14,8 @@
 
   /// Live members that serve `service`, draining ones included, in any order.
   virtual std::vector<member_target> LiveMembers(std::string_view service) = 0;
+  /// True if the availability zone of `member` is evacuated, so that it must get no work.
+  virtual bool IsEvacuated(member_id /*member*/) const { return false; }
 };
 
 }  // namespace bronzeroute
--- a/src/membership/member_codec.cc
+++ b/src/membership/member_codec.cc
@@ -87,6 +87,7 @@
   out->set_start_wait_us(hint.start_wait_us);
   out->set_failing(hint.failing);
   out->set_draining(hint.draining);
+  out->set_evacuated(hint.evacuated);
 }
 
 load_hint ReadLoadHint(const proto::LoadHint& in) {
@@ -102,6 +103,7 @@
   hint.start_wait_us = in.start_wait_us();
   hint.failing = in.failing();
   hint.draining = in.draining();
+  hint.evacuated = in.evacuated();
   return hint;
 }
 
--- a/src/node/admission_adapter.cc
+++ b/src/node/admission_adapter.cc
@@ -3,12 +3,26 @@
 #include "src/admission/upstream_notice.h"
 #include "src/calls/admission_listener.h"
 #include "src/calls/attempt_head.h"
+#include "src/calls/call_times.h"
 #include "src/configuration/service_spec.h"
 #include "src/membership/upstream_announcement.h"
 #include "src/routing/load_hint.h"
 
 namespace bronzeroute {
 
+namespace {
+
+// Time in which a process that was frozen handles what its sockets hold: responses of the log
+// and datagrams of peers.
+constexpr duration kHoldAfterFreeze = std::chrono::milliseconds(500);
+
+}  // namespace
+
+bool admission_adapter::IsHeld(time_point now) const {
+  if (!holds_after_freeze_) return false;
+  return now < held_until_ || (last_tick_ && now - *last_tick_ > kFreezeGap);
+}
+
 upstream_result admission_adapter::ResultOf(upstream_outcome outcome) const {
   switch (outcome) {
     case upstream_outcome::kCompleted:
@@ -50,7 +64,8 @@
 }
 
 bool admission_adapter::HasFreeSlot(std::string_view service, bool is_long, time_point now) {
-  if (service != service_ || !is_allowed_ || system_.draining()) {
+  if (service != service_ || !is_allowed_ || is_evacuated_ || IsHeld(now) ||
+      system_.draining()) {
     return false;
   }
   if (system_.health(now) != ejection_state::kClear || system_.queued() > 0 ||
@@ -66,6 +81,10 @@
 admission_result admission_adapter::Submit(exchange_id exchange, const attempt_head& head,
                                            time_point now) {
   now_ = now;
+  if (is_evacuated_) {
+    return {admission_result::state::kRefused, error_kind::kEvacuated};
+  }
+  if (IsHeld(now)) return {admission_result::state::kRefused, error_kind::kOverloaded};
   if (service_.empty()) {
     // No announcement has arrived yet, or the upstream stopped announcing itself.
     return {admission_result::state::kRefused, error_kind::kDraining};
@@ -124,8 +143,27 @@
   system_.Drain(now);
 }
 
+void admission_adapter::SetEvacuated(bool is_evacuated, time_point now) {
+  if (is_evacuated == is_evacuated_) return;
+  now_ = now;
+  is_evacuated_ = is_evacuated;
+  if (is_evacuated) {
+    system_.RefuseAllQueued(error_kind::kEvacuated, now);
+  } else {
+    system_.AssumeCold(now);
+  }
+}
+
+load_hint admission_adapter::Hint(time_point now) {
+  load_hint hint = system_.Hint(now);
+  hint.evacuated = is_evacuated_;
+  return hint;
+}
+
 void admission_adapter::Tick(time_point now) {
   now_ = now;
+  if (IsHeld(now) && now >= held_until_) held_until_ = now + kHoldAfterFreeze;
+  last_tick_ = now;
   system_.Tick(now);
 }
 
--- a/src/node/admission_adapter.h
+++ b/src/node/admission_adapter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -50,9 +51,17 @@
                           time_point now) override;
   void Cancel(exchange_id exchange, time_point now) override;
   void OnUpstreamEnded(exchange_id exchange, upstream_outcome outcome, time_point now) override;
-  load_hint Hint(time_point now) override { return system_.Hint(now); }
+  load_hint Hint(time_point now) override;
 
   void Drain(time_point now);
+  /// While the availability zone is evacuated, new work is refused, and so is work that is
+  /// queued when the evacuation begins; running work finishes. The upstream may be cold when
+  /// the evacuation ends.
+  void SetEvacuated(bool is_evacuated, time_point now);
+  bool is_evacuated() const { return is_evacuated_; }
+  /// From now on, new work is refused after a freeze until news of an evacuation that began
+  /// meanwhile would have been handled.
+  void HoldAfterFreeze() { holds_after_freeze_ = true; }
   void Tick(time_point now);
   const admission_system& system() const { return system_; }
 
@@ -60,6 +69,8 @@
   void OnQueuedStarted(exchange_id exchange) override;
   void OnQueuedRefused(exchange_id exchange, error_kind kind) override;
 
+  /// True if the process was frozen until now or until recently, and holds work after that.
+  bool IsHeld(time_point now) const;
   upstream_result ResultOf(upstream_outcome outcome) const;
 
   bool eject_on_error_answers_;
@@ -67,6 +78,11 @@
   admission_system system_;
   std::string service_;
   bool is_allowed_ = false;
+  bool is_evacuated_ = false;
+  bool holds_after_freeze_ = false;
+  std::optional<time_point> last_tick_;
+  /// End of the hold after the last freeze.
+  time_point held_until_;
   /// Start time of each running exchange, from which its service time is computed.
   absl::flat_hash_map<exchange_id, time_point> started_;
   /// Time of the event that is being handled.
--- a/src/node/decision_log.cc
+++ b/src/node/decision_log.cc
@@ -156,6 +156,17 @@
   sink_->Write(line);
 }
 
+void decision_log::OnEvacuation(std::string_view zone, bool begins, std::size_t members,
+                                std::int64_t offset, std::string_view source) {
+  if (sink_ == nullptr) return;
+  log_line line(log_weight::kState, "config", begins ? "evacuation_began" : "evacuation_ended");
+  line.Add("zone", zone.substr(0, kMaxListedBytes))
+      .Add("members", members)
+      .Add("offset", offset)
+      .Add("source", source);
+  sink_->Write(line);
+}
+
 void decision_log::OnMalformedRate(std::string_view identity, std::string_view found) {
   if (sink_ == nullptr) return;
   log_line line(log_weight::kProblem, "admit", "malformed_limit");
--- a/src/node/decision_log.h
+++ b/src/node/decision_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -33,6 +34,10 @@
   /// The limit of a cold upstream begins with `per_second` starts per second, or ends (0).
   /// `held` counts the work that it has held back since the start of the process.
   void OnColdLimit(std::string_view identity, double per_second, std::uint64_t held);
+  /// The evacuation of `zone`, which `members` members have, begins or ends, as `source` (log
+  /// or peer) tells.
+  void OnEvacuation(std::string_view zone, bool begins, std::size_t members,
+                    std::int64_t offset, std::string_view source);
   /// The upstream names a limit with the value `found`, which is no number.
   void OnMalformedRate(std::string_view identity, std::string_view found);
   /// The log came back from an older copy; the stream is read anew.
--- a/src/node/member_directory_adapter.cc
+++ b/src/node/member_directory_adapter.cc
@@ -4,6 +4,7 @@
 
 #include "src/configuration/configuration_system.h"
 #include "src/configuration/may_run_in.h"
+#include "src/membership/evacuation_set.h"
 #include "src/membership/member_row.h"
 #include "src/membership/membership_system.h"
 
@@ -26,4 +27,9 @@
   return live;
 }
 
+bool member_directory_adapter::IsEvacuated(member_id member) const {
+  const member_row* const row = membership_.Find(member);
+  return row != nullptr && evacuations_.Contains(row->availability_zone);
+}
+
 }  // namespace bronzeroute
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -14,6 +14,7 @@
 #include "src/configuration/may_run_in.h"
 #include "src/measuring/request_class.h"
 #include "src/measuring/request_result.h"
+#include "src/membership/evacuation_stream.h"
 #include "src/node/peer_link_port.h"
 #include "src/node/runtime_ports.h"
 #include "src/node/runtime_settings.h"
@@ -87,9 +88,10 @@
                       .read_pause = settings.configuration_read_pause,
                       .read_timeout = settings.log_read_time},
                      ports.log, ports.configuration_peers),
+      evacuation_stream_(EvacuationStream(settings.environment)),
       admission_(settings.eject_on_error_answers),
       routing_(configuration_, settings.seed, settings.costs, settings.eject_on_error_answers),
-      members_(membership_, configuration_),
+      members_(membership_, configuration_, evacuations_),
       routes_(configuration_, settings.seed),
       decisions_(ports.events),
       node_(identity_,
@@ -161,6 +163,11 @@
 }
 
 void node_runtime::OnLogRead(const log_read& read, time_point now) {
+  if (read.stream == evacuation_stream_) {
+    admission_.HoldAfterFreeze();
+    if (evacuations_.OnLogRead(read)) ApplyEvacuations("log", now);
+    return;
+  }
   if (read.is_restored) decisions_.OnLogRestored(read.stream);
   configuration_.OnLogRead(read, now);
   membership_.OnLogRead(read, now);
@@ -268,7 +275,8 @@
 
 restriction_metrics node_runtime::restrictions(time_point now) const {
   const admission_system& system = admission_.system();
-  return {.cold_rate_per_s = system.ColdRate(now),
+  return {.evacuated_zones = evacuations_.zones().size(),
+          .cold_rate_per_s = system.ColdRate(now),
           .held_by_cold_limit = system.held_by_cold_limit()};
 }
 
@@ -455,6 +463,31 @@
   configuration_.OnMembers(alive);
 }
 
+void node_runtime::ApplyEvacuations(std::string_view source, time_point now) {
+  const evacuation_set::zone_set& zones = evacuations_.zones();
+  if (zones == applied_zones_) return;
+  const evacuation_set::zone_set before = std::exchange(applied_zones_, zones);
+  const auto log_missing = [&](const evacuation_set::zone_set& from,
+                               const evacuation_set::zone_set& in, bool begins) {
+    for (const std::string& zone : from) {
+      if (in.contains(zone)) continue;
+      const auto members =
+          std::ranges::count(membership_.members(), zone, &member_row::availability_zone);
+      decisions_.OnEvacuation(zone, begins, static_cast<std::size_t>(members),
+                              evacuations_.position().offset, source);
+    }
+  };
+  log_missing(zones, before, true);
+  log_missing(before, zones, false);
+  // Routing first: admission refuses queued work, which entries then send elsewhere.
+  routing_.SetEvacuated(zones);
+  members_changed_ = true;
+  ApplyMembers(now);
+  peers_.SetTime(now);
+  admission_.SetEvacuated(zones.contains(membership_.self().availability_zone), now);
+  membership_.SetHint(admission_.Hint(now));
+}
+
 void node_runtime::TakeEvents() {
   for (const membership_event& event : membership_.TakeEvents()) {
     decisions_.OnMembership(event);
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -19,6 +19,7 @@
 #include "src/measuring/budget_account.h"
 #include "src/measuring/restriction_metrics.h"
 #include "src/measuring/service_metrics.h"
+#include "src/membership/evacuation_set.h"
 #include "src/membership/member_row.h"
 #include "src/membership/membership_system.h"
 #include "src/membership/upstream_announcement.h"
@@ -106,6 +107,8 @@
   const membership_system& membership() const { return membership_; }
   const admission_adapter& admission() const { return admission_; }
   const routing_adapter& routing() const { return routing_; }
+  /// The evacuated availability zones, as far as this daemon knows them.
+  const evacuation_set& evacuations() const { return evacuations_; }
   const budget_account& budget() const { return budget_; }
   const service_metrics& metrics() const { return metrics_; }
   restriction_metrics restrictions(time_point now) const;
@@ -128,6 +131,8 @@
   /// Refuses new work for the current incarnation of the upstream.
   void DrainUpstream(time_point now);
   void ApplyMembers(time_point now);
+  /// Passes a changed set of evacuated zones to routing and admission, and logs it.
+  void ApplyEvacuations(std::string_view source, time_point now);
   distance DistanceTo(member_id member) const;
   void TakeEvents();
   /// Adds an ended call to the metrics of its service.
@@ -140,6 +145,8 @@
   metered_peer_port peers_;
   membership_system membership_;
   configuration_system configuration_;
+  std::string evacuation_stream_;
+  evacuation_set evacuations_;
   admission_adapter admission_;
   routing_adapter routing_;
   member_directory_adapter members_;
@@ -147,6 +154,7 @@
   decision_log decisions_;
   node node_;
   std::int64_t applied_version_ = -1;
+  evacuation_set::zone_set applied_zones_;
   /// Upstream that was last passed to admission and transport.
   std::string applied_service_;
   std::string applied_address_;
--- a/src/node/routing_adapter.h
+++ b/src/node/routing_adapter.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <set>
 #include <span>
+#include <string>
 #include <string_view>
 
 #include "absl/container/flat_hash_set.h"
@@ -38,6 +41,10 @@
   void OnAttemptEnded(member_target owner, attempt_outcome outcome, time_point now) override;
 
   void OnMembers(std::span<const member_row> members, const member_row& self, time_point now);
+  /// Members in `zones` get no work from the next `OnMembers` on.
+  void SetEvacuated(const std::set<std::string, std::less<>>& zones) {
+    system_.SetEvacuated(zones);
+  }
   /// True if choices prefer `member`, so that a channel to it should be kept open.
   bool IsPreferred(member_id member) const { return system_.IsPreferred(member); }
 
--- a/src/platform/log_read.h
+++ b/src/platform/log_read.h
@@ -23,6 +23,8 @@
   /// The log came back from an older copy since the previous read: records that it had
   /// confirmed may be gone, and their offsets are given out again.
   bool is_restored = false;
+  /// Rises each time the log comes back from an older copy, if it tells; otherwise 0.
+  std::int64_t era = 0;
 };
 
 }  // namespace bronzeroute
--- a/src/routing/candidate_disposition.h
+++ b/src/routing/candidate_disposition.h
@@ -14,6 +14,8 @@
   kSuspect,
   kEjected,
   kOutsideRegions,
+  /// Its availability zone is evacuated.
+  kEvacuated,
 };
 
 }  // namespace bronzeroute
--- a/src/routing/choice_explanation.cc
+++ b/src/routing/choice_explanation.cc
@@ -39,6 +39,8 @@
       return "suspected of failure";
     case candidate_disposition::kEjected:
       return "ejected";
+    case candidate_disposition::kEvacuated:
+      return "evacuated";
     case candidate_disposition::kOutsideRegions:
       break;
   }
--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -93,11 +93,13 @@
   }
   item.named_in = updates_;
   const std::size_t service = ServiceIndex(row.service);
+  const bool evacuated = evacuated_.contains(row.availability_zone);
   const bool changed = is_replaced || item.service != service || item.row.where != where ||
-                       item.draining != row.draining;
+                       item.draining != row.draining || item.evacuated != evacuated;
   item.row.where = where;
   item.service = service;
   item.draining = row.draining;
+  item.evacuated = evacuated;
   item.state = row.state;
   if (item.region != row.region) item.region = row.region;
   return changed;
@@ -130,7 +132,8 @@
     std::vector<subset_member> group;
     for (const std::size_t index : service.members) {
       const entry& item = entries_[index];
-      if (item.row.where == where) group.push_back({item.row.id, index, item.draining});
+      if (item.row.where == where)
+        group.push_back({item.row.id, index, item.draining || item.evacuated});
     }
     SelectSubset(own, SubsetLimit(where), group);
     for (const subset_member& each : group) entries_[each.index].preferred = true;
@@ -154,6 +157,7 @@
   replacement.row.where = item->row.where;
   replacement.region = item->region;
   replacement.state = item->state;
+  replacement.evacuated = item->evacuated;
   replacement.service = item->service;
   replacement.preferred = item->preferred;
   replacement.named_in = item->named_in;
@@ -282,6 +286,7 @@
     return candidate_disposition::kExcludedByCaller;
   }
   if (!MayRunIn(spec, item.region)) return candidate_disposition::kOutsideRegions;
+  if (item.evacuated || item.row.hint.evacuated) return candidate_disposition::kEvacuated;
   if (item.draining || item.row.hint.draining) return candidate_disposition::kDraining;
   if (item.state != member_state::kAlive) return candidate_disposition::kSuspect;
   return candidate_disposition::kNotSelected;
--- a/src/routing/hint_table.h
+++ b/src/routing/hint_table.h
@@ -2,6 +2,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -33,6 +35,10 @@
   void OnMembers(std::span<const member_row> members, member_id own, std::string_view region,
                  std::string_view availability_zone, time_point now);
 
+  /// The availability zones whose members must get no work. Takes effect with the next
+  /// `OnMembers`.
+  void SetEvacuated(const std::set<std::string, std::less<>>& zones) { evacuated_ = zones; }
+
   /// True if `member` is in the subset that this entry chooses from. The number of such members
   /// is bounded for each service, however many serve it; `Gather` uses the others only while
   /// none of the subset is eligible.
@@ -73,6 +79,7 @@
     std::string region;
     member_state state = member_state::kAlive;
     bool draining = false;
+    bool evacuated = false;
     bool ejected_by_owner = false;
     bool has_hint = false;
     std::size_t service = 0;
@@ -117,6 +124,7 @@
   static void AddCandidate(const entry& item, time_point now, eligible_members& result);
 
   transfer_cost costs_;
+  std::set<std::string, std::less<>> evacuated_;
   std::uint64_t updates_ = 0;
   std::vector<entry> entries_;
   absl::flat_hash_map<member_id, std::size_t> index_;
--- a/src/routing/load_hint.h
+++ b/src/routing/load_hint.h
@@ -24,6 +24,8 @@
   std::uint32_t start_wait_us = 0;
   bool failing = false;
   bool draining = false;
+  /// The availability zone of the upstream is evacuated: it takes no new work.
+  bool evacuated = false;
 };
 
 /// `received` if it can be a rate, else 0: a message of a peer may hold any number.
--- a/src/routing/member_subset.h
+++ b/src/routing/member_subset.h
@@ -13,6 +13,7 @@
   member_id id;
   /// Position in the caller's own list.
   std::size_t index = 0;
+  /// It takes no new work now.
   bool draining = false;
 };
 
--- a/src/routing/routing_system.h
+++ b/src/routing/routing_system.h
@@ -33,6 +33,11 @@
     table_.OnMembers(members, own, region, availability_zone, now);
   }
 
+  /// See hint_table.
+  void SetEvacuated(const std::set<std::string, std::less<>>& zones) {
+    table_.SetEvacuated(zones);
+  }
+
   /// True if choices prefer `member`; see hint_table.
   bool IsPreferred(member_id member) const { return table_.IsPreferred(member); }
 
--- a/src/transport/peer_codec.cc
+++ b/src/transport/peer_codec.cc
@@ -35,6 +35,7 @@
   to.set_start_wait_us(hint.start_wait_us);
   to.set_failing(hint.failing);
   to.set_draining(hint.draining);
+  to.set_evacuated(hint.evacuated);
   return to;
 }
 
@@ -51,6 +52,7 @@
   to.start_wait_us = hint.start_wait_us();
   to.failing = hint.failing();
   to.draining = hint.draining();
+  to.evacuated = hint.evacuated();
   return to;
 }
 
