Pass evacuations on with membership datagrams

A daemon that cannot read the log missed the begin and the end of an evacuation. A peer that sends an older, different set is told again, because it may have been cut off for longer than that. Sending the set only with pushes was ruled out: a daemon that starts in between would not get it, and a lost datagram would not be repeated. At most 16 zones are sent.

--- a/src/membership/membership_system.cc
+++ b/src/membership/membership_system.cc
@@ -38,6 +38,15 @@
 constexpr std::size_t kMaxForcedChanges = 2;
 constexpr std::uint32_t kMaxRequestsPerMember = 5;
 constexpr duration kReadTimeout = seconds(30);
+// Time for which an end of evacuations is sent. It bridges restarts and short partitions; a
+// peer that sends an older set later is told again.
+constexpr duration kEmptySetSent = seconds(60);
+// Bounds of a set of evacuations in a datagram. Deployments have a few zones; a larger set
+// would crowd out the records and is left to the log.
+constexpr std::size_t kMaxSentZones = 16;
+// Eras and offsets above it are malformed.
+constexpr std::uint64_t kMaxPosition = std::uint64_t{1} << 62;
+constexpr std::size_t kMaxSentZoneBytes = 384;
 
 distance DistanceBetween(const member_row& a, const member_row& b) {
   if (a.region != b.region) return distance::kOtherRegion;
@@ -131,6 +140,39 @@
   highest_version_ = std::max(highest_version_, version);
 }
 
+void membership_system::SetEvacuations(const evacuation_set& known, time_point now) {
+  if (known.zones() != evacuations_.zones()) {
+    if (known.zones().empty()) evacuations_sent_until_ = now + kEmptySetSent;
+    push_due_ = joined_;
+  }
+  evacuations_ = known;
+}
+
+auto membership_system::TakeEvacuations() -> std::optional<received_evacuations> {
+  return std::exchange(received_evacuations_, std::nullopt);
+}
+
+void membership_system::ReadEvacuations(const MemberDatagram& message, time_point now) {
+  if (message.evacuation_offset() == 0) return;
+  if (message.evacuation_offset() > kMaxPosition || message.evacuation_era() > kMaxPosition ||
+      message.evacuated_zones_size() > static_cast<int>(kMaxSentZones)) {
+    ++malformed_datagrams_;
+    return;
+  }
+  received_evacuations received;
+  received.position = {static_cast<std::int64_t>(message.evacuation_era()),
+                       static_cast<std::int64_t>(message.evacuation_offset())};
+  received.zones.assign(message.evacuated_zones().begin(), message.evacuated_zones().end());
+  if (received.position <= evacuations_.position()) {
+    // The peer has missed the end of an evacuation.
+    const bool is_equal = std::ranges::equal(received.zones, evacuations_.zones());
+    if (!is_equal) evacuations_sent_until_ = now + kEmptySetSent;
+    return;
+  }
+  if (received_evacuations_ && received.position <= received_evacuations_->position) return;
+  received_evacuations_ = std::move(received);
+}
+
 std::vector<membership_event> membership_system::TakeEvents() {
   return std::exchange(events_, {});
 }
@@ -480,6 +522,7 @@
     return;
   }
   ProcessSender(from, message, now);
+  ReadEvacuations(message, now);
   const bool pass_on = message.kind() != MemberDatagram::PAGE;
   for (const proto::MemberRecord& record : message.records()) {
     if (const std::optional<member_update> update = ReadMemberRecord(record)) {
@@ -878,6 +921,7 @@
   message.set_config_version(self.config_version);
   WriteLoadHint(hint_, message.mutable_hint());
   message.mutable_hint()->set_draining(hint_.draining || self.draining);
+  FillEvacuations(message);
   if (!with_digests) return;
   message.set_live(static_cast<std::uint32_t>(table_.live()));
   for (const std::uint32_t digest : table_.digests()) message.add_bucket_digests(digest);
@@ -889,6 +933,17 @@
   message.set_unconfirmed_buckets(mask);
 }
 
+void membership_system::FillEvacuations(MemberDatagram& message) const {
+  const evacuation_set::zone_set& zones = evacuations_.zones();
+  if (zones.empty() && last_observed_ >= evacuations_sent_until_) return;
+  std::size_t bytes = 0;
+  for (const std::string& zone : zones) bytes += zone.size();
+  if (zones.size() > kMaxSentZones || bytes > kMaxSentZoneBytes) return;
+  message.set_evacuation_era(static_cast<std::uint64_t>(evacuations_.position().era));
+  message.set_evacuation_offset(static_cast<std::uint64_t>(evacuations_.position().offset));
+  for (const std::string& zone : zones) message.add_evacuated_zones(zone);
+}
+
 std::size_t membership_system::ChangeLimit() const {
   const std::uint64_t payable = budget_.MaxCharge(charge_purpose::kMembershipChange);
   return std::min<std::uint64_t>(kDatagramLimit, payable - kHeaderBytes);
--- a/src/membership/membership_system.h
+++ b/src/membership/membership_system.h
@@ -14,6 +14,7 @@
 #include "src/base/strong_id.h"
 #include "src/base/time.h"
 #include "src/measuring/charge_purpose.h"
+#include "src/membership/evacuation_set.h"
 #include "src/membership/member_row.h"
 #include "src/membership/member_table.h"
 #include "src/membership/member_update.h"
@@ -76,6 +77,17 @@
   /// The configuration version in effect here, sent on the next messages.
   void SetConfigVersion(std::int64_t version);
 
+  /// The evacuations known here, sent on the next messages while there are any, and for some
+  /// time after they end. A change is pushed to some peers at once.
+  void SetEvacuations(const evacuation_set& known, time_point now);
+  /// A set of evacuated zones that a peer sent.
+  struct received_evacuations {
+    evacuation_position position;
+    std::vector<std::string> zones;
+  };
+  /// The set with the highest position above the own one that was received since the last call.
+  std::optional<received_evacuations> TakeEvacuations();
+
   /// All members in the table in any state, the own daemon first. Valid until the next call of
   /// a non-const function.
   std::span<const member_row> members() const { return table_.rows(); }
@@ -150,6 +162,7 @@
   void SendNewerIncarnation(member_id sender, std::string_view from, time_point now);
   void ProcessSender(std::string_view from, const proto::MemberDatagram& message,
                      time_point now);
+  void ReadEvacuations(const proto::MemberDatagram& message, time_point now);
   void OnPing(std::string_view from, const proto::MemberDatagram& message, time_point now);
   void OnPingRequest(std::string_view from, const proto::MemberDatagram& message,
                      time_point now);
@@ -181,6 +194,7 @@
   /// refused. A forced message is sent on credit instead, with three records at most.
   bool Send(member_id peer, std::string_view address, proto::MemberDatagram& message,
             std::size_t size, charge_purpose purpose, urgency force, time_point now);
+  void FillEvacuations(proto::MemberDatagram& message) const;
   void FillSender(proto::MemberDatagram& message, bool with_digests);
   /// Size limit of messages that carry changes, given by the capacity of the budget.
   std::size_t ChangeLimit() const;
@@ -201,6 +215,10 @@
   std::mt19937_64 random_;
   member_table table_;
   load_hint hint_;
+  evacuation_set evacuations_;
+  /// Time until which the set is sent although it is empty.
+  time_point evacuations_sent_until_;
+  std::optional<received_evacuations> received_evacuations_;
   std::optional<upstream_announcement> upstream_;
   std::vector<membership_event> events_;
 
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -159,6 +159,10 @@
 
 void node_runtime::OnDatagram(std::string_view from, std::string_view payload, time_point now) {
   membership_.OnDatagram(from, payload, now);
+  if (const auto received = membership_.TakeEvacuations()) {
+    admission_.HoldAfterFreeze();
+    if (evacuations_.OnPeer(received->position, received->zones)) ApplyEvacuations("peer", now);
+  }
   ApplyMembers(now);
 }
 
@@ -464,6 +468,7 @@
 }
 
 void node_runtime::ApplyEvacuations(std::string_view source, time_point now) {
+  membership_.SetEvacuations(evacuations_, now);
   const evacuation_set::zone_set& zones = evacuations_.zones();
   if (zones == applied_zones_) return;
   const evacuation_set::zone_set before = std::exchange(applied_zones_, zones);
--- a/tests/membership/evacuation_set_test.cc
+++ b/tests/membership/evacuation_set_test.cc
@@ -5,7 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "proto/membership.pb.h"
 #include "src/platform/log_read.h"
+#include "tests/membership/member_net.h"
 
 namespace bronzeroute {
 namespace {
@@ -91,5 +93,31 @@
   EXPECT_TRUE(set.zones().empty());
 }
 
+// Guards against a malformed set of a peer that is applied, or that makes all later ones look
+// outdated.
+TEST(EvacuationSet, AMalformedSetOfAPeerIsCountedAndIgnored) {
+  member_net net({});
+  net.StartAll(2);
+  net.RunFor(std::chrono::seconds(20));
+  const auto inject = [&net](std::uint64_t offset, int zone_count) {
+    proto::MemberDatagram message;
+    message.set_kind(proto::MemberDatagram::GOSSIP);
+    message.set_sender(member_net::Id(1).value);
+    message.set_sender_incarnation(net.at(1).self().incarnation.value);
+    message.set_evacuation_offset(offset);
+    for (int i = 0; i < zone_count; ++i) message.add_evacuated_zones(std::to_string(i));
+    net.at(0).OnDatagram(member_net::Address(1, 7001), message.SerializeAsString(), net.now());
+    return net.at(0).TakeEvacuations();
+  };
+  const std::uint64_t before = net.at(0).malformed_datagrams();
+  EXPECT_FALSE(inject(std::uint64_t{1} << 63, 1));
+  EXPECT_FALSE(inject(7, 1000));
+  EXPECT_EQ(net.at(0).malformed_datagrams(), before + 2);
+  const auto received = inject(7, 2);
+  ASSERT_TRUE(received);
+  EXPECT_EQ(received->position.offset, 7);
+  EXPECT_EQ(received->zones, (std::vector<std::string>{"0", "1"}));
+}
+
 }  // namespace
 }  // namespace bronzeroute
--- a/tests/node/evacuation_test.cc
+++ b/tests/node/evacuation_test.cc
@@ -191,6 +191,53 @@
   EXPECT_EQ(StartsSince(0, bound) + StartsSince(1, bound), 0U);
 }
 
+// Guards against daemons that cannot read the log and therefore miss the begin or the end of an
+// evacuation, also while datagrams are lost.
+TEST_F(EvacuationTest, DaemonsWithoutTheLogLearnFromPeers) {
+  world_.options.lose_percent = 30;
+  world_.CutOffLog(0, true);
+  world_.CutOffLog(3, true);
+  world_.SetEvacuated("central-a", true);
+  Load(kBound);
+  const time_point bound = world_.now();
+  Load(seconds(3));
+  EXPECT_EQ(StartsSince(0, bound) + StartsSince(1, bound), 0U);
+  EXPECT_TRUE(world_.daemon(0).evacuations().Contains("central-a"));
+  EXPECT_TRUE(world_.daemon(3).evacuations().Contains("central-a"));
+  // One that starts in between has no other source either.
+  world_.Kill(0);
+  world_.Restart(0);
+  Load(seconds(5));
+  EXPECT_EQ(StartsSince(0, bound), 0U);
+  EXPECT_TRUE(world_.daemon(0).evacuations().Contains("central-a"));
+  world_.SetEvacuated("central-a", false);
+  world_.Advance(kBound);
+  EXPECT_FALSE(world_.daemon(0).evacuations().Contains("central-a"));
+  EXPECT_FALSE(world_.daemon(3).evacuations().Contains("central-a"));
+}
+
+// Guards against the loss of an evacuation while the log is down, and against a member that was
+// cut off for longer than the end of an evacuation is sent and keeps to it for ever.
+TEST_F(EvacuationTest, AMemberThatMissedTheEndIsToldAgain) {
+  world_.SetEvacuated("north-a", true);
+  world_.Advance(seconds(3));
+  world_.CutOffLog(2, true);
+  world_.CutOffLog(3, true);
+  world_.SetPartitioned(true);
+  world_.SetEvacuated("north-a", false);
+  const time_point cut_off = world_.now();
+  Load(seconds(3));
+  world_.Advance(seconds(90));
+  EXPECT_TRUE(world_.daemon(2).evacuations().Contains("north-a"));
+  EXPECT_EQ(StartsSince(2, cut_off) + StartsSince(3, cut_off), 0U);
+  EXPECT_FALSE(world_.daemon(0).evacuations().Contains("north-a"));
+  world_.SetPartitioned(false);
+  world_.Advance(seconds(30));
+  for (std::size_t i = 0; i < 4; ++i) {
+    EXPECT_FALSE(world_.daemon(i).evacuations().Contains("north-a")) << i;
+  }
+}
+
 // Guards against a whole zone that returns cold and gets its usual load before its upstreams
 // have announced that they are cold.
 TEST(EvacuationEndTest, TheUpstreamsOfAReturningZoneCountAsCold) {
