--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -17,7 +17,9 @@
 #include "src/calls/self_identity.h"
 #include "src/configuration/configuration_system.h"
 #include "src/measuring/budget_account.h"
+#include "src/measuring/restriction_metrics.h"
 #include "src/measuring/service_metrics.h"
+#include "src/membership/evacuation_set.h"
 #include "src/membership/member_row.h"
 #include "src/membership/membership_system.h"
 #include "src/membership/upstream_announcement.h"
@@ -105,8 +107,11 @@
   const membership_system& membership() const { return membership_; }
   const admission_adapter& admission() const { return admission_; }
   const routing_adapter& routing() const { return routing_; }
+  /// The evacuated availability zones, as far as this daemon knows them.
+  const evacuation_set& evacuations() const { return evacuations_; }
   const budget_account& budget() const { return budget_; }
   const service_metrics& metrics() const { return metrics_; }
+  restriction_metrics restrictions(time_point now) const;
   /// Number of alive members that have an upstream, this one included.
   std::size_t ServingMembers() const;
 
@@ -121,9 +126,13 @@
   bool IsFromAnotherWriter(const upstream_announcement& announcement) const;
   /// Logs the limit that the upstream names, unless it is about the one logged last.
   void LogRate(const upstream_notice& notice);
+  /// Logs the begin and the end of the limit of a cold upstream.
+  void LogColdLimit(time_point now);
   /// Refuses new work for the current incarnation of the upstream.
   void DrainUpstream(time_point now);
   void ApplyMembers(time_point now);
+  /// Passes a changed set of evacuated zones to routing and admission, and logs it.
+  void ApplyEvacuations(std::string_view source, time_point now);
   distance DistanceTo(member_id member) const;
   void TakeEvents();
   /// Adds an ended call to the metrics of its service.
@@ -136,6 +145,8 @@
   metered_peer_port peers_;
   membership_system membership_;
   configuration_system configuration_;
+  std::string evacuation_stream_;
+  evacuation_set evacuations_;
   admission_adapter admission_;
   routing_adapter routing_;
   member_directory_adapter members_;
@@ -143,6 +154,7 @@
   decision_log decisions_;
   node node_;
   std::int64_t applied_version_ = -1;
+  evacuation_set::zone_set applied_zones_;
   /// Upstream that was last passed to admission and transport.
   std::string applied_service_;
   std::string applied_address_;
@@ -153,6 +165,8 @@
   bool upstream_leaves_ = false;
   /// Requests per second that the upstream named last, as logged; -1 for no limit.
   double logged_rate_ = kNoRate;
+  /// The limit of a cold upstream applied when it was last logged.
+  bool logged_cold_ = false;
   /// An operator drained this daemon, or it is stopping.
   bool drained_ = false;
   duration stop_linger_;
