Keep requests in the regions of their route and account

Cause: route_decision::regions was filled in but limited nothing, so that a request with allowed regions could run, and its body could go, anywhere.

The entry reduces the regions at arrival by those of the configuration in effect for each attempt, and limits its own upstream, the candidates, the home of a key and a restarted owner to them. The owner looks up route and account in its own document on arrival, on each tick while the attempt waits, and before the start. Without an allowed upstream the request is refused at once as outside_regions. Explanations name the allowed regions.

Ruled out: sending the regions with the attempt, since a newer document would not reach waiting requests.

Not run on real processes.

--- a/src/calls/call_rules.h
+++ b/src/calls/call_rules.h
@@ -19,6 +19,8 @@
   static constexpr bool IsLate(time_point deadline, time_point now) { return deadline <= now; }
   /// Owner: the key table decides whether a try with a key may run.
   static constexpr bool ChecksKeyRow() { return true; }
+  /// Owner: work is sent to the upstream only if the owner's configuration allows its region.
+  static constexpr bool ChecksRegions() { return true; }
 };
 
 }  // namespace bronzeroute
--- a/src/calls/entry_system.h
+++ b/src/calls/entry_system.h
@@ -134,6 +134,11 @@
   }
   error_kind Classify(const caller_request& request, time_point now, call_row& row);
   std::variant<chosen_target, error_kind> PickTarget(call_row& row, time_point now);
+  /// The home of the key of `row`, if it may run in `regions`.
+  std::variant<chosen_target, error_kind> PickKeyHome(const call_row& row,
+                                                      const region_limit& regions);
+  /// True if the membership view has a live member `id` of `service` in `regions`.
+  bool IsMemberIn(member_id id, const std::string& service, const region_limit& regions);
   void StartAttempt(std::uint64_t sequence, time_point now);
   void RetryAfterRefusal(std::uint64_t sequence, error_kind kind, time_point now);
   void EndAfterLoss(std::uint64_t sequence, time_point now);
--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -121,24 +121,19 @@
 auto basic_entry_system<Rules>::PickTarget(call_row& row, time_point now)
     -> std::variant<chosen_target, error_kind> {
   const std::string& service = row.record.service;
-  if (!row.key.empty()) {
-    const std::vector<member_target> members = members_.LiveMembers(service);
-    if (const auto issued = ParseIssuedKey(row.key)) {
-      const bool is_live = std::ranges::any_of(members, [&](const member_target& member) {
-        return member.id == issued->home.id && member.incarnation == issued->home.incarnation;
-      });
-      if (!is_live) return error_kind::kKeyHomeLost;
-      return chosen_target{issued->home, target_reason::kKeyHome, {}};
+  // The configuration may have changed since the request arrived. A region that it no longer
+  // allows must not receive the body of a further attempt.
+  const region_limit regions =
+      row.regions.And(routes_.RegionsOf(row.route_id, row.record.account));
+  if (!row.key.empty()) return PickKeyHome(row, regions);
+  if (const auto restarted = std::exchange(row.restarted, std::nullopt)) {
+    // Without a limit the membership view is not consulted: it may not show the restart yet.
+    if (!regions.is_limited() || IsMemberIn(restarted->id, service, regions)) {
+      return chosen_target{*restarted, target_reason::kChosen, {}};
     }
-    const auto home = HomeOfOwnKey(row.key, members);
-    if (!home) return error_kind::kNoUpstream;
-    return chosen_target{*home, target_reason::kKeyHome, {}};
   }
-  if (row.restarted) {
-    return chosen_target{
-        *std::exchange(row.restarted, std::nullopt), target_reason::kChosen, {}};
-  }
-  if (std::ranges::find(row.excluded, self_.id) == row.excluded.end() &&
+  if (regions.Allows(self_.region) &&
+      std::ranges::find(row.excluded, self_.id) == row.excluded.end() &&
       local_.HasFreeSlot(service, row.record.is_long, now)) {
     return chosen_target{{self_.id, self_.incarnation}, target_reason::kOwnUpstreamFree, {}};
   }
@@ -146,7 +141,7 @@
                                .is_long = row.record.is_long,
                                .content_length = row.content_length,
                                .deadline = row.record.deadline,
-                               .regions = row.regions};
+                               .regions = regions};
   const auto chosen = chooser_.Choose(service, request, row.excluded, now);
   choice_summary choice;
   std::optional<duration> other_cost;
@@ -156,11 +151,40 @@
   }
   if (!chosen) {
     row.record.failed_choice = std::move(choice);
-    return error_kind::kNoUpstream;
+    return regions.is_limited() ? error_kind::kOutsideRegions : error_kind::kNoUpstream;
   }
   return chosen_target{*chosen, target_reason::kChosen, std::move(choice), other_cost};
 }
 
+template <typename Rules>
+auto basic_entry_system<Rules>::PickKeyHome(const call_row& row, const region_limit& regions)
+    -> std::variant<chosen_target, error_kind> {
+  const std::string& service = row.record.service;
+  const std::vector<member_target> members = members_.LiveMembers(service, regions);
+  if (const auto issued = ParseIssuedKey(row.key)) {
+    const auto is_home = [&](const member_target& member) {
+      return member.id == issued->home.id && member.incarnation == issued->home.incarnation;
+    };
+    if (std::ranges::any_of(members, is_home)) {
+      return chosen_target{issued->home, target_reason::kKeyHome, {}};
+    }
+    const bool is_live_elsewhere =
+        regions.is_limited() && std::ranges::any_of(members_.LiveMembers(service, {}), is_home);
+    return is_live_elsewhere ? error_kind::kOutsideRegions : error_kind::kKeyHomeLost;
+  }
+  const auto home = HomeOfOwnKey(row.key, members);
+  if (!home)
+    return regions.is_limited() ? error_kind::kOutsideRegions : error_kind::kNoUpstream;
+  return chosen_target{*home, target_reason::kKeyHome, {}};
+}
+
+template <typename Rules>
+bool basic_entry_system<Rules>::IsMemberIn(member_id id, const std::string& service,
+                                           const region_limit& regions) {
+  const std::vector<member_target> members = members_.LiveMembers(service, regions);
+  return std::ranges::find(members, id, &member_target::id) != members.end();
+}
+
 template <typename Rules>
 void basic_entry_system<Rules>::StartAttempt(std::uint64_t sequence, time_point now) {
   for (;;) {
@@ -175,8 +199,12 @@
     }
     auto pick = PickTarget(row, now);
     if (const error_kind* reason = std::get_if<error_kind>(&pick)) {
-      const error_kind kind =
-          row.last_refusal == error_kind::kNone ? *reason : row.last_refusal;
+      // A member that could not be reached took no part in the decision: what is missing is an
+      // upstream in an allowed region.
+      const bool is_without_refusal = row.last_refusal == error_kind::kNone ||
+                                      (*reason == error_kind::kOutsideRegions &&
+                                       row.last_refusal == error_kind::kPeerUnreachable);
+      const error_kind kind = is_without_refusal ? *reason : row.last_refusal;
       EndWithError(sequence, kind, 0, false, now);
       return;
     }
@@ -548,10 +576,13 @@
   choice_request request;
   request.is_protected = true;
   request.deadline = now + route.time_limit;
+  request.regions = route.regions;
   // The chooser prefers the own upstream too, and unlike a check for a free slot it also counts
   // issued keys that are not yet used.
   const auto home = chooser_.Choose(service, request, {}, now);
-  if (!home) return error_kind::kNoUpstream;
+  if (!home) {
+    return route.regions.is_limited() ? error_kind::kOutsideRegions : error_kind::kNoUpstream;
+  }
   chooser_.OnKeyIssued(*home, now);
   return FormatIssuedKey({.home = *home, .issued_ms = self_.UnixMs(now), .nonce = random_()});
 }
--- a/src/calls/member_directory.h
+++ b/src/calls/member_directory.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "src/calls/member_target.h"
+#include "src/configuration/region_limit.h"
 
 namespace bronzeroute {
 
@@ -12,8 +13,9 @@
  public:
   virtual ~member_directory() = default;
 
-  /// Live members that serve `service`, draining ones included, in any order.
-  virtual std::vector<member_target> LiveMembers(std::string_view service) = 0;
+  /// Live members in `regions` that serve `service`, draining ones included, in any order.
+  virtual std::vector<member_target> LiveMembers(std::string_view service,
+                                                 const region_limit& regions) = 0;
 };
 
 }  // namespace bronzeroute
--- a/src/calls/owner_system.h
+++ b/src/calls/owner_system.h
@@ -28,6 +28,7 @@
 class admission_gate;
 class attempt_listener;
 class peer_port;
+class route_directory;
 class upstream_port;
 
 /// The owner's side of calls: from the arrival of an attempt to the end of its work at the
@@ -38,6 +39,7 @@
   /// All references must outlive this object.
   basic_owner_system(const self_identity& self, peer_port& peers, upstream_port& upstreams,
                      admission_gate& gate, attempt_listener& local_entry,
+                     const route_directory& routes,
                      std::size_t key_capacity = key_table::kDefaultCapacity);
 
   /// An attempt from another process. Its end is reported to `peer_port` exactly once unless
@@ -114,6 +116,8 @@
   void Abandon(exchange_id exchange, time_point now);
   /// Repeats the checks for an attempt that got a slot, and sends it to the upstream.
   void Start(const attempt_id& id, time_point now);
+  /// True if the configuration of this process allows the request to run in its region.
+  bool MayRunHere(const attempt_head& head) const;
   attempt_row* FindStarted(const attempt_id& id);
   /// The outcome of work that ended without a complete response. That of an abandoned request
   /// does not count against the upstream before its deadline.
@@ -136,6 +140,7 @@
   upstream_port& upstreams_;
   admission_gate& gate_;
   attempt_listener& local_entry_;
+  const route_directory& routes_;
 
   absl::flat_hash_map<attempt_id, attempt_row> rows_;
   absl::flat_hash_map<exchange_id, attempt_id> by_exchange_;
--- a/src/calls/owner_system_impl.h
+++ b/src/calls/owner_system_impl.h
@@ -12,6 +12,7 @@
 #include "src/calls/owner_message_identity.h"
 #include "src/calls/owner_system.h"
 #include "src/calls/peer_port.h"
+#include "src/calls/route_directory.h"
 #include "src/calls/upstream_port.h"
 #include "src/routing/load_hint.h"
 
@@ -21,12 +22,14 @@
 basic_owner_system<Rules>::basic_owner_system(const self_identity& self, peer_port& peers,
                                               upstream_port& upstreams, admission_gate& gate,
                                               attempt_listener& local_entry,
+                                              const route_directory& routes,
                                               std::size_t key_capacity)
     : self_(self),
       peers_(peers),
       upstreams_(upstreams),
       gate_(gate),
       local_entry_(local_entry),
+      routes_(routes),
       keys_(self, key_capacity) {}
 
 template <typename Rules>
@@ -74,6 +77,10 @@
     Refuse(id, error_kind::kDraining, upstream_outcome::kNotStarted, now);
     return;
   }
+  if (!MayRunHere(head)) {
+    Refuse(id, error_kind::kOutsideRegions, upstream_outcome::kNotStarted, now);
+    return;
+  }
   if (Rules::IsLate(head.deadline, now)) {
     Refuse(id, error_kind::kDeadlineTooShort, upstream_outcome::kNotStarted, now);
     return;
@@ -91,6 +98,12 @@
   }
 }
 
+template <typename Rules>
+bool basic_owner_system<Rules>::MayRunHere(const attempt_head& head) const {
+  return !Rules::ChecksRegions() ||
+         routes_.RegionsOf(head.route_id, head.account).Allows(self_.region);
+}
+
 template <typename Rules>
 bool basic_owner_system<Rules>::HasFreeSlot(std::string_view service, bool is_long,
                                             time_point now) {
@@ -109,6 +122,8 @@
     kind = error_kind::kQueueTimeout;
   } else if (row.head.target_incarnation != self_.incarnation) {
     kind = error_kind::kWrongIncarnation;
+  } else if (!MayRunHere(row.head)) {
+    kind = error_kind::kOutsideRegions;
   } else if (Rules::ChecksKeyRow() && !row.head.key.empty() &&
              !keys_.IsRunning(row.head.key, id)) {
     kind = error_kind::kKeyUnknown;
@@ -400,6 +415,7 @@
   RefuseQueued(
       [&](const attempt_head& head) {
         if (Rules::IsLate(head.deadline, now)) return error_kind::kQueueTimeout;
+        if (!MayRunHere(head)) return error_kind::kOutsideRegions;
         return drained ? error_kind::kDraining : error_kind::kNone;
       },
       now);
--- a/src/calls/self_identity.h
+++ b/src/calls/self_identity.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 #include "src/base/strong_id.h"
 #include "src/base/time.h"
@@ -14,6 +15,8 @@
   incarnation_id incarnation;
   /// Monotonic time at which the Unix time in milliseconds was equal to the incarnation.
   time_point started;
+  /// Region of this process and of the upstream beside it.
+  std::string region{};
 
   /// Unix time in milliseconds, derived from the incarnation and the monotonic clock. It never
   /// jumps within one incarnation, so a key and its row expire consistently.
--- a/src/configuration/document.cc
+++ b/src/configuration/document.cc
@@ -17,9 +17,13 @@
 }
 
 void document::IndexRoutes() {
-  for (host_route& route : host_routes) {
+  by_route_id_.clear();
+  for (std::size_t i = 0; i < host_routes.size(); ++i) {
+    host_route& route = host_routes[i];
     const std::string name = Concat(route.host, route.prefix);
     route.id = std::max<std::uint64_t>(1, XXH64(name.data(), name.size(), 0));
+    // As in `route_index`, the first of two routes with the same host and prefix applies.
+    by_route_id_.emplace(route.id, i);
   }
   index_ = route_index(host_routes);
 }
@@ -29,6 +33,11 @@
   return position ? &host_routes[*position] : nullptr;
 }
 
+const host_route* document::FindRouteById(std::uint64_t id) const {
+  const auto found = by_route_id_.find(id);
+  return found == by_route_id_.end() ? nullptr : &host_routes[found->second];
+}
+
 const account_spec* document::FindAccount(const credential_digest& credential) const {
   const auto found = by_credential_.find(credential);
   return found == by_credential_.end() ? nullptr : &accounts[found->second];
--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -37,8 +37,10 @@
   const service_spec* FindService(std::string_view service_name) const;
   /// The route of a request, or null. Requires `IndexRoutes`.
   const host_route* FindHostRoute(std::string_view host, std::string_view path) const;
-  /// Computes the route ids and builds the index for `FindHostRoute`. Must be called after the
-  /// last change of `host_routes`.
+  /// The route with this `host_route::id`, or null. Requires `IndexRoutes`.
+  const host_route* FindRouteById(std::uint64_t id) const;
+  /// Computes the route ids and builds the indexes for `FindHostRoute` and `FindRouteById`.
+  /// Must be called after the last change of `host_routes`.
   void IndexRoutes();
   /// The account that holds the key with this digest, or null. Requires `IndexAccounts`.
   const account_spec* FindAccount(const credential_digest& credential) const;
@@ -50,6 +52,8 @@
 
  private:
   route_index index_;
+  /// Positions in `host_routes`.
+  absl::flat_hash_map<std::uint64_t, std::size_t> by_route_id_;
   /// Positions in `accounts`.
   absl::flat_hash_map<credential_digest, std::size_t> by_credential_;
   absl::flat_hash_map<std::string, std::size_t> by_name_;
--- a/src/node/member_directory_adapter.cc
+++ b/src/node/member_directory_adapter.cc
@@ -9,7 +9,8 @@
 
 namespace bronzeroute {
 
-std::vector<member_target> member_directory_adapter::LiveMembers(std::string_view service) {
+std::vector<member_target> member_directory_adapter::LiveMembers(std::string_view service,
+                                                                 const region_limit& regions) {
   std::vector<member_target> live;
   const std::shared_ptr<const document> current = configuration_.current();
   const service_spec* spec = current == nullptr ? nullptr : current->FindService(service);
@@ -19,7 +20,8 @@
   for (const member_row& row : membership_.members()) {
     const bool is_live =
         row.state == member_state::kAlive || row.state == member_state::kSuspect;
-    if (is_live && row.service == service && MayRunIn(*spec, row.region)) {
+    if (is_live && row.service == service && MayRunIn(*spec, row.region) &&
+        regions.Allows(row.region)) {
       live.push_back({row.id, row.incarnation});
     }
   }
--- a/src/node/member_directory_adapter.h
+++ b/src/node/member_directory_adapter.h
@@ -18,7 +18,8 @@
                            const configuration_system& configuration)
       : membership_(membership), configuration_(configuration) {}
 
-  std::vector<member_target> LiveMembers(std::string_view service) override;
+  std::vector<member_target> LiveMembers(std::string_view service,
+                                         const region_limit& regions) override;
 
  private:
   const membership_system& membership_;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -28,7 +28,8 @@
   basic_node(const self_identity& self, const node_ports& ports, std::uint64_t seed,
              std::size_t key_capacity = key_table::kDefaultCapacity)
       : gate_(ports.gate),
-        owner_(self, ports.peers, ports.upstreams, ports.gate, entry_, key_capacity),
+        owner_(self, ports.peers, ports.upstreams, ports.gate, entry_, ports.routes,
+               key_capacity),
         entry_(self, ports.callers, ports.peers, owner_, ports.chooser, ports.members,
                ports.routes, seed) {
     gate_.SetListener(&owner_);
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -70,7 +70,7 @@
 node_runtime::node_runtime(const member_row& self, const runtime_settings& settings,
                            const runtime_ports& ports, time_point now)
     : links_(ports.links),
-      identity_{self.id, self.incarnation, now},
+      identity_{self.id, self.incarnation, now, self.region},
       budget_(kInitialBytesPerSecond, kInitialUpstreamTime),
       // The incarnation is the start time in milliseconds.
       metrics_({.started = now,
--- a/src/node/route_directory_adapter.cc
+++ b/src/node/route_directory_adapter.cc
@@ -42,6 +42,19 @@
   return route.targets.back().service;
 }
 
+region_limit route_directory_adapter::RegionsOf(std::uint64_t route_id,
+                                                std::string_view account) const {
+  const std::shared_ptr<const document> current = configuration_.current();
+  if (current == nullptr) return {};
+  region_limit regions;
+  if (const host_route* const route = current->FindRouteById(route_id)) {
+    regions = route->regions;
+  }
+  if (account.empty()) return regions;
+  const account_spec* const spec = current->FindAccountByName(account);
+  return spec == nullptr ? regions : regions.And(spec->regions);
+}
+
 route_decision route_directory_adapter::Find(const caller_request& request) {
   route_decision decision;
   const std::shared_ptr<const document> current = configuration_.current();
--- a/src/node/route_directory_adapter.h
+++ b/src/node/route_directory_adapter.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include "absl/container/flat_hash_map.h"
 #include "src/calls/route_directory.h"
@@ -20,6 +21,7 @@
       : configuration_(configuration), random_(seed) {}
 
   route_decision Find(const caller_request& request) override;
+  region_limit RegionsOf(std::uint64_t route_id, std::string_view account) const override;
 
  private:
   /// Returns the service that receives the next request of `route`, by the targets' weights.
--- a/src/routing/candidate_disposition.h
+++ b/src/routing/candidate_disposition.h
@@ -13,7 +13,10 @@
   kDraining,
   kSuspect,
   kEjected,
+  /// The service does not run in the member's region.
   kOutsideRegions,
+  /// The route or the account of the request does not allow the member's region.
+  kOutsideRequestRegions,
 };
 
 }  // namespace bronzeroute
--- a/src/routing/choice_explanation.cc
+++ b/src/routing/choice_explanation.cc
@@ -40,9 +40,11 @@
     case candidate_disposition::kEjected:
       return "ejected";
     case candidate_disposition::kOutsideRegions:
+      return "outside the regions of the service";
+    case candidate_disposition::kOutsideRequestRegions:
       break;
   }
-  return "outside the regions of the service";
+  return "outside the regions allowed for the request";
 }
 
 std::string_view DistanceText(distance where) {
@@ -81,6 +83,9 @@
   for (const explained_candidate& row : candidates) {
     absl::StrAppendFormat(&text, "  member %016x, %s: %s", row.id.value,
                           DistanceText(row.where), DispositionText(row.disposition));
+    if (row.disposition == candidate_disposition::kOutsideRequestRegions) {
+      absl::StrAppendFormat(&text, " (%s)", allowed_regions.empty() ? "none" : allowed_regions);
+    }
     if (row.disposition == candidate_disposition::kChosen ||
         row.disposition == candidate_disposition::kNotSelected) {
       absl::StrAppendFormat(
--- a/src/routing/choice_explanation.h
+++ b/src/routing/choice_explanation.h
@@ -18,6 +18,9 @@
   std::string_view policy;
   choice_reason reason = choice_reason::kNoMembers;
   std::vector<explained_candidate> candidates;
+  /// Regions that the request allows, separated by commas; empty if it has no limit or allows
+  /// none.
+  std::string allowed_regions;
   /// Age of the hint on the chosen member, if there was one.
   std::optional<duration> chosen_hint_age;
 
--- a/src/routing/choice_summary.cc
+++ b/src/routing/choice_summary.cc
@@ -27,6 +27,12 @@
   left_out_ = static_cast<std::uint32_t>(kept.size() - count);
   kept.resize(count);
   rows_.reserve(count);
+  const auto needs_regions = [](const explained_candidate* each) {
+    return each->disposition == candidate_disposition::kOutsideRequestRegions;
+  };
+  if (std::ranges::any_of(kept, needs_regions)) {
+    allowed_regions_ = from.allowed_regions.substr(0, kMaxRegionsText);
+  }
   for (const explained_candidate* each : kept) {
     rows_.push_back({.id = each->id,
                      .where = each->where,
@@ -44,6 +50,7 @@
   full.service = service;
   full.policy = policy_;
   full.reason = reason_;
+  full.allowed_regions = allowed_regions_;
   for (const row& each : rows_) {
     full.candidates.push_back({.id = each.id,
                                .where = each.where,
--- a/src/routing/choice_summary.h
+++ b/src/routing/choice_summary.h
@@ -23,6 +23,8 @@
   /// rest. With 4096 calls of 3 attempts in the call history, 6 rows of 32 bytes are at
   /// most 2.4 MB.
   static constexpr std::size_t kMaxRows = 6;
+  /// Bytes kept of the allowed regions, which come from the document and have no bound there.
+  static constexpr std::size_t kMaxRegionsText = 64;
 
   choice_summary() = default;
   explicit choice_summary(const choice_explanation& from);
@@ -51,6 +53,8 @@
   choice_reason reason_ = choice_reason::kNoMembers;
   std::uint32_t left_out_ = 0;
   std::vector<row> rows_;
+  /// Regions that the request allows, cut to kMaxRegionsText; kept only if a row needs them.
+  std::string allowed_regions_;
   std::optional<duration> chosen_hint_age_;
 };
 
--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <utility>
 
+#include "absl/strings/str_join.h"
 #include "src/configuration/may_run_in.h"
 #include "src/configuration/service_spec.h"
 #include "src/membership/member_row.h"
@@ -277,11 +278,13 @@
 }
 
 candidate_disposition hint_table::DispositionOf(const entry& item, const service_spec& spec,
+                                                const region_limit& regions,
                                                 std::span<const member_id> excluded) const {
   if (std::ranges::find(excluded, item.row.id) != excluded.end()) {
     return candidate_disposition::kExcludedByCaller;
   }
   if (!MayRunIn(spec, item.region)) return candidate_disposition::kOutsideRegions;
+  if (!regions.Allows(item.region)) return candidate_disposition::kOutsideRequestRegions;
   if (item.draining || item.row.hint.draining) return candidate_disposition::kDraining;
   if (item.state != member_state::kAlive) return candidate_disposition::kSuspect;
   return candidate_disposition::kNotSelected;
@@ -305,6 +308,10 @@
   result.context.costs = costs_;
   result.context.turn = group.turns++;
 
+  if (request.regions.is_limited()) {
+    explanation.allowed_regions = absl::StrJoin(request.regions.regions(), ", ");
+  }
+
   std::vector<std::size_t> suspects;
   GatherFrom(group.preferred, spec, excluded, now, result, suspects, explanation);
   if (result.candidates.empty() && group.preferred.size() < group.members.size()) {
@@ -328,6 +335,7 @@
                             std::span<const member_id> excluded, time_point now,
                             eligible_members& result, std::vector<std::size_t>& suspects,
                             choice_explanation& explanation) const {
+  const region_limit& regions = result.context.request.regions;
   double hints = 0;
   // Members may have left or started to drain since the ejections, so the limit of one half is
   // applied again to the members that can serve.
@@ -335,7 +343,7 @@
   std::size_t excluded_and_ejected = 0;
   for (const std::size_t index : members) {
     const entry& item = entries_[index];
-    if (DispositionOf(item, spec, {}) != candidate_disposition::kNotSelected) continue;
+    if (DispositionOf(item, spec, regions, {}) != candidate_disposition::kNotSelected) continue;
     ++serving;
     const bool is_excluded = std::ranges::find(excluded, item.row.id) != excluded.end();
     if (is_excluded && item.health.At(now) != ejection_state::kClear) ++excluded_and_ejected;
@@ -351,7 +359,7 @@
       result.context.mean_occupancy += Occupancy(item.row);
       result.context.mean_service_time_us += item.row.service_time_us;
     }
-    candidate_disposition disposition = DispositionOf(item, spec, excluded);
+    candidate_disposition disposition = DispositionOf(item, spec, regions, excluded);
     if (disposition == candidate_disposition::kNotSelected && !result.trial) {
       if (IsTrialDue(item, result.context.request, now)) {
         result.candidates.clear();
--- a/src/routing/hint_table.h
+++ b/src/routing/hint_table.h
@@ -10,6 +10,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "src/base/strong_id.h"
 #include "src/base/time.h"
+#include "src/configuration/region_limit.h"
 #include "src/membership/member_state.h"
 #include "src/routing/attempt_end.h"
 #include "src/routing/candidate.h"
@@ -108,6 +109,7 @@
   /// from are.
   bool MayEject(const entry& item, time_point now) const;
   candidate_disposition DispositionOf(const entry& item, const service_spec& spec,
+                                      const region_limit& regions,
                                       std::span<const member_id> excluded) const;
   bool IsTrialDue(const entry& item, const choice_request& request, time_point now) const;
   /// `Gather` among `members`, but for suspect ones, which are added to `suspects`.
--- a/tests/calls/call_world.h
+++ b/tests/calls/call_world.h
@@ -82,6 +82,10 @@
   const basic_node<Rules>& node(std::size_t index) const { return *nodes_[index]->core; }
   bool IsAlive(std::size_t index) const { return nodes_[index]->core != nullptr; }
   void SetUpstream(std::size_t index, upstream_mode mode) { nodes_[index]->mode = mode; }
+  /// The regions that the configuration of one process allows. Processes are in region "".
+  void SetRegions(std::size_t index, const region_limit& regions) {
+    nodes_[index]->regions = regions;
+  }
   /// Running work makes no progress for `time`.
   void StallUpstream(std::size_t index, duration time) {
     nodes_[index]->stalled_until = now_ + time;
@@ -277,6 +281,7 @@
     std::map<attempt_id, response> responses;
     std::set<attempt_id> at_upstream;
     fake_gate gate;
+    region_limit regions;
     std::unique_ptr<basic_node<Rules>> core;
 
     owner_message_identity Self(const attempt_id& id) const {
@@ -379,7 +384,10 @@
     void OnKeyIssued(member_target, time_point) override {}
     void OnAttemptSent(member_target, time_point) override {}
     void OnAttemptEnded(member_target, attempt_outcome, time_point) override {}
-    std::vector<member_target> LiveMembers(std::string_view) override { return view; }
+    std::vector<member_target> LiveMembers(std::string_view, const region_limit&) override {
+      return view;
+    }
+    region_limit RegionsOf(std::uint64_t, std::string_view) const override { return regions; }
     route_decision Find(const caller_request& request) override {
       return {.service = "orders",
               .is_protected = request.path == "/orders/new",
--- a/tests/calls/entry_system_test.cc
+++ b/tests/calls/entry_system_test.cc
@@ -14,6 +14,7 @@
 #include "src/calls/peer_port.h"
 #include "src/calls/route_directory.h"
 #include "src/calls/upstream_chooser.h"
+#include "src/routing/choice_request.h"
 #include "src/routing/load_hint.h"
 
 namespace bronzeroute {
@@ -48,11 +49,12 @@
   MOCK_METHOD(void, OnLocalAttempt, (exchange_id, const attempt_head&, time_point), (override));
   MOCK_METHOD(void, OnLocalCancel, (exchange_id, time_point), (override));
 };
-/// Chooses the members 2 to 9 in order, and has one service "orders".
+/// Chooses the members 2 to 9 in order, all in region "north", and has one service "orders".
 struct fake_surroundings : upstream_chooser, member_directory, route_directory {
-  std::optional<member_target> Choose(std::string_view, const choice_request&,
+  std::optional<member_target> Choose(std::string_view, const choice_request& request,
                                       std::span<const member_id> excluded,
                                       time_point) override {
+    if (!request.regions.Allows("north")) return std::nullopt;
     return excluded.size() < 8 ? std::optional(Member(2 + excluded.size())) : std::nullopt;
   }
   void OnHint(member_target, const load_hint&, time_point) override {}
@@ -60,7 +62,14 @@
   void OnKeyIssued(member_target, time_point) override {}
   void OnAttemptSent(member_target, time_point) override { ++open; }
   void OnAttemptEnded(member_target, attempt_outcome, time_point) override { --open; }
-  std::vector<member_target> LiveMembers(std::string_view) override { return {Member(2)}; }
+  std::vector<member_target> LiveMembers(std::string_view,
+                                         const region_limit& regions) override {
+    if (!regions.Allows("north")) return {};
+    return {Member(2)};
+  }
+  region_limit RegionsOf(std::uint64_t, std::string_view) const override {
+    return current_regions;
+  }
   route_decision Find(const caller_request& request) override {
     if (!request.path.starts_with("/orders")) {
       route_decision unknown;
@@ -71,12 +80,16 @@
     return {.service = "orders",
             .is_protected = request.path == "/orders/new",
             .is_marked_short = request.path == "/orders/new",
-            .time_limit = std::chrono::seconds(1)};
+            .time_limit = std::chrono::seconds(1),
+            .regions = route_regions};
   }
   static member_target Member(std::uint64_t id) {
     return {member_id{id}, incarnation_id{10 * id}};
   }
   int open = 0;
+  /// Regions of the route when a request arrives, and of the configuration in effect later.
+  region_limit route_regions;
+  region_limit current_regions;
   std::vector<member_target> later_incarnations;
 };
 
@@ -115,7 +128,7 @@
   NiceMock<mock_local> local_;
   fake_surroundings surroundings_;
   std::vector<attempt_head> sent_;
-  entry_system entry_{{member_id{1}, incarnation_id{10}, kNow},
+  entry_system entry_{{member_id{1}, incarnation_id{10}, kNow, "south"},
                       callers_,
                       peers_,
                       local_,
@@ -162,6 +175,74 @@
   entry_.OnCallerRequest(Request(), kNow);
 }
 
+// Guards against work at the own upstream in a region that the route does not allow, and
+// against a body sent to another region.
+TEST_F(EntrySystemTest, OwnUpstreamOutsideTheRegionsIsNotUsed) {
+  ON_CALL(local_, HasFreeSlot).WillByDefault(Return(true));
+  EXPECT_CALL(local_, OnLocalAttempt).Times(0);
+  surroundings_.route_regions = region_limit({"north"});
+  entry_.OnCallerRequest(Request(), kNow);
+  ASSERT_EQ(sent_.size(), 1U);
+  EXPECT_EQ(sent_.back().target, member_id{2});
+  caller_request second = Request();
+  second.exchange = exchange_id{6};
+  surroundings_.route_regions = region_limit({"east"});
+  EXPECT_CALL(callers_, RespondWithError(exchange_id{6}, _, error_kind::kOutsideRegions, _));
+  entry_.OnCallerRequest(second, kNow);
+  surroundings_.route_regions = region_limit(std::vector<std::string>());
+  EXPECT_CALL(callers_, RespondWithError(exchange_id{6}, _, error_kind::kOutsideRegions, _));
+  entry_.OnCallerRequest(second, kNow);
+  EXPECT_EQ(sent_.size(), 1U);
+}
+
+// Guards against a further attempt in a region that a newer configuration no longer allows.
+TEST_F(EntrySystemTest, FurtherAttemptsFollowTheConfigurationInEffect) {
+  surroundings_.route_regions = region_limit({"north", "south"});
+  entry_.OnCallerRequest(Request(), kNow);
+  surroundings_.current_regions = region_limit({"south"});
+  ExpectError(error_kind::kOverloaded);
+  Refuse(error_kind::kOverloaded);
+  EXPECT_EQ(sent_.size(), 1U);
+}
+
+// Guards against a request that follows a restarted owner without a check of its region.
+TEST_F(EntrySystemTest, RestartedOwnerOutsideTheRegionsGetsNoCall) {
+  surroundings_.route_regions = region_limit({"north"});
+  entry_.OnCallerRequest(Request(), kNow);
+  surroundings_.current_regions = region_limit({"south"});
+  owner_message_identity from = Last();
+  ++from.owner_incarnation.value;
+  ExpectError(error_kind::kWrongIncarnation);
+  entry_.OnAttemptRefused(from, error_kind::kWrongIncarnation, 0, {}, kNow);
+  EXPECT_EQ(sent_.size(), 1U);
+}
+
+// Guards against keys that carry a request to a home outside its regions, and against the
+// statement "not run" for a later try, whose first try may have run there.
+TEST_F(EntrySystemTest, KeysDoNotLeaveTheRegions) {
+  surroundings_.route_regions = region_limit({"south"});
+  caller_request request = Request();
+  for (const std::string& key :
+       {std::string("own"), FormatIssuedKey({fake_surroundings::Member(2), 1, 1})}) {
+    request.key = key;
+    request.caller_try = 1;
+    ExpectError(error_kind::kOutsideRegions);
+    entry_.OnCallerRequest(request, kNow);
+    request.caller_try = 2;
+    ExpectError(error_kind::kKeyUnknown);
+    entry_.OnCallerRequest(request, kNow);
+  }
+  EXPECT_TRUE(sent_.empty());
+}
+
+// Guards against the loss of a region that is reported as a broken link.
+TEST_F(EntrySystemTest, UnreachableRegionIsReportedAsOutsideRegions) {
+  surroundings_.route_regions = region_limit({"north"});
+  EXPECT_CALL(peers_, SendAttempt).Times(8).WillRepeatedly(Return(false));
+  ExpectError(error_kind::kOutsideRegions);
+  entry_.OnCallerRequest(Request(), kNow);
+}
+
 // Guards against calls that are refused until the membership view shows the restart of an
 // owner, and against a call that is sent again after restarts without a limit.
 TEST_F(EntrySystemTest, RestartedOwnersGetTheCallAtTheirLaterIncarnation) {
--- a/tests/calls/owner_system_test.cc
+++ b/tests/calls/owner_system_test.cc
@@ -102,6 +102,45 @@
   EXPECT_EQ(At(later).reported, error_kind::kDuplicateKey);
 }
 
+// Guards against an owner that relies on the entry's configuration, which may be older, when it
+// accepts an attempt.
+TEST_F(OwnerSystemTest, RefusesAttemptsOutsideTheRegionsOfItsOwnConfiguration) {
+  net_.SetRegions(1, region_limit({"elsewhere"}));
+  const std::size_t refused = Send(true, seconds(20));
+  net_.Advance(seconds(1));
+  EXPECT_EQ(At(refused).reported, error_kind::kOutsideRegions);
+  EXPECT_EQ(At(refused).runs, 0);
+}
+
+// Guards against a new configuration that does not reach queued requests: the second one would
+// start as soon as the first one ends.
+TEST_F(OwnerSystemTest, NewConfigurationEndsQueuedWorkOutsideItsRegions) {
+  net_.SetUpstream(1, upstream_mode::kSlow);
+  const std::size_t running = Send(true, seconds(20));
+  const std::size_t queued = Send(true, seconds(20));
+  net_.Advance(milliseconds(100));
+  net_.SetRegions(1, region_limit({"elsewhere"}));
+  net_.Advance(milliseconds(100));
+  EXPECT_EQ(At(queued).reported, error_kind::kOutsideRegions);
+  net_.Advance(seconds(5));
+  EXPECT_EQ(At(running).now, call_oracle::state::kComplete);
+  EXPECT_EQ(At(queued).runs, 0);
+}
+
+struct ignores_regions : call_rules {
+  static constexpr bool ChecksRegions() { return false; }
+};
+
+// Guards against the two tests above passing for another reason than the owner's check.
+TEST(OwnerSystem, WithoutItsCheckOfRegionsTheWorkRuns) {
+  call_world<ignores_regions> net(2, {});
+  net.RemoveUpstream(0);
+  net.SetRegions(1, region_limit({"elsewhere"}));
+  const std::size_t sent = *net.Request(0, true, "", 1, seconds(20));
+  net.Advance(seconds(1));
+  EXPECT_EQ(net.oracle.at(sent).runs, 1);
+}
+
 // Guards against work that hangs at the upstream and is never removed.
 TEST_F(OwnerSystemTest, HangingWorkIsCancelledAfterItsDeadline) {
   net_.StallUpstream(1, std::chrono::hours(1));
--- a/tests/node/runtime_world.h
+++ b/tests/node/runtime_world.h
@@ -72,6 +72,9 @@
   /// value is 6 s.
   duration spread_without_log = seconds(6);
   broken_part broken = broken_part::kNone;
+  configuration_form form = configuration_form::kPublications;
+  /// Reads the documents of configuration_form::kVersionedDocuments.
+  document_reader read_document = ReadTomlDocument;
 };
 
 /// The log service: streams with offsets and retention, outages, delays and lost responses.
@@ -557,7 +560,11 @@
     self.availability_zone = self.region + "-a";
     self.peer_address = AddressOf(at.index);
     self.membership_address = AddressOf(at.index);
-    runtime_settings settings{.environment = "trial", .seeds = {}, .seed = random_()};
+    runtime_settings settings{.environment = "trial",
+                              .seeds = {},
+                              .seed = random_(),
+                              .form = options.form,
+                              .read_document = options.read_document};
     for (std::size_t i = 0; i < hosts_.size(); ++i) settings.seeds.push_back(AddressOf(i));
     at.core = std::make_unique<node_runtime>(self, settings,
                                              runtime_ports{at, at, at, at, at, at, at}, now_);
--- a/tests/routing/routing_system_test.cc
+++ b/tests/routing/routing_system_test.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "src/membership/member_row.h"
+#include "src/routing/choice_summary.h"
 #include "src/routing/member_subset.h"
 #include "src/routing/policy_least_reported.h"
 #include "src/routing/policy_random.h"
@@ -280,6 +281,59 @@
   EXPECT_THAT(set.Picks(30), ElementsAre(2)) << "a suspect is better than none";
 }
 
+choice_request Within(std::vector<std::string> regions) {
+  choice_request request;
+  request.regions = region_limit(std::move(regions));
+  return request;
+}
+
+// Guards against a request that leaves the regions of its route or account, and against an
+// explanation that does not say why a member was passed over.
+TEST(RoutingSystem, ChoosesOnlyMembersInTheRegionsOfTheRequest) {
+  default_harness set({Member(1), Member(2, "c", "south"), Member(3, "d", "east")}, 1);
+  for (std::uint64_t id = 1; id <= 3; ++id) set.Report(id, Hint(1, id == 2 ? 60 : 0));
+  EXPECT_THAT(set.Picks(30, At({}), Within({"south"})), ElementsAre(2));
+  EXPECT_THAT(set.Picks(30, At({}), Within({"south", "east"})), ElementsAre(3));
+  const choice_result chosen = set.Choose(At({}), Within({"south", "east"}));
+  EXPECT_THAT(
+      chosen.explanation.ToText(),
+      HasSubstr("same instance: outside the regions allowed for the request (south, east)"));
+  EXPECT_THAT(choice_summary(chosen.explanation).ToText("orders"),
+              HasSubstr("outside the regions allowed for the request (south, east)"));
+  const choice_result none = set.Choose(At({}), Within({}));
+  EXPECT_FALSE(none.member.has_value());
+  EXPECT_EQ(none.explanation.reason, choice_reason::kNoEligibleMember);
+  EXPECT_THAT(none.explanation.ToText(), HasSubstr("(none)"));
+  EXPECT_FALSE(set.Choose(At({}), Within({"south"}), {member_id{2}}).member.has_value());
+}
+
+// Guards against a refusal while members in an allowed region exist that are not in the subset
+// of this entry.
+TEST(RoutingSystem, RegionsOfTheRequestReachMembersOutsideTheSubset) {
+  std::vector<member_row> members;
+  for (std::uint64_t id = 1; id <= 40; ++id) {
+    members.push_back(Member(id, "c", id == 40 ? "east" : "south"));
+  }
+  // An entry whose subset does not contain the only member in the east.
+  std::uint64_t own = 1000;
+  while (default_harness(members, own).system_.IsPreferred(member_id{40})) ++own;
+  default_harness set(members, own);
+  EXPECT_THAT(set.Picks(20, At({}), Within({"east"})), ElementsAre(40));
+}
+
+// Guards against ejections of the only allowed members: half of them stay in use, however many
+// members there are elsewhere.
+TEST(RoutingSystem, AtMostHalfOfTheAllowedMembersStayEjected) {
+  default_harness set({Member(1), Member(2), Member(3), Member(4), Member(5, "c", "south"),
+                       Member(6, "c", "south")});
+  set.Fail(5, 5, At({}));
+  set.Fail(6, 5, At({}));
+  ASSERT_EQ(set.system_.StateOf(member_id{6}, At({})), ejection_state::kEjected);
+  const std::set<std::uint64_t> picks = set.Picks(20, At({}), Within({"south"}));
+  EXPECT_EQ(picks.size(), 1U);
+  EXPECT_TRUE(picks.contains(5) || picks.contains(6));
+}
+
 // Guards against an upstream that fails fast and attracts all work because it is idle.
 TEST(RoutingSystem, FailingMemberIsAvoidedAndThenEjected) {
   default_harness set({Member(1), Member(2), Member(3), Member(4)});
