--- a/src/node/member_directory_adapter.h
+++ b/src/node/member_directory_adapter.h
@@ -20,7 +20,8 @@
                            const evacuation_set& evacuations)
       : membership_(membership), configuration_(configuration), evacuations_(evacuations) {}
 
-  std::vector<member_target> LiveMembers(std::string_view service) override;
+  std::vector<member_target> LiveMembers(std::string_view service,
+                                         const region_limit& regions) override;
   bool IsEvacuated(member_id member) const override;
 
  private:
--- a/src/routing/candidate_disposition.h
+++ b/src/routing/candidate_disposition.h
@@ -13,9 +13,12 @@
   kDraining,
   kSuspect,
   kEjected,
+  /// The service does not run in the member's region.
   kOutsideRegions,
   /// Its availability zone is evacuated.
   kEvacuated,
+  /// The route or the account of the request does not allow the member's region.
+  kOutsideRequestRegions,
 };
 
 }  // namespace bronzeroute
--- a/tests/node/runtime_world.h
+++ b/tests/node/runtime_world.h
@@ -75,6 +75,9 @@
   /// Requests per second that a cold upstream takes; 0 for no limit. With a limit there is one
   /// version of the configuration only.
   double cold_rate_per_s = 0;
+  configuration_form form = configuration_form::kPublications;
+  /// Reads the documents of configuration_form::kVersionedDocuments.
+  document_reader read_document = ReadTomlDocument;
 };
 
 /// The log service: streams with offsets and retention, outages, delays and lost responses.
@@ -604,7 +607,11 @@
     self.availability_zone = self.region + "-a";
     self.peer_address = AddressOf(at.index);
     self.membership_address = AddressOf(at.index);
-    runtime_settings settings{.environment = "trial", .seeds = {}, .seed = random_()};
+    runtime_settings settings{.environment = "trial",
+                              .seeds = {},
+                              .seed = random_(),
+                              .form = options.form,
+                              .read_document = options.read_document};
     if (options.cold_rate_per_s > 0) {
       // The limit is no part of the TOML format.
       settings.form = configuration_form::kVersionedDocuments;
