Ask the routes which pipelined requests may run side by side

The transport knew only the method, but a route may be protected for every method, and a safe route serves POST as well. The daemon now asks the configuration in effect, from method, host and path, whether a request may run more than once; unknown routes, and requests with an Idempotency-Key, run alone. Deciding by method alone was ruled out: a protected route would run GET beside others, and safe POST requests would wait for each other. The metric bronzeroute_pipelined_requests_total and a log line at most every 30 s show how many requests were passed on early.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -19,6 +19,7 @@
 #include "src/node/runtime_ports.h"
 #include "src/node/runtime_settings.h"
 #include "src/transport/event_loop.h"
+#include "src/transport/exchange.h"
 #include "src/transport/owner_report.h"
 
 namespace bronzeroute {
@@ -27,6 +28,8 @@
 // Period of the tick, which enforces deadlines and runs periodic work. Calls are handled as
 // their events arrive, without waiting for a tick.
 constexpr auto kTickPeriod = std::chrono::milliseconds(10);
+// Minimum time between log lines about pipelined requests.
+constexpr auto kPipelinedLogPeriod = std::chrono::seconds(30);
 // Longest time that a stopping daemon waits for its leave record after its last call ended.
 constexpr auto kLeaveLimit = std::chrono::seconds(5);
 // Time in which connections accepted just before the listener closed may still send a request.
@@ -118,6 +121,9 @@
   });
   RunOnLoop([this] {
     transport_.callers().SetCallerService(settings_.service);
+    transport_.callers().SetConcurrencyRule([this](const exchange& row) {
+      return runtime_.MayRunConcurrently(row.method, row.host, row.path);
+    });
     Tick();
   });
   RunOnLoop([this] {
@@ -209,12 +215,23 @@
   readiness_.Tick(now);
   runtime_.Tick(now);
   ApplyLimits();
+  ReportPipelined(now);
   transport_.peers().server().SetConfigVersion(runtime_.configuration().version());
   transport_.peers().server().SetSelf({self_.id, runtime_.incarnation()});
   if (runtime_.stopping()) TickStop(now);
   events_.Tick(now);
 }
 
+void daemon::ReportPipelined(time_point now) {
+  const std::uint64_t total = transport_.callers().pipelined_requests();
+  runtime_.SetPipelinedRequests(total);
+  if (total == pipelined_logged_ || now < next_pipelined_log_) return;
+  pipelined_logged_ = total;
+  next_pipelined_log_ = now + kPipelinedLogPeriod;
+  log_line line(log_weight::kState, "callers", "pipelined_requests");
+  events_.Write(line.Add("total", total));
+}
+
 void daemon::TickStop(time_point now) {
   if (stop_began_ == time_point{}) stop_began_ = now;
   // After the linger time no request is accepted, so that callers which keep sending cannot
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -93,6 +93,8 @@
   log_listener MakeLogListener();
   void ScheduleTick();
   void Tick();
+  /// Shows the number of pipelined requests in the metrics, and logs it from time to time.
+  void ReportPipelined(time_point now);
   /// Closes the callers' listener after the linger time, and sets `stopped_` once nothing is
   /// open.
   void TickStop(time_point now);
@@ -115,6 +117,8 @@
   std::unique_ptr<log_port> log_;
   node_runtime runtime_;
   boost::asio::steady_timer timer_;
+  std::uint64_t pipelined_logged_ = 0;
+  time_point next_pipelined_log_{};
   time_point stop_began_{};
   /// The callers' listener is closed: no further connection is accepted.
   bool callers_closed_ = false;
--- a/src/measuring/exposition.cc
+++ b/src/measuring/exposition.cc
@@ -185,6 +185,15 @@
   });
 }
 
+void AppendPipelined(std::string& out, const service_metrics& metrics) {
+  constexpr string_view kName = "bronzeroute_pipelined_requests_total";
+  AppendHeader(out, kName, "counter",
+               "Requests passed on while an earlier one of their connection was unanswered.");
+  out.append(kName).append(" ");
+  AppendNumber(out, static_cast<double>(metrics.pipelined()));
+  out += '\n';
+}
+
 void AppendProcess(std::string& out, const process_start& start, time_point now) {
   const auto append = [&out](string_view name, string_view help, duration value) {
     AppendHeader(out, name, "gauge", help);
@@ -226,6 +235,7 @@
   AppendObjectives(out, metrics);
   AppendWindows(out, metrics, now);
   if (detail == exposition_detail::kMinutes) AppendMinutes(out, metrics, now);
+  AppendPipelined(out, metrics);
   AppendProcess(out, metrics.start(), now);
   AppendBudget(out, budget, "bronzeroute_measuring_bytes_total", "Bytes sent for measuring.",
                [](const budget_counter& row) { return static_cast<double>(row.bytes); });
--- a/src/measuring/service_metrics.h
+++ b/src/measuring/service_metrics.h
@@ -50,6 +50,11 @@
   double LongBurnRate(std::string_view service_name, request_class class_id,
                       time_point now) const;
 
+  /// Sets the total of requests that were passed on while one before them on their connection
+  /// was unanswered.
+  void SetPipelined(std::uint64_t total) { pipelined_ = total; }
+  std::uint64_t pipelined() const { return pipelined_; }
+
   const service_map& services() const { return services_; }
   const process_start& start() const { return start_; }
 
@@ -58,6 +63,7 @@
 
   process_start start_;
   service_map services_;
+  std::uint64_t pipelined_ = 0;
 };
 
 }  // namespace bronzeroute
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -95,6 +95,14 @@
   /// True if callers may send requests to this daemon: a configuration is in effect and the
   /// process is not stopping.
   bool IsReady() const { return configuration_.version() >= 0 && !stopping_; }
+  /// True if a request may run beside others of its connection, since it may run more than
+  /// once.
+  bool MayRunConcurrently(std::string_view method, std::string_view host,
+                          std::string_view path) const {
+    return routes_.IsRepeatable(method, host, path);
+  }
+  /// Sets the total of pipelined requests that the metrics show.
+  void SetPipelinedRequests(std::uint64_t total) { metrics_.SetPipelined(total); }
   /// True once no call is open, the leave had time to reach the peers, and the leave record is
   /// in the log or the log is unavailable.
   bool MayExit() const;
--- a/src/node/route_directory_adapter.cc
+++ b/src/node/route_directory_adapter.cc
@@ -84,4 +84,16 @@
   return decision;
 }
 
+bool route_directory_adapter::IsRepeatable(std::string_view method, std::string_view host,
+                                           std::string_view path) const {
+  const std::shared_ptr<const document> current = configuration_.current();
+  if (current == nullptr) return false;
+  if (!current->host_routes.empty()) {
+    const host_route* const route = current->FindHostRoute(host, path);
+    return route != nullptr && !route->is_protected;
+  }
+  const service_spec* const spec = current->FindService(ServiceOfPath(path));
+  return spec != nullptr && !FindRoute(*spec, method, path).is_protected;
+}
+
 }  // namespace bronzeroute
--- a/src/node/route_directory_adapter.h
+++ b/src/node/route_directory_adapter.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include "absl/container/flat_hash_map.h"
 #include "src/calls/route_directory.h"
@@ -20,6 +21,10 @@
       : configuration_(configuration), random_(seed) {}
 
   route_decision Find(const caller_request& request) override;
+  /// True if the configuration in effect has a route for the request that allows it to run more
+  /// than once.
+  bool IsRepeatable(std::string_view method, std::string_view host,
+                    std::string_view path) const;
 
  private:
   /// Returns the service that receives the next request of `route`, by the targets' weights.
--- a/src/transport/caller_server.cc
+++ b/src/transport/caller_server.cc
@@ -14,6 +14,7 @@
 #include "src/transport/event_loop.h"
 #include "src/transport/exchange.h"
 #include "src/transport/exchange_table.h"
+#include "src/transport/header_list.h"
 #include "src/transport/http_connection.h"
 #include "src/transport/http_dialect.h"
 #include "src/transport/http_router.h"
@@ -49,6 +50,10 @@
 
 bool caller_server::RunsConcurrently(const exchange& row) {
   if (row.path.starts_with("/.bronzeroute/")) return false;
+  // A request with a key runs at most once, whatever its route says.
+  if (dialect_.has_own_fields && FindField(row.headers, "Idempotency-Key") != nullptr) {
+    return false;
+  }
   if (may_run_concurrently_) return may_run_concurrently_(row);
   return row.method == "GET" || row.method == "HEAD" || row.method == "OPTIONS";
 }
--- a/tests/measuring/service_metrics_test.cc
+++ b/tests/measuring/service_metrics_test.cc
@@ -147,6 +147,7 @@
   service_metrics metrics({.started = kStart, .unix_time = seconds(1'700'000'000)});
   metrics.SetObjective("estoque", 0.999);
   metrics.Record("estoque", kShort, kRefused, milliseconds(2), kStart);
+  metrics.SetPipelined(3);
   const std::string text =
       ExpositionText(metrics, budget_account(0, duration(0)), kStart + minutes(10));
   const auto has = [&text](std::string_view line) {
@@ -162,6 +163,7 @@
       has("bronzeroute_minute_requests" + labels + R"(minutes_ago="10",outcome="bad"} 1)"));
   EXPECT_TRUE(has("bronzeroute_process_start_time_seconds 1.7e+09"));
   EXPECT_TRUE(has("bronzeroute_uptime_seconds 600"));
+  EXPECT_TRUE(has("bronzeroute_pipelined_requests_total 3"));
   EXPECT_TRUE(text.ends_with("\n# EOF\n"));
 }
 
--- a/tests/node/node_runtime_test.cc
+++ b/tests/node/node_runtime_test.cc
@@ -57,6 +57,18 @@
           .sequence = sequence};
 }
 
+// Guards against a request that may run only once, or whose rule is not known, beside others of
+// its connection.
+TEST(NodeRuntime, OnlyRepeatableRequestsMayRunConcurrently) {
+  runtime_world world(1, {});
+  EXPECT_FALSE(world.daemon(0).MayRunConcurrently("POST", "", "/media/read"));
+  ASSERT_TRUE(world.Publish());
+  world.Advance(seconds(20));
+  EXPECT_TRUE(world.daemon(0).MayRunConcurrently("POST", "", "/media/read"));
+  EXPECT_FALSE(world.daemon(0).MayRunConcurrently("POST", "", "/media/scores"));
+  EXPECT_FALSE(world.daemon(0).MayRunConcurrently("GET", "", "/unknown"));
+}
+
 // Guards against another writer's announcement, of a service that the configuration does not
 // name, that takes the place of the upstream in use.
 TEST(NodeRuntime, AnnouncementOfAnUnknownServiceReplacesNothing) {
--- a/tests/transport/pipelining_test.cc
+++ b/tests/transport/pipelining_test.cc
@@ -383,6 +383,19 @@
   RunOnLoop([&] { EXPECT_EQ(entry_.sockets().callers().pipelined_requests(), 1); });
 }
 
+// Guards against a request with a key, which runs at most once on any route, beside others.
+TEST_P(PipelinedCallersTest, RequestWithAKeyRunsAlone) {
+  RunOnLoop([&] {
+    entry_.sockets().callers().SetConcurrencyRule([](const exchange&) { return true; });
+  });
+  caller_.Send(GetRequest("/a") + "GET /b HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\n\r\n" +
+               GetRequest("/c"));
+  for (const std::string_view path : {"</a>", "</b>", "</c>"}) {
+    EXPECT_TRUE(caller_.ReceiveUntil(">").ends_with(path));
+  }
+  RunOnLoop([&] { EXPECT_EQ(entry_.sockets().callers().pipelined_requests(), 0); });
+}
+
 INSTANTIATE_TEST_SUITE_P(Hops, PipelinedCallersTest, testing::Bool(), [](const auto& info) {
   return info.param ? "TwoDaemons" : "OneDaemon";
 });
