--- a/src/node/route_directory_adapter.h
+++ b/src/node/route_directory_adapter.h
@@ -22,6 +22,10 @@
 
   route_decision Find(const caller_request& request) override;
   region_limit RegionsOf(std::uint64_t route_id, std::string_view account) const override;
+  /// True if the configuration in effect has a route for the request that allows it to run more
+  /// than once.
+  bool IsRepeatable(std::string_view method, std::string_view host,
+                    std::string_view path) const;
 
  private:
   /// Returns the service that receives the next request of `route`, by the targets' weights.
