Admit requests by the key of a client account

The document has accounts, but every request was served whether or not an account holds its key, the key went on to the upstream, and the account's priority had no effect.

The entry decides from a digest of the key: 401 unless an account holds it, the route is exempt or the request is a call of running work. It tells the transport the account before the first attempt (caller_port::SetAccount), which replaces the key in the fields that every attempt is written from. The queue compares the account's priority before that of the route.

Ruled out: setting the field at the owner from attempt_head::account, since the key would then travel between daemons.

Log lines and explanations name the account.

--- a/src/admission/admission_system.cc
+++ b/src/admission/admission_system.cc
@@ -226,6 +226,7 @@
   const queue_row row = {.exchange = exchange,
                          .route = route,
                          .route_id = head.route_id,
+                         .account_priority = head.account_priority,
                          .priority = head.priority,
                          .latest_start = limit - expected,
                          .useful_until = last_use - expected,
--- a/src/admission/admission_system.h
+++ b/src/admission/admission_system.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -110,6 +110,7 @@
     exchange_id exchange;
     std::size_t route = 0;
     std::uint64_t route_id = 0;
+    std::uint32_t account_priority = 0;
     std::uint32_t priority = 0;
     /// Latest start with which the response is expected to meet the objective and the deadline.
     time_point latest_start;
@@ -118,8 +119,11 @@
     time_point useful_until;
     time_point deadline;
 
-    /// Order in the queue: by priority, then by latest start.
-    std::pair<std::uint32_t, time_point> Order() const { return {priority, latest_start}; }
+    /// Order in the queue: by priority of the account, by priority of the route, then by latest
+    /// start.
+    std::tuple<std::uint32_t, std::uint32_t, time_point> Order() const {
+      return {account_priority, priority, latest_start};
+    }
     bool IsLate(time_point now) const { return useful_until <= now; }
   };
   struct notice {
--- a/src/calls/call_history.cc
+++ b/src/calls/call_history.cc
@@ -44,6 +44,9 @@
       row.is_protected ? "protected" : "repeatable", row.is_long ? "long" : "short",
       row.caller_try, row.has_key ? "with a key" : "without a key", row.config_version,
       Milliseconds(row.deadline - row.received));
+  if (!row.account.empty()) {
+    absl::StrAppendFormat(&text, "call: for account %s\n", row.account);
+  }
   int number = 0;
   for (const call_record::attempt& attempt : row.attempts) {
     const error_response& response = ErrorResponseFor(attempt.result);
--- a/src/calls/caller_port.h
+++ b/src/calls/caller_port.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string_view>
+
 #include "src/base/attempt_id.h"
 #include "src/base/call_id.h"
 #include "src/base/error_kind.h"
@@ -12,6 +14,11 @@
  public:
   virtual ~caller_port() = default;
 
+  /// Removes the key of the caller's account from the request of `exchange` and sets the
+  /// account field to `account`, or removes it if `account` is empty. Called before the first
+  /// attempt if the configuration in effect has accounts; applies to each attempt.
+  virtual void SetAccount(exchange_id exchange, std::string_view account) = 0;
+
   /// Responds to `exchange` with the error of `kind` as the error table defines it.
   /// `recorded_status` is the HTTP status of an earlier execution with the same key, 0 if there
   /// is none.
--- a/src/calls/entry_system.h
+++ b/src/calls/entry_system.h
@@ -101,6 +101,8 @@
     std::uint32_t max_admitted = kMaxAttempts;
     std::uint32_t priority = 0;
     std::uint32_t account_priority = 0;
+    /// The configuration that applies to the call has accounts.
+    bool has_accounts = false;
     region_limit regions;
     std::uint64_t route_id = 0;
     time_point objective;
--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -81,7 +81,9 @@
   if (error != error_kind::kNone) {
     EndWithError(id.sequence, error, 0, false, now);
   } else {
-    BudgetOf(calls_.find(id.sequence)->second.record.service).CountFirstAttempt(now);
+    const call_row& accepted = calls_.find(id.sequence)->second;
+    if (accepted.has_accounts) callers_.SetAccount(request.exchange, accepted.record.account);
+    BudgetOf(accepted.record.service).CountFirstAttempt(now);
     StartAttempt(id.sequence, now);
   }
   return id;
@@ -106,6 +108,7 @@
                                                : !route.is_marked_short);
   row.priority = route.priority;
   row.account_priority = route.account_priority;
+  row.has_accounts = route.has_accounts;
   row.regions = route.regions;
   row.route_id = route.route_id;
   row.max_admitted = route.max_attempts == 0 ? kMaxAttempts : route.max_attempts;
--- a/src/calls/route_decision.h
+++ b/src/calls/route_decision.h
@@ -13,7 +13,8 @@
 struct route_decision {
   /// kNone, kNotReady, kUnknownService, kUnknownRoute or kUnknownCredential.
   error_kind error = error_kind::kNone;
-  /// The service that receives the request; empty after kNotReady and kUnknownRoute.
+  /// The service that receives the request; empty after kNotReady, kUnknownRoute and
+  /// kUnknownCredential.
   std::string service{};
   bool is_protected = false;
   bool is_long = false;
@@ -30,6 +31,9 @@
   std::uint64_t route_id = 0;
   /// Priority of the request, 0 for the highest.
   std::uint32_t priority = 0;
+  /// True if the configuration has accounts: attempts carry the name of the account instead of
+  /// the caller's key.
+  bool has_accounts = false;
   /// Name of the caller's account; empty if it has none.
   std::string account{};
   /// Priority of the account, compared before `priority`; 0 without an account.
--- a/src/measuring/exposition.cc
+++ b/src/measuring/exposition.cc
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string_view>
 
+#include "src/measuring/account_metrics.h"
 #include "src/measuring/budget_account.h"
 #include "src/measuring/service_metrics.h"
 
@@ -185,6 +186,26 @@
   });
 }
 
+void AppendAccounts(std::string& out, const account_metrics& metrics) {
+  constexpr string_view kName = "bronzeroute_account_requests_total";
+  AppendHeader(out, kName, "counter",
+               "Requests of each account that entered here, by how they ended.");
+  for (const auto& [account, results] : metrics.accounts()) {
+    for (std::size_t i = 0; i < kRequestResults; ++i) {
+      AppendSample<2>(out, kName,
+                      {{{"account", account},
+                        {"result", RequestResultName(static_cast<request_result>(i))}}},
+                      static_cast<double>(results[i]));
+    }
+  }
+  constexpr string_view kUnknown = "bronzeroute_unknown_credential_total";
+  AppendHeader(out, kUnknown, "counter",
+               "Requests refused because no account holds their key, or they had none.");
+  out.append(kUnknown).append(" ");
+  AppendNumber(out, static_cast<double>(metrics.unknown_credentials()));
+  out += '\n';
+}
+
 void AppendProcess(std::string& out, const process_start& start, time_point now) {
   const auto append = [&out](string_view name, string_view help, duration value) {
     AppendHeader(out, name, "gauge", help);
@@ -226,6 +247,7 @@
   AppendObjectives(out, metrics);
   AppendWindows(out, metrics, now);
   if (detail == exposition_detail::kMinutes) AppendMinutes(out, metrics, now);
+  AppendAccounts(out, metrics.accounts());
   AppendProcess(out, metrics.start(), now);
   AppendBudget(out, budget, "bronzeroute_measuring_bytes_total", "Bytes sent for measuring.",
                [](const budget_counter& row) { return static_cast<double>(row.bytes); });
--- a/src/measuring/service_metrics.h
+++ b/src/measuring/service_metrics.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "src/base/time.h"
+#include "src/measuring/account_metrics.h"
 #include "src/measuring/class_metrics.h"
 #include "src/measuring/process_start.h"
 #include "src/measuring/request_class.h"
@@ -17,8 +18,8 @@
 
 namespace bronzeroute {
 
-/// Service-level metrics of one daemon per service and request class. Only the entry of a
-/// request counts it, so that sums over daemons count each request once.
+/// Service-level metrics of one daemon per service and request class, and per account. Only the
+/// entry of a request counts it, so that sums over daemons count each request once.
 class service_metrics {
  public:
   struct service {
@@ -51,6 +52,8 @@
                       time_point now) const;
 
   const service_map& services() const { return services_; }
+  account_metrics& accounts() { return accounts_; }
+  const account_metrics& accounts() const { return accounts_; }
   const process_start& start() const { return start_; }
 
  private:
@@ -58,6 +61,7 @@
 
   process_start start_;
   service_map services_;
+  account_metrics accounts_;
 };
 
 }  // namespace bronzeroute
--- a/src/node/decision_log.cc
+++ b/src/node/decision_log.cc
@@ -56,6 +56,7 @@
   line.Add("request", row.request_id)
       .Add("call", FormatCallId(row.id))
       .Add("service", row.service)
+      .Add("account", row.account)
       .Add("protected", row.is_protected)
       .Add("config", row.config_version)
       .Add("allowed_ms", row.deadline - row.received)
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -141,6 +141,10 @@
 }
 
 void node_runtime::CountCall(const call_record& row) {
+  if (row.result == error_kind::kUnknownCredential) {
+    metrics_.accounts().RecordUnknownCredential();
+    return;
+  }
   const auto current = configuration_.current();
   const service_spec* spec = current == nullptr ? nullptr : current->FindService(row.service);
   // A disconnected caller received no response, so the call has no latency.
@@ -152,7 +156,9 @@
                                             : request_class::kShort;
   const duration latency = row.ended - row.received;
   const duration limit = row.is_long ? row.deadline - row.received : spec->objective_latency;
-  metrics_.Record(row.service, of, ResultOf(row, latency, limit), latency, row.ended);
+  const request_result result = ResultOf(row, latency, limit);
+  metrics_.Record(row.service, of, result, latency, row.ended);
+  metrics_.accounts().Record(row.account, result);
 }
 
 void node_runtime::OnDatagram(std::string_view from, std::string_view payload, time_point now) {
@@ -354,6 +360,7 @@
   for (const service_spec& spec : current.services) {
     metrics_.SetObjective(spec.name, spec.objective);
   }
+  metrics_.accounts().SetAccounts(current.accounts);
 }
 
 void node_runtime::ApplyUpstream(time_point now) {
--- a/src/node/route_directory_adapter.cc
+++ b/src/node/route_directory_adapter.cc
@@ -23,6 +23,24 @@
   return path.substr(0, path.find_first_of("/?"));
 }
 
+// Sets the account of `request` in `decision`. Returns false if the request needs an account
+// and has none.
+bool FindAccount(const document& current, const caller_request& request, bool needs_no_account,
+                 route_decision& decision) {
+  if (current.accounts.empty()) return true;
+  decision.has_accounts = true;
+  const account_spec* const account =
+      request.credential ? current.FindAccount(*request.credential) : nullptr;
+  if (account == nullptr) {
+    // A depth above 0 identifies a call of work that runs at this daemon's own upstream.
+    return needs_no_account || request.depth > 0;
+  }
+  decision.account = account->name;
+  decision.account_priority = account->priority;
+  decision.regions = decision.regions.And(account->regions);
+  return true;
+}
+
 }  // namespace
 
 const std::string& route_directory_adapter::NextTarget(const host_route& route) {
@@ -56,6 +74,11 @@
       decision.error = error_kind::kUnknownRoute;
       return decision;
     }
+    decision.regions = route->regions;
+    if (!FindAccount(*current, request, route->needs_no_account, decision)) {
+      decision.error = error_kind::kUnknownCredential;
+      return decision;
+    }
     decision.service = NextTarget(*route);
     decision.is_protected = route->is_protected;
     decision.is_long = route->is_long;
@@ -66,7 +89,6 @@
     decision.max_attempts = route->max_attempts;
     decision.priority = route->priority;
     decision.route_id = route->id;
-    decision.regions = route->regions;
     return decision;
   }
   decision.service = ServiceOfPath(request.path);
@@ -75,6 +97,11 @@
     decision.error = error_kind::kUnknownService;
     return decision;
   }
+  if (!FindAccount(*current, request, false, decision)) {
+    decision.service.clear();
+    decision.error = error_kind::kUnknownCredential;
+    return decision;
+  }
   const route_spec route = FindRoute(*spec, request.method, request.path);
   decision.is_protected = route.is_protected;
   decision.is_long = route.is_long;
--- a/src/transport/caller_headers.cc
+++ b/src/transport/caller_headers.cc
@@ -8,6 +8,7 @@
 #include <limits>
 #include <string_view>
 
+#include "src/base/credential_digest.h"
 #include "src/calls/caller_request.h"
 #include "src/transport/absl_text.h"
 #include "src/transport/exchange.h"
@@ -16,6 +17,10 @@
 namespace bronzeroute {
 namespace {
 
+// Documents contain no empty key. A repeated key is treated like an empty one, since the
+// upstreams and the daemon could otherwise take different fields for the key.
+constexpr std::string_view kHeldByNoAccount;
+
 // Accepts digits only: signs, blanks and lists made from repeated fields are malformed.
 bool ParseNumber(std::string_view text, std::uint64_t min, std::uint64_t max,
                  std::uint64_t& value) {
@@ -79,6 +84,8 @@
       request.deadline = now + std::chrono::milliseconds(number);
     } else if (Is(name, dialect.request_id)) {
       request.request_id = value;
+    } else if (Is(name, dialect.credential)) {
+      request.credential = DigestCredential(request.credential ? kHeldByNoAccount : value);
     } else if (Is(name, "Content-Length")) {
       if (!ParseNumber(value, 0, std::numeric_limits<std::uint64_t>::max(), number)) {
         return error_kind::kBadHeader;
--- a/src/transport/caller_server.cc
+++ b/src/transport/caller_server.cc
@@ -151,6 +151,17 @@
   exchanges_.Remove(row.id);
 }
 
+void caller_server::SetAccount(exchange_id exchange, std::string_view account) {
+  const auto found = rows_.find(exchange);
+  if (found == rows_.end()) return;
+  header_list& fields = found->second->row->headers;
+  std::erase_if(fields,
+                [this](const auto& field) { return dialect_.IsAccountField(field.first); });
+  if (!account.empty() && !dialect_.account.empty()) {
+    fields.emplace_back(dialect_.account, account);
+  }
+}
+
 void caller_server::RespondWithError(exchange_id exchange, const call_id& call, error_kind kind,
                                      int recorded_status) {
   const auto found = rows_.find(exchange);
--- a/src/transport/caller_server.h
+++ b/src/transport/caller_server.h
@@ -51,6 +51,7 @@
   /// Requests that were passed on before are not affected.
   void EndRequests();
 
+  void SetAccount(exchange_id exchange, std::string_view account) override;
   void RespondWithError(exchange_id exchange, const call_id& call, error_kind kind,
                         int recorded_status) override;
   /// If the exchange has no response to `attempt`, the caller receives `answer_lost`: the
--- a/src/transport/http_dialect.cc
+++ b/src/transport/http_dialect.cc
@@ -40,6 +40,10 @@
          (has_own_fields && Contains(kOwn, name));
 }
 
+bool http_dialect::IsAccountField(std::string_view name) const {
+  return Equals(name, credential) || Equals(name, account);
+}
+
 bool http_dialect::IsDaemonResponseField(std::string_view name) const {
   static constexpr std::array<std::string_view, 4> kOwn = {
       "Bronzeroute-Execution", "Bronzeroute-Error", "Bronzeroute-Call",
--- a/src/transport/http_dialect.h
+++ b/src/transport/http_dialect.h
@@ -42,6 +42,8 @@
   bool IsField(std::string_view name) const;
   /// True for a field that only a daemon may set on a request to an upstream.
   bool IsDaemonRequestField(std::string_view name) const;
+  /// True for the fields with the key and the name of the caller's account.
+  bool IsAccountField(std::string_view name) const;
   /// True for a field of an upstream's response that is not relayed to callers.
   bool IsDaemonResponseField(std::string_view name) const;
 };
--- a/tests/admission/rank_test.cc
+++ b/tests/admission/rank_test.cc
@@ -38,6 +38,25 @@
   }
 }
 
+// Guards against a route's priority that outweighs the priority of the account.
+TEST_F(RankTest, PriorityOfTheAccountIsComparedFirst) {
+  FillSlots();
+  const auto head = [](std::uint32_t account, std::uint32_t route) {
+    attempt_head result = Ranked(route);
+    result.account_priority = account;
+    return result;
+  };
+  EXPECT_EQ(Submit(11, head(2, 0)).state, submit_state::kQueued);
+  EXPECT_EQ(Submit(12, head(1, 2)).state, submit_state::kQueued);
+  EXPECT_EQ(Submit(13, head(1, 1)).state, submit_state::kQueued);
+  EXPECT_EQ(Submit(14, head(0, 9)).state, submit_state::kQueued);
+  const InSequence order;
+  for (const std::uint64_t id : {14, 13, 12, 11}) {
+    EXPECT_CALL(listener_, OnQueuedStarted(exchange_id{id}));
+  }
+  for (std::uint64_t id = 1; id <= 4; ++id) Complete(id, milliseconds(5));
+}
+
 // Guards against work that waits behind work of the same priority that may start later.
 TEST_F(RankTest, WithinARankTheEarliestLatestStartLeavesFirst) {
   Observe("/orders/read", milliseconds(20), 30);
--- a/tests/calls/call_world.h
+++ b/tests/calls/call_world.h
@@ -284,6 +284,7 @@
     }
 
     // Callers.
+    void SetAccount(exchange_id, std::string_view) override {}
     void RespondWithError(exchange_id exchange, const call_id&, error_kind kind, int) override {
       world.oracle.OnError(world.request_of_.at(exchange), kind, world.now_);
     }
--- a/tests/calls/entry_system_test.cc
+++ b/tests/calls/entry_system_test.cc
@@ -28,6 +28,7 @@
 using testing::Return;
 
 struct mock_callers : caller_port {
+  MOCK_METHOD(void, SetAccount, (exchange_id, std::string_view), (override));
   MOCK_METHOD(void, RespondWithError, (exchange_id, const call_id&, error_kind, int),
               (override));
   MOCK_METHOD(void, RelayResponse, (exchange_id, const attempt_id&), (override));
@@ -71,11 +72,14 @@
     return {.service = "orders",
             .is_protected = request.path == "/orders/new",
             .is_marked_short = request.path == "/orders/new",
-            .time_limit = std::chrono::seconds(1)};
+            .time_limit = std::chrono::seconds(1),
+            .has_accounts = has_accounts,
+            .account = has_accounts ? "alpha" : ""};
   }
   static member_target Member(std::uint64_t id) {
     return {member_id{id}, incarnation_id{10 * id}};
   }
+  bool has_accounts = false;
   int open = 0;
   std::vector<member_target> later_incarnations;
 };
@@ -125,6 +129,22 @@
                       1};
 };
 
+// Guards against an attempt that leaves with the caller's key, and against a request whose
+// fields are changed although the configuration has no accounts.
+TEST_F(EntrySystemTest, AccountIsSetBeforeTheFirstAttempt) {
+  EXPECT_CALL(callers_, SetAccount).Times(0);
+  entry_.OnCallerRequest(Request(), kNow);
+  surroundings_.has_accounts = true;
+  testing::Mock::VerifyAndClearExpectations(&callers_);
+  const testing::InSequence order;
+  caller_request request = Request();
+  request.exchange = exchange_id{6};
+  EXPECT_CALL(callers_, SetAccount(exchange_id{6}, std::string_view("alpha")));
+  EXPECT_CALL(peers_, SendAttempt(exchange_id{6}, Field(&attempt_head::account, "alpha")))
+      .WillOnce(Return(true));
+  entry_.OnCallerRequest(request, kNow);
+}
+
 // Guards against a bad request that reaches an owner or gets an unclear error.
 TEST_F(EntrySystemTest, RefusesBadRequestsByKind) {
   EXPECT_CALL(peers_, SendAttempt).Times(0);
--- a/tests/node/runtime_world.h
+++ b/tests/node/runtime_world.h
@@ -379,6 +379,7 @@
     }
 
     // Callers.
+    void SetAccount(exchange_id, std::string_view) override {}
     void RespondWithError(exchange_id exchange, const call_id&, error_kind kind, int) override {
       world.oracle.calls.OnError(world.request_of_.at(exchange), kind, world.now_);
     }
