Start calls of accounts only within their usage caps

Cause: an account must not exceed its cap, and a refused caller must learn when to come back instead of the fixed time of the error table.

Ruled out: a check at the owner, since it would count each attempt of a call and could not refuse before the body is sent; a wait without a limit, since it would use up the time that the call needs.

Change: usage_gate in src/calls, implemented by usage_adapter in src/node. The entry holds a pending call for 150 ms or a quarter of the time to its objective, ends it with 429 and the retry time of the gate, and returns the token of a call that was refused unstarted. RespondWithError takes the retry time. Calls without an account are not limited.

--- a/src/calls/call_times.h
+++ b/src/calls/call_times.h
@@ -9,6 +9,9 @@
 /// Time after the deadline during which the entry still waits for the owner's report on a sent
 /// attempt: one round trip between regions (24 ms) and one tick (10 ms) at each side.
 inline constexpr duration kResponseGrace = std::chrono::milliseconds(50);
+/// Longest time for which a call waits for a token of its account; a quarter of the time to its
+/// objective if that is less.
+inline constexpr duration kMaxUsageWait = std::chrono::milliseconds(150);
 /// Longest time limit that a caller may request.
 inline constexpr duration kMaxTimeLimit = std::chrono::hours(1);
 /// A longer gap between ticks means that this process was suspended: entries may have given up
--- a/src/calls/caller_port.h
+++ b/src/calls/caller_port.h
@@ -4,6 +4,7 @@
 #include "src/base/call_id.h"
 #include "src/base/error_kind.h"
 #include "src/base/strong_id.h"
+#include "src/base/time.h"
 
 namespace bronzeroute {
 
@@ -14,9 +15,13 @@
 
   /// Responds to `exchange` with the error of `kind` as the error table defines it.
   /// `recorded_status` is the HTTP status of an earlier execution with the same key, 0 if there
-  /// is none.
+  /// is none. `retry_after` replaces that of the table unless it is 0.
   virtual void RespondWithError(exchange_id exchange, const call_id& call, error_kind kind,
-                                int recorded_status) = 0;
+                                int recorded_status, duration retry_after) = 0;
+  void RespondWithError(exchange_id exchange, const call_id& call, error_kind kind,
+                        int recorded_status) {
+    RespondWithError(exchange, call, kind, recorded_status, duration(0));
+  }
 
   /// Relays head and body of the response to `attempt` to the caller of `exchange`.
   virtual void RelayResponse(exchange_id exchange, const attempt_id& attempt) = 0;
--- a/src/calls/entry_system.h
+++ b/src/calls/entry_system.h
@@ -24,6 +24,7 @@
 #include "src/calls/retry_budget.h"
 #include "src/calls/self_identity.h"
 #include "src/calls/target_reason.h"
+#include "src/calls/usage_listener.h"
 #include "src/configuration/region_limit.h"
 
 namespace bronzeroute {
@@ -34,6 +35,7 @@
 class peer_port;
 class route_directory;
 class upstream_chooser;
+class usage_gate;
 
 /// Maximum number of attempts sent for one call, the first included. An attempt is one
 /// forwarding of the call to an owner.
@@ -43,7 +45,7 @@
 /// daemon that received the request of the caller; it forwards the call to an owner, the daemon
 /// beside the chosen upstream (see `basic_owner_system`), which may be in the same process.
 template <typename Rules>
-class basic_entry_system final : public attempt_listener {
+class basic_entry_system final : public attempt_listener, public usage_listener {
  public:
   /// All references must outlive this object.
   basic_entry_system(const self_identity& self, caller_port& callers, peer_port& peers,
@@ -67,6 +69,15 @@
   /// that nothing of the attempt left this process.
   void OnAttemptLost(const attempt_id& attempt, bool was_sent, time_point now);
 
+  void OnUsageGranted(std::uint64_t call, const usage_decision& decision,
+                      time_point now) override;
+  void OnUsageDenied(std::uint64_t call, const usage_decision& decision,
+                     time_point now) override;
+
+  /// Calls of accounts start only with a token of `gate`, which must outlive this object. Null
+  /// for no limit.
+  void SetUsageGate(usage_gate* gate) { usage_ = gate; }
+
   void SetRetryShares(const retry_shares& shares) { retry_shares_ = shares; }
 
   /// Ends calls whose deadline has passed.
@@ -114,6 +125,10 @@
     std::optional<member_target> restarted;
     /// The response to the open attempt is being relayed to the caller.
     bool response_started = false;
+    /// The call waits for a token of its account; no attempt was made.
+    bool awaits_usage = false;
+    /// Time until which its token can be returned.
+    time_point token_expires = time_point::min();
     call_record record;
   };
   struct attempt_row {
@@ -133,6 +148,9 @@
     return row.attempts_sent < kMaxAttempts && row.attempts_admitted < row.max_admitted;
   }
   error_kind Classify(const caller_request& request, time_point now, call_row& row);
+  /// Starts the call, unless the usage cap of its account denies it or makes it wait.
+  void StartWithinUsageCap(std::uint64_t sequence, time_point now);
+  void StartFirstAttempt(std::uint64_t sequence, time_point now);
   std::variant<chosen_target, error_kind> PickTarget(call_row& row, time_point now);
   void StartAttempt(std::uint64_t sequence, time_point now);
   void RetryAfterRefusal(std::uint64_t sequence, error_kind kind, time_point now);
@@ -147,8 +165,9 @@
   void AbandonAttempt(std::uint64_t sequence, attempt_outcome outcome, error_kind result,
                       time_point now);
   /// Ends the call with an error; `from_home` is true if the home of the key reported it.
+  /// `retry_after` replaces that of the error table unless it is 0.
   void EndWithError(std::uint64_t sequence, error_kind kind, int recorded_status,
-                    bool from_home, time_point now);
+                    bool from_home, time_point now, duration retry_after = {});
   void EndTruncated(std::uint64_t sequence, error_kind kind, time_point now);
   /// Removes the call and adds its record to the history.
   void Remove(std::uint64_t sequence, error_kind result, int status, time_point now);
@@ -162,6 +181,7 @@
   upstream_chooser& chooser_;
   member_directory& members_;
   route_directory& routes_;
+  usage_gate* usage_ = nullptr;
   std::mt19937_64 random_;
 
   std::uint64_t next_sequence_ = 1;
--- a/src/calls/entry_system_impl.h
+++ b/src/calls/entry_system_impl.h
@@ -19,6 +19,7 @@
 #include "src/calls/peer_port.h"
 #include "src/calls/route_directory.h"
 #include "src/calls/upstream_chooser.h"
+#include "src/calls/usage_gate.h"
 #include "src/routing/choice_request.h"
 
 namespace bronzeroute {
@@ -81,12 +82,61 @@
   if (error != error_kind::kNone) {
     EndWithError(id.sequence, error, 0, false, now);
   } else {
-    BudgetOf(calls_.find(id.sequence)->second.record.service).CountFirstAttempt(now);
-    StartAttempt(id.sequence, now);
+    StartWithinUsageCap(id.sequence, now);
   }
   return id;
 }
 
+template <typename Rules>
+void basic_entry_system<Rules>::StartWithinUsageCap(std::uint64_t sequence, time_point now) {
+  call_row& row = calls_.find(sequence)->second;
+  if (usage_ == nullptr || row.record.account.empty()) {
+    StartFirstAttempt(sequence, now);
+    return;
+  }
+  const time_point wait_until = now + std::min(kMaxUsageWait, (row.objective - now) / 4);
+  const usage_decision decision =
+      usage_->Acquire(row.record.account, sequence, wait_until, now);
+  switch (decision.state) {
+    case usage_state::kPending:
+      row.awaits_usage = true;
+      break;
+    case usage_state::kGranted:
+      row.token_expires = decision.expires;
+      StartFirstAttempt(sequence, now);
+      break;
+    case usage_state::kDenied:
+      EndWithError(sequence, error_kind::kUsageCapReached, 0, false, now,
+                   decision.retry_at - now);
+      break;
+  }
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::StartFirstAttempt(std::uint64_t sequence, time_point now) {
+  BudgetOf(calls_.find(sequence)->second.record.service).CountFirstAttempt(now);
+  StartAttempt(sequence, now);
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::OnUsageGranted(std::uint64_t call,
+                                               const usage_decision& decision, time_point now) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end() || !found->second.awaits_usage) return;
+  found->second.awaits_usage = false;
+  found->second.token_expires = decision.expires;
+  StartFirstAttempt(call, now);
+}
+
+template <typename Rules>
+void basic_entry_system<Rules>::OnUsageDenied(std::uint64_t call,
+                                              const usage_decision& decision, time_point now) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end() || !found->second.awaits_usage) return;
+  found->second.awaits_usage = false;
+  EndWithError(call, error_kind::kUsageCapReached, 0, false, now, decision.retry_at - now);
+}
+
 template <typename Rules>
 error_kind basic_entry_system<Rules>::Classify(const caller_request& request, time_point now,
                                                call_row& row) {
@@ -465,6 +515,8 @@
     AbandonAttempt(sequence, attempt_outcome::kTimedOut, error_kind::kDeadlineExceeded, now);
     if (response_started) {
       EndTruncated(sequence, error_kind::kDeadlineExceeded, now);
+    } else if (found->second.awaits_usage) {
+      EndWithError(sequence, error_kind::kUsageCapReached, 0, false, now);
     } else {
       EndWithError(sequence, error_kind::kDeadlineExceeded, 0, false, now);
     }
@@ -505,13 +557,18 @@
 template <typename Rules>
 void basic_entry_system<Rules>::EndWithError(std::uint64_t sequence, error_kind kind,
                                              int recorded_status, bool from_home,
-                                             time_point now) {
+                                             time_point now, duration retry_after) {
   const call_row& row = calls_.find(sequence)->second;
   const error_kind reported = ReportableKind(row, kind, from_home);
+  const bool has_not_run =
+      !row.may_have_run && ErrorResponseFor(reported).state == execution::kNotRun;
+  if (has_not_run && row.token_expires > now) {
+    usage_->Return(row.record.account, row.token_expires, now);
+  }
   const exchange_id exchange = row.exchange;
   const call_id id = row.record.id;
   Remove(sequence, reported, recorded_status, now);
-  callers_.RespondWithError(exchange, id, reported, recorded_status);
+  callers_.RespondWithError(exchange, id, reported, recorded_status, retry_after);
 }
 
 template <typename Rules>
@@ -529,6 +586,7 @@
                                        time_point now) {
   const auto found = calls_.find(sequence);
   call_row& row = found->second;
+  if (row.awaits_usage) usage_->Cancel(row.record.account, sequence);
   by_exchange_.erase(row.exchange);
   row.record.result = result;
   row.record.status = status;
--- a/src/node/decision_log.cc
+++ b/src/node/decision_log.cc
@@ -4,6 +4,7 @@
 #include <span>
 
 #include "absl/strings/str_format.h"
+#include "src/accounts/usage_counters.h"
 #include "src/admission/admission_system.h"
 #include "src/base/error_response.h"
 #include "src/calls/call_id_text.h"
@@ -154,6 +155,19 @@
   sink_->Write(line);
 }
 
+void decision_log::OnUsageRefused(std::string_view account, const usage_counters& since,
+                                  std::size_t accounts) {
+  if (sink_ == nullptr) return;
+  log_line line(log_weight::kState, "usage", "cap_reached");
+  line.Add("account", account)
+      .Add("refused", since.refused)
+      .Add("granted", since.granted)
+      .Add("borrowed", since.borrowed)
+      .Add("lent", since.lent)
+      .Add("accounts", accounts);
+  sink_->Write(line);
+}
+
 void decision_log::OnLogRestored(std::string_view stream) {
   if (sink_ == nullptr) return;
   log_line line(log_weight::kState, "config", "log_restored");
--- a/src/node/decision_log.h
+++ b/src/node/decision_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -10,6 +11,7 @@
 class admission_system;
 class log_sink;
 struct call_record;
+struct usage_counters;
 struct membership_event;
 struct owner_attempt_record;
 struct folded_record;
@@ -32,6 +34,10 @@
   void OnUpstreamRate(std::string_view identity, std::optional<double> per_second);
   /// The upstream names a limit with the value `found`, which is no number.
   void OnMalformedRate(std::string_view identity, std::string_view found);
+  /// Requests of `account` were refused for its usage cap, as were some of `accounts` accounts,
+  /// in the last interval. `since` counts from its start.
+  void OnUsageRefused(std::string_view account, const usage_counters& since,
+                      std::size_t accounts);
   /// The log came back from an older copy; the stream is read anew.
   void OnLogRestored(std::string_view stream);
   void OnUpstream(std::string_view event, std::string_view identity, std::string_view address,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -16,6 +16,7 @@
 #include "src/calls/key_table.h"
 #include "src/calls/owner_system.h"
 #include "src/calls/self_identity.h"
+#include "src/calls/usage_gate.h"
 #include "src/node/node_ports.h"
 
 namespace bronzeroute {
@@ -28,12 +29,18 @@
   basic_node(const self_identity& self, const node_ports& ports, std::uint64_t seed,
              std::size_t key_capacity = key_table::kDefaultCapacity)
       : gate_(ports.gate),
+        usage_(ports.usage),
         owner_(self, ports.peers, ports.upstreams, ports.gate, entry_, key_capacity),
         entry_(self, ports.callers, ports.peers, owner_, ports.chooser, ports.members,
                ports.routes, seed) {
     gate_.SetListener(&owner_);
+    entry_.SetUsageGate(usage_);
+    if (usage_ != nullptr) usage_->SetListener(&entry_);
+  }
+  ~basic_node() {
+    gate_.SetListener(nullptr);
+    if (usage_ != nullptr) usage_->SetListener(nullptr);
   }
-  ~basic_node() { gate_.SetListener(nullptr); }
   basic_node(const basic_node&) = delete;
   basic_node& operator=(const basic_node&) = delete;
 
@@ -134,6 +141,7 @@
 
  private:
   admission_gate& gate_;
+  usage_gate* usage_;
   basic_owner_system<Rules> owner_;
   basic_entry_system<Rules> entry_;
 };
--- a/src/node/node_ports.h
+++ b/src/node/node_ports.h
@@ -9,6 +9,7 @@
 class route_directory;
 class upstream_chooser;
 class upstream_port;
+class usage_gate;
 
 /// Interfaces through which a node has effects. All must outlive the node.
 struct node_ports {
@@ -19,6 +20,8 @@
   admission_gate& gate;
   member_directory& members;
   route_directory& routes;
+  /// Usage caps of accounts; null for none.
+  usage_gate* usage = nullptr;
 };
 
 }  // namespace bronzeroute
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -92,6 +92,7 @@
       members_(membership_, configuration_),
       routes_(configuration_, settings.seed),
       decisions_(ports.events),
+      usage_(self, membership_, decisions_, now),
       node_(identity_,
             node_ports{.callers = ports.callers,
                        .peers = peers_,
@@ -99,7 +100,8 @@
                        .chooser = routing_,
                        .gate = admission_,
                        .members = members_,
-                       .routes = routes_},
+                       .routes = routes_,
+                       .usage = &usage_},
             settings.seed),
       stop_linger_(settings.stop_linger),
       slot_share_(settings.slot_share) {
@@ -158,6 +160,7 @@
 void node_runtime::OnDatagram(std::string_view from, std::string_view payload, time_point now) {
   membership_.OnDatagram(from, payload, now);
   ApplyMembers(now);
+  usage_.OnMessages(now);
 }
 
 void node_runtime::OnLogRead(const log_read& read, time_point now) {
@@ -301,6 +304,7 @@
     next_members_ = now + kMembersPeriod;
   }
   ApplyMembers(now);
+  usage_.Tick(now);
   if (stopping_ && !leaving_ && now >= leave_at_ && node_.IsIdle()) {
     leaving_ = true;
     leave_propagated_at_ = now + kLeavePropagationTime;
@@ -327,6 +331,7 @@
     return;
   }
   SetObjectives(*current);
+  usage_.OnDocument(*current, now);
   budget_.SetLimits(current->measuring_bytes_per_second,
                     std::chrono::milliseconds(current->measuring_upstream_ms_per_second));
   decisions_.OnConfigurationInEffect(applied_version_, configuration_.source());
@@ -418,6 +423,7 @@
     node_.BumpIncarnation(identity_.incarnation);
   }
   routing_.OnMembers(membership_.members(), membership_.self(), now);
+  usage_.OnMembers(now);
   std::vector<member_id> alive;
   for (const member_row& row : membership_.members()) {
     if (row.id == identity_.id) {
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -29,6 +29,7 @@
 #include "src/node/node.h"
 #include "src/node/route_directory_adapter.h"
 #include "src/node/routing_adapter.h"
+#include "src/node/usage_adapter.h"
 
 namespace bronzeroute {
 
@@ -107,6 +108,7 @@
   const routing_adapter& routing() const { return routing_; }
   const budget_account& budget() const { return budget_; }
   const service_metrics& metrics() const { return metrics_; }
+  const usage_limiter& usage() const { return usage_.limiter(); }
   /// Number of alive members that have an upstream, this one included.
   std::size_t ServingMembers() const;
 
@@ -141,6 +143,7 @@
   member_directory_adapter members_;
   route_directory_adapter routes_;
   decision_log decisions_;
+  usage_adapter usage_;
   node node_;
   std::int64_t applied_version_ = -1;
   /// Upstream that was last passed to admission and transport.
--- a/src/transport/caller_server.cc
+++ b/src/transport/caller_server.cc
@@ -152,7 +152,7 @@
 }
 
 void caller_server::RespondWithError(exchange_id exchange, const call_id& call, error_kind kind,
-                                     int recorded_status) {
+                                     int recorded_status, duration retry_after) {
   const auto found = rows_.find(exchange);
   if (found == rows_.end()) return;
   const auto item = found->second;
@@ -160,11 +160,12 @@
     item->connection->Abort();
     return;
   }
-  SendErrorResponse(*item, call, kind, recorded_status);
+  SendErrorResponse(*item, call, kind, recorded_status, retry_after);
 }
 
 void caller_server::SendErrorResponse(caller_exchange& item, const call_id& call,
-                                      error_kind kind, int recorded_status) {
+                                      error_kind kind, int recorded_status,
+                                      duration retry_after) {
   const error_response& row = ErrorResponseFor(kind);
   http_response_message response =
       TextResponse(row.http_status, "application/json", ErrorBody(kind, call, recorded_status));
@@ -175,8 +176,9 @@
   if (recorded_status != 0) {
     headers.emplace_back("Bronzeroute-Recorded-Status", std::to_string(recorded_status));
   }
-  if (row.retry_after > duration(0)) {
-    const std::chrono::duration<double> seconds = row.retry_after;
+  const duration retry = retry_after > duration(0) ? retry_after : row.retry_after;
+  if (retry > duration(0)) {
+    const std::chrono::duration<double> seconds = retry;
     headers.emplace_back("Retry-After", absl::StrFormat("%.3f", seconds.count()));
   }
   if (!dialect_.request_id.empty()) {
--- a/src/transport/caller_server.h
+++ b/src/transport/caller_server.h
@@ -51,8 +51,9 @@
   /// Requests that were passed on before are not affected.
   void EndRequests();
 
+  using caller_port::RespondWithError;
   void RespondWithError(exchange_id exchange, const call_id& call, error_kind kind,
-                        int recorded_status) override;
+                        int recorded_status, duration retry_after) override;
   /// If the exchange has no response to `attempt`, the caller receives `answer_lost`: the
   /// request may have run, and the stored response belongs to another attempt.
   void RelayResponse(exchange_id exchange, const attempt_id& attempt) override;
@@ -68,8 +69,9 @@
   void OnResponseEnded(const exchange& row) override;
   void Announce(caller_exchange& row);
   void ReplaceFields(exchange& row) const;
+  /// `retry_after` replaces that of the error table unless it is 0.
   void SendErrorResponse(caller_exchange& row, const call_id& call, error_kind kind,
-                         int recorded_status);
+                         int recorded_status, duration retry_after = {});
 
   exchange_table& exchanges_;
   transport_events& events_;
--- a/tests/calls/call_world.h
+++ b/tests/calls/call_world.h
@@ -284,7 +284,8 @@
     }
 
     // Callers.
-    void RespondWithError(exchange_id exchange, const call_id&, error_kind kind, int) override {
+    void RespondWithError(exchange_id exchange, const call_id&, error_kind kind, int,
+                          duration) override {
       world.oracle.OnError(world.request_of_.at(exchange), kind, world.now_);
     }
     void RelayResponse(exchange_id exchange, const attempt_id& id) override {
--- a/tests/calls/entry_system_test.cc
+++ b/tests/calls/entry_system_test.cc
@@ -14,6 +14,7 @@
 #include "src/calls/peer_port.h"
 #include "src/calls/route_directory.h"
 #include "src/calls/upstream_chooser.h"
+#include "src/calls/usage_gate.h"
 #include "src/routing/load_hint.h"
 
 namespace bronzeroute {
@@ -28,7 +29,7 @@
 using testing::Return;
 
 struct mock_callers : caller_port {
-  MOCK_METHOD(void, RespondWithError, (exchange_id, const call_id&, error_kind, int),
+  MOCK_METHOD(void, RespondWithError, (exchange_id, const call_id&, error_kind, int, duration),
               (override));
   MOCK_METHOD(void, RelayResponse, (exchange_id, const attempt_id&), (override));
   MOCK_METHOD(void, AbortResponse, (exchange_id), (override));
@@ -71,12 +72,14 @@
     return {.service = "orders",
             .is_protected = request.path == "/orders/new",
             .is_marked_short = request.path == "/orders/new",
-            .time_limit = std::chrono::seconds(1)};
+            .time_limit = std::chrono::seconds(1),
+            .account = account};
   }
   static member_target Member(std::uint64_t id) {
     return {member_id{id}, incarnation_id{10 * id}};
   }
   int open = 0;
+  std::string account;
   std::vector<member_target> later_incarnations;
 };
 
@@ -105,7 +108,8 @@
     return {head.id, head.target, head.target_incarnation};
   }
   void ExpectError(error_kind kind) {
-    EXPECT_CALL(callers_, RespondWithError(exchange_id{5}, _, kind, _)).RetiresOnSaturation();
+    EXPECT_CALL(callers_, RespondWithError(exchange_id{5}, _, kind, _, _))
+        .RetiresOnSaturation();
   }
   void Refuse(error_kind kind) { entry_.OnAttemptRefused(Last(), kind, 0, {}, kNow); }
 
@@ -190,7 +194,7 @@
 TEST_F(EntrySystemTest, UpstreamRefusalsUseTheBudgetAfterArrival) {
   entry_.SetRetryShares({.after_refusal = 1, .after_arrival = 0.1});
   constexpr std::uint64_t kCalls = 200;
-  EXPECT_CALL(callers_, RespondWithError(_, _, _, _)).Times(::testing::AnyNumber());
+  EXPECT_CALL(callers_, RespondWithError(_, _, _, _, _)).Times(::testing::AnyNumber());
   for (std::uint64_t call = 0; call < kCalls; ++call) {
     caller_request request = Request("/orders/1");
     request.exchange = exchange_id{100 + call};
@@ -217,7 +221,7 @@
 
 // Guards against retries that multiply the work when every owner refuses.
 TEST_F(EntrySystemTest, EmptyBudgetEndsTheCall) {
-  EXPECT_CALL(callers_, RespondWithError(_, _, error_kind::kRetryBudgetEmpty, _)).Times(80);
+  EXPECT_CALL(callers_, RespondWithError(_, _, error_kind::kRetryBudgetEmpty, _, _)).Times(80);
   for (std::uint64_t i = 0; i < 100; ++i) {
     caller_request request = Request();
     request.exchange = exchange_id{100 + i};
@@ -348,5 +352,115 @@
   EXPECT_TRUE(entry_.IsIdle());
 }
 
+struct mock_usage : usage_gate {
+  MOCK_METHOD(void, SetListener, (usage_listener*), (override));
+  MOCK_METHOD(usage_decision, Acquire,
+              (std::string_view, std::uint64_t, time_point, time_point), (override));
+  MOCK_METHOD(void, Cancel, (std::string_view, std::uint64_t), (override));
+  MOCK_METHOD(void, Return, (std::string_view, time_point, time_point), (override));
+};
+
+class EntryUsageTest : public EntrySystemTest {
+ protected:
+  EntryUsageTest() {
+    surroundings_.account = "acme";
+    entry_.SetUsageGate(&usage_);
+  }
+  ~EntryUsageTest() override { entry_.SetUsageGate(nullptr); }
+  void Decide(usage_state state) {
+    EXPECT_CALL(usage_, Acquire(std::string_view("acme"), _, _, kNow))
+        .WillOnce(Return(usage_decision{.state = state,
+                                        .expires = kNow + std::chrono::milliseconds(500),
+                                        .retry_at = kNow + std::chrono::milliseconds(70)}));
+  }
+
+  testing::StrictMock<mock_usage> usage_;
+};
+
+// Guards against a limit on requests without an account, and on calls of running work.
+TEST_F(EntryUsageTest, RequestWithoutAccountAsksForNoToken) {
+  surroundings_.account = "";
+  entry_.OnCallerRequest(Request(), kNow);
+  EXPECT_EQ(sent_.size(), 1U);
+  entry_.OnCallerDisconnected(exchange_id{5}, kNow);
+}
+
+// Guards against waits that take more than a quarter of the time to the objective.
+TEST_F(EntryUsageTest, WaitsAtMostAQuarterOfTheTimeToTheObjective) {
+  caller_request request = Request();
+  request.deadline = kNow + std::chrono::milliseconds(200);
+  EXPECT_CALL(usage_, Acquire(_, _, kNow + std::chrono::milliseconds(50), kNow))
+      .WillOnce(Return(usage_decision{}));
+  entry_.OnCallerRequest(request, kNow);
+  entry_.OnCallerDisconnected(exchange_id{5}, kNow);
+}
+
+TEST_F(EntryUsageTest, DeniedRequestEndsWithTheRetryTimeOfTheGate) {
+  Decide(usage_state::kDenied);
+  EXPECT_CALL(callers_, RespondWithError(exchange_id{5}, _, error_kind::kUsageCapReached, 0,
+                                         duration(std::chrono::milliseconds(70))));
+  entry_.OnCallerRequest(Request(), kNow);
+  EXPECT_TRUE(sent_.empty());
+  EXPECT_TRUE(entry_.IsIdle());
+}
+
+TEST_F(EntryUsageTest, PendingRequestStartsOnceItIsGranted) {
+  Decide(usage_state::kPending);
+  const call_id call = entry_.OnCallerRequest(Request(), kNow);
+  EXPECT_TRUE(sent_.empty());
+  entry_.OnUsageGranted(call.sequence, {}, kNow);
+  EXPECT_EQ(sent_.size(), 1U);
+  // A second decision on the same call changes nothing.
+  entry_.OnUsageGranted(call.sequence, {}, kNow);
+  entry_.OnUsageDenied(call.sequence, {}, kNow);
+  EXPECT_EQ(sent_.size(), 1U);
+  entry_.OnCallerDisconnected(exchange_id{5}, kNow);
+}
+
+TEST_F(EntryUsageTest, PendingRequestThatIsDeniedEndsAsNotRun) {
+  Decide(usage_state::kPending);
+  const call_id call = entry_.OnCallerRequest(Request(), kNow);
+  ExpectError(error_kind::kUsageCapReached);
+  entry_.OnUsageDenied(call.sequence, {.retry_at = kNow}, kNow);
+  EXPECT_TRUE(entry_.IsIdle());
+}
+
+// Guards against tokens that go to a request whose caller has left.
+TEST_F(EntryUsageTest, CallerThatLeavesEndsTheWait) {
+  Decide(usage_state::kPending);
+  const call_id call = entry_.OnCallerRequest(Request(), kNow);
+  EXPECT_CALL(usage_, Cancel(std::string_view("acme"), call.sequence));
+  EXPECT_CALL(callers_, RespondWithError).Times(0);
+  entry_.OnCallerDisconnected(exchange_id{5}, kNow);
+  entry_.OnUsageGranted(call.sequence, {}, kNow);
+  EXPECT_TRUE(sent_.empty());
+}
+
+// Guards against an error that leaves it open whether the request ran.
+TEST_F(EntryUsageTest, DeadlineDuringTheWaitIsNotRun) {
+  Decide(usage_state::kPending);
+  const call_id call = entry_.OnCallerRequest(Request(), kNow);
+  EXPECT_CALL(usage_, Cancel(std::string_view("acme"), call.sequence));
+  ExpectError(error_kind::kUsageCapReached);
+  entry_.Tick(kNow + std::chrono::seconds(2));
+  EXPECT_TRUE(entry_.IsIdle());
+}
+
+// Guards against an account that loses tokens by refusals of others, and against tokens that
+// are returned though the request may have run.
+TEST_F(EntryUsageTest, TokenIsReturnedOnlyIfTheRequestHasNotRun) {
+  Decide(usage_state::kGranted);
+  entry_.OnCallerRequest(Request(), kNow);
+  EXPECT_CALL(usage_,
+              Return(std::string_view("acme"), kNow + std::chrono::milliseconds(500), kNow));
+  ExpectError(error_kind::kQueueTimeout);
+  Refuse(error_kind::kQueueTimeout);
+
+  Decide(usage_state::kGranted);
+  entry_.OnCallerRequest(Request(), kNow);
+  ExpectError(error_kind::kAnswerLost);
+  entry_.OnAttemptLost(sent_.back().id, true, kNow);
+}
+
 }  // namespace
 }  // namespace bronzeroute
--- a/tests/node/runtime_world.h
+++ b/tests/node/runtime_world.h
@@ -379,7 +379,8 @@
     }
 
     // Callers.
-    void RespondWithError(exchange_id exchange, const call_id&, error_kind kind, int) override {
+    void RespondWithError(exchange_id exchange, const call_id&, error_kind kind, int,
+                          duration) override {
       world.oracle.calls.OnError(world.request_of_.at(exchange), kind, world.now_);
     }
     void RelayResponse(exchange_id exchange, const attempt_id& id) override {
--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -578,5 +578,16 @@
   EXPECT_EQ(daemon_.Count("leaving"), 0);
 }
 
+// Guards against a retry time of the error table where the decision names its own.
+TEST_F(DialectTest, RetryTimeOfTheDecisionReplacesThatOfTheTable) {
+  daemon_.on_request = [&](const caller_request& request) {
+    daemon_.sockets().callers().RespondWithError(
+        request.exchange, {}, error_kind::kUsageCapReached, 0, std::chrono::milliseconds(1250));
+  };
+  const std::string response = Ask(daemon_, Request("9"));
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 429")) << response;
+  EXPECT_NE(response.find("Retry-After: 1.250\r\n"), std::string::npos) << response;
+}
+
 }  // namespace
 }  // namespace bronzeroute
