--- a/src/daemon/admin_endpoints.cc
+++ b/src/daemon/admin_endpoints.cc
@@ -181,10 +181,11 @@
   });
   router.Add("GET", path("metrics"), [&runtime](const local_request& request) {
     const bool with_minutes = request.query == "minutes=1";
-    return local_response{200, "text/plain; version=0.0.4",
-                          ExpositionText(runtime.metrics(), runtime.budget(), MonotonicNow(),
-                                         with_minutes ? exposition_detail::kMinutes
-                                                      : exposition_detail::kTotals)};
+    return local_response{
+        200, "text/plain; version=0.0.4",
+        ExpositionText(runtime.metrics(), runtime.budget(), MonotonicNow(),
+                       with_minutes ? exposition_detail::kMinutes : exposition_detail::kTotals,
+                       runtime.usage().Counters())};
   });
 }
 
--- a/src/measuring/exposition.cc
+++ b/src/measuring/exposition.cc
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string_view>
 
+#include "src/accounts/usage_counters.h"
 #include "src/measuring/budget_account.h"
 #include "src/measuring/service_metrics.h"
 
@@ -215,10 +216,44 @@
   }
 }
 
+// Accounts that have series of their own, to bound their number.
+constexpr std::size_t kNamedAccounts = 200;
+
+template <typename Value>
+void AppendUsageCounter(std::string& out, const usage_rows& accounts, string_view name,
+                        string_view help, Value value) {
+  AppendHeader(out, name, "counter", help);
+  std::uint64_t others = 0;
+  for (std::size_t i = 0; i < accounts.size(); ++i) {
+    const std::uint64_t number = value(*accounts[i].second);
+    if (i >= kNamedAccounts) {
+      others += number;
+      continue;
+    }
+    AppendSample<1>(out, name, {{{"account", accounts[i].first}}}, static_cast<double>(number));
+  }
+  if (accounts.size() <= kNamedAccounts) return;
+  AppendSample<1>(out, name, {{{"account", "(others)"}}}, static_cast<double>(others));
+}
+
+void AppendUsage(std::string& out, const usage_rows& accounts) {
+  if (accounts.empty()) return;
+  AppendUsageCounter(out, accounts, "bronzeroute_usage_granted_total",
+                     "Requests that entered here and got a token of their account.",
+                     [](const usage_counters& row) { return row.granted; });
+  AppendUsageCounter(out, accounts, "bronzeroute_usage_refused_total",
+                     "Requests refused because of the usage cap of their account.",
+                     [](const usage_counters& row) { return row.refused; });
+  AppendUsageCounter(out, accounts, "bronzeroute_usage_lent_total",
+                     "Tokens that this daemon lent, to itself included.",
+                     [](const usage_counters& row) { return row.lent; });
+}
+
 }  // namespace
 
 std::string ExpositionText(const service_metrics& metrics, const budget_account& budget,
-                           time_point now, exposition_detail detail) {
+                           time_point now, exposition_detail detail,
+                           const usage_rows& accounts) {
   std::string out;
   AppendRequests(out, metrics);
   AppendLatency(out, metrics, now);
@@ -238,6 +273,7 @@
   AppendBudget(out, budget, "bronzeroute_measuring_forced_total",
                "Charges taken on credit so that failure detection goes on.",
                [](const budget_counter& row) { return static_cast<double>(row.forced); });
+  AppendUsage(out, accounts);
   // Scrapers treat the line as a comment; in a saved file it shows that the text is complete.
   out += "# EOF\n";
   return out;
--- a/src/measuring/exposition.h
+++ b/src/measuring/exposition.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 #include "src/base/time.h"
 #include "src/measuring/exposition_detail.h"
@@ -9,12 +12,18 @@
 
 class budget_account;
 class service_metrics;
+struct usage_counters;
+
+/// Counters of accounts with a usage cap, by name.
+using usage_rows = std::vector<std::pair<std::string_view, const usage_counters*>>;
 
 /// Returns the service-level metrics and the use of the measuring budget in the Prometheus text
 /// format. Times are in seconds. The counts per window and per minute and the process start
-/// time allow exact sums over several processes. The last line is "# EOF".
+/// time allow exact sums over several processes. The first 200 of `accounts` are named, the
+/// others are summed as "(others)". The last line is "# EOF".
 std::string ExpositionText(const service_metrics& metrics, const budget_account& budget,
                            time_point now,
-                           exposition_detail detail = exposition_detail::kMinutes);
+                           exposition_detail detail = exposition_detail::kMinutes,
+                           const usage_rows& accounts = {});
 
 }  // namespace bronzeroute
--- a/tests/measuring/service_metrics_test.cc
+++ b/tests/measuring/service_metrics_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "src/accounts/usage_counters.h"
 #include "src/measuring/budget_account.h"
 #include "src/measuring/exposition.h"
 
@@ -187,5 +188,24 @@
           "{purpose=\"membership_probe\",distance=\"other_region\"} 130"));
 }
 
+// Guards against a number of series that grows with the document without bound.
+TEST(Exposition, AccountsAreCountedUpToABound) {
+  const service_metrics metrics({.started = kStart, .unix_time = seconds(0)});
+  std::vector<std::string> names;
+  for (int i = 0; i < 203; ++i) names.push_back("account-" + std::to_string(1000 + i));
+  const usage_counters counters{.granted = 3, .refused = 2, .lent = 5};
+  usage_rows rows;
+  for (const std::string& name : names) rows.emplace_back(name, &counters);
+  const std::string text = ExpositionText(metrics, budget_account(0, duration(0)), kStart,
+                                          exposition_detail::kTotals, rows);
+  EXPECT_NE(text.find("bronzeroute_usage_granted_total{account=\"account-1199\"} 3\n"),
+            std::string::npos);
+  EXPECT_EQ(text.find("account-1200"), std::string::npos);
+  EXPECT_NE(text.find("bronzeroute_usage_refused_total{account=\"(others)\"} 6\n"),
+            std::string::npos);
+  EXPECT_NE(text.find("bronzeroute_usage_lent_total{account=\"account-1000\"} 5\n"),
+            std::string::npos);
+}
+
 }  // namespace
 }  // namespace bronzeroute
