--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -31,6 +31,7 @@
 #include "src/node/node.h"
 #include "src/node/route_directory_adapter.h"
 #include "src/node/routing_adapter.h"
+#include "src/node/usage_adapter.h"
 
 namespace bronzeroute {
 
@@ -120,6 +121,7 @@
   const budget_account& budget() const { return budget_; }
   const service_metrics& metrics() const { return metrics_; }
   restriction_metrics restrictions(time_point now) const;
+  const usage_limiter& usage() const { return usage_.limiter(); }
   /// Number of alive members that have an upstream, this one included.
   std::size_t ServingMembers() const;
 
@@ -160,6 +162,7 @@
   member_directory_adapter members_;
   route_directory_adapter routes_;
   decision_log decisions_;
+  usage_adapter usage_;
   node node_;
   std::int64_t applied_version_ = -1;
   evacuation_set::zone_set applied_zones_;
