Spread the retry times of refused callers

Every refusal of a kind named the same Retry-After, so callers that an overloaded upstream refused together came back together. The time is now extended by a random factor of 1 to 2; the table's values, which are the shortest useful times, stay the lower bound. A spread below them was ruled out, since a slot is rarely free earlier.

--- a/src/transport/caller_server.cc
+++ b/src/transport/caller_server.cc
@@ -20,6 +20,12 @@
 #include "src/transport/transport_events.h"
 
 namespace bronzeroute {
+namespace {
+
+// Largest factor by which a retry time is extended.
+constexpr double kRetrySpread = 2;
+
+}  // namespace
 
 struct caller_server::caller_exchange {
   std::shared_ptr<exchange> row;
@@ -187,7 +193,9 @@
     headers.emplace_back("Bronzeroute-Recorded-Status", std::to_string(recorded_status));
   }
   if (row.retry_after > duration(0)) {
-    const std::chrono::duration<double> seconds = row.retry_after;
+    // Callers that were refused together would otherwise return together.
+    std::uniform_real_distribution<double> spread(1, kRetrySpread);
+    const std::chrono::duration<double> seconds = row.retry_after * spread(random_);
     headers.emplace_back("Retry-After", absl::StrFormat("%.3f", seconds.count()));
   }
   if (!dialect_.request_id.empty()) {
--- a/src/transport/caller_server.h
+++ b/src/transport/caller_server.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -78,6 +79,7 @@
   const http_dialect& dialect_;
   http_server server_;
   std::string caller_service_;
+  std::minstd_rand random_{std::random_device{}()};
   bool requests_ended_ = false;
   std::function<std::uint32_t(std::string_view request_id)> depth_of_;
   absl::flat_hash_map<exchange_id, std::shared_ptr<caller_exchange>> rows_;
--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -4,6 +4,7 @@
 #include <cctype>
 #include <cstddef>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -578,5 +579,25 @@
   EXPECT_EQ(daemon_.Count("leaving"), 0);
 }
 
+// Guards against callers that were refused together and return together, because all of them
+// were told the same time.
+TEST_F(DialectTest, RetryTimesAreSpread) {
+  daemon_.on_request = [&](const caller_request& request) {
+    daemon_.sockets().callers().RespondWithError(request.exchange, {}, error_kind::kOverloaded,
+                                                 0);
+  };
+  std::set<std::string> times;
+  for (int i = 0; i < 20; ++i) {
+    const std::string response = Ask(daemon_, Request("1"));
+    const std::size_t at = response.find("Retry-After: ");
+    ASSERT_NE(at, std::string::npos) << response;
+    const std::string time = response.substr(at + 13, response.find('\r', at) - at - 13);
+    EXPECT_GE(std::stod(time), 0.1);
+    EXPECT_LE(std::stod(time), 0.2);
+    times.insert(time);
+  }
+  EXPECT_GT(times.size(), 5U);
+}
+
 }  // namespace
 }  // namespace bronzeroute
