--- a/src/transport/caller_server.cc
+++ b/src/transport/caller_server.cc
@@ -21,6 +21,12 @@
 #include "src/transport/transport_events.h"
 
 namespace bronzeroute {
+namespace {
+
+// Largest factor by which a retry time is extended.
+constexpr double kRetrySpread = 2;
+
+}  // namespace
 
 struct caller_server::caller_exchange {
   std::shared_ptr<exchange> row;
@@ -30,6 +36,7 @@
   std::shared_ptr<byte_pipe> relayed;
   bool announced = false;
   bool response_started = false;
+  bool has_account = false;
 };
 
 caller_server::caller_server(exchange_table& exchanges, transport_events& events,
@@ -166,6 +173,7 @@
 void caller_server::SetAccount(exchange_id exchange, std::string_view account) {
   const auto found = rows_.find(exchange);
   if (found == rows_.end()) return;
+  found->second->has_account = !account.empty();
   header_list& fields = found->second->row->headers;
   std::erase_if(fields,
                 [this](const auto& field) { return dialect_.IsAccountField(field.first); });
@@ -202,8 +210,13 @@
   if (recorded_status != 0) {
     headers.emplace_back("Bronzeroute-Recorded-Status", std::to_string(recorded_status));
   }
-  const duration retry = retry_after > duration(0) ? retry_after : row.retry_after;
+  duration retry = retry_after > duration(0) ? retry_after : row.retry_after;
   if (retry > duration(0)) {
+    if (item.has_account && retry_after == duration(0)) {
+      // Callers of an account that were refused together would otherwise return together.
+      std::uniform_real_distribution<double> spread(1, kRetrySpread);
+      retry = std::chrono::duration_cast<duration>(row.retry_after * spread(random_));
+    }
     const std::chrono::duration<double> seconds = retry;
     headers.emplace_back("Retry-After", absl::StrFormat("%.3f", seconds.count()));
   }
