--- a/src/accounts/usage_times.h
+++ b/src/accounts/usage_times.h
@@ -21,7 +21,7 @@
 /// delegations to it are dropped.
 inline constexpr duration kUsageFreezeGap = std::chrono::seconds(1);
 /// Time after a freeze in which delegations are ignored: they may have waited in the socket.
-inline constexpr duration kStaleDatagramTime = std::chrono::milliseconds(200);
+inline constexpr duration kStaleDatagramTime = std::chrono::seconds(1);
 /// Shares are not used before this time after the start: a lender may still use what an earlier
 /// incarnation delegated.
 inline constexpr duration kShareStartDelay = std::chrono::seconds(3);
--- a/tests/accounts/usage_limiter_test.cc
+++ b/tests/accounts/usage_limiter_test.cc
@@ -211,9 +211,9 @@
 }
 
 // A limiter whose only other member may lend.
-class UsageLimiterMessages : public ::testing::Test {
+class UsageMessagesTest : public ::testing::Test {
  protected:
-  UsageLimiterMessages() : limiter_(self_, 100, now_) {
+  UsageMessagesTest() : limiter_(self_, 100, now_) {
     limiter_.SetCaps(caps_, now_);
     const std::vector<member_id> live = {self_, other_};
     limiter_.SetMembers(live, 2, now_);
@@ -252,12 +252,12 @@
   usage_limiter limiter_;
 };
 
-TEST_F(UsageLimiterMessages, AccountWithoutCapNeverWaits) {
+TEST_F(UsageMessagesTest, AccountWithoutCapNeverWaits) {
   EXPECT_EQ(limiter_.Acquire("uncapped", 1, now_, now_).state, usage_state::kGranted);
   EXPECT_TRUE(limiter_.TakeMessages().empty());
 }
 
-TEST_F(UsageLimiterMessages, LostRequestIsSentAgainAndTheOldReplyIsDropped) {
+TEST_F(UsageMessagesTest, LostRequestIsSentAgainAndTheOldReplyIsDropped) {
   EXPECT_EQ(Acquire(1).state, usage_state::kPending);
   const usage_message lost = Reply(1);
   Advance(milliseconds(60));
@@ -273,7 +273,7 @@
   EXPECT_EQ(Acquire(2).state, usage_state::kPending);
 }
 
-TEST_F(UsageLimiterMessages, WithoutReplyTheRequestIsDeniedWhenItsWaitEnds) {
+TEST_F(UsageMessagesTest, WithoutReplyTheRequestIsDeniedWhenItsWaitEnds) {
   EXPECT_EQ(Acquire(1).state, usage_state::kPending);
   for (int i = 0; i < 15; ++i) Advance(milliseconds(10));
   const auto results = limiter_.TakeResults();
@@ -283,7 +283,7 @@
 }
 
 // Guards against a message for each request of an account that is far above its cap.
-TEST_F(UsageLimiterMessages, DenialIsKeptForItsTime) {
+TEST_F(UsageMessagesTest, DenialIsKeptForItsTime) {
   EXPECT_EQ(Acquire(1).state, usage_state::kPending);
   usage_message denial = Reply(0);
   denial.wait = milliseconds(400);
@@ -295,7 +295,7 @@
   EXPECT_TRUE(limiter_.TakeMessages().empty());
 }
 
-TEST_F(UsageLimiterMessages, ReturnedTokenServesTheNextRequestUntilItExpires) {
+TEST_F(UsageMessagesTest, ReturnedTokenServesTheNextRequestUntilItExpires) {
   EXPECT_EQ(Acquire(1).state, usage_state::kPending);
   limiter_.OnMessage(Reply(1), now_);
   const time_point expires = limiter_.TakeResults().at(0).decision.expires;
@@ -307,7 +307,7 @@
   EXPECT_EQ(Acquire(3).state, usage_state::kPending);
 }
 
-TEST_F(UsageLimiterMessages, CancelledRequestGetsNoResultAndItsTokenIsKept) {
+TEST_F(UsageMessagesTest, CancelledRequestGetsNoResultAndItsTokenIsKept) {
   EXPECT_EQ(Acquire(1).state, usage_state::kPending);
   limiter_.Cancel(account_, 1);
   limiter_.OnMessage(Reply(1), now_);
@@ -315,7 +315,7 @@
   EXPECT_EQ(Acquire(2).state, usage_state::kGranted);
 }
 
-TEST_F(UsageLimiterMessages, FreezeDropsHeldTokens) {
+TEST_F(UsageMessagesTest, FreezeDropsHeldTokens) {
   EXPECT_EQ(Acquire(1).state, usage_state::kPending);
   limiter_.Cancel(account_, 1);
   limiter_.OnMessage(Reply(5), now_);
@@ -325,7 +325,7 @@
 
 // Guards against lenders that lend before they have shares: after a restart, or under a wrong
 // view of the members.
-TEST_F(UsageLimiterMessages, LenderWithoutDelegationsLendsNothing) {
+TEST_F(UsageMessagesTest, LenderWithoutDelegationsLendsNothing) {
   limiter_.OnMessage({.type = usage_message::kind::kRequest,
                       .peer = other_,
                       .sequence = 9,
@@ -336,7 +336,7 @@
   EXPECT_EQ(reply.sequence, 9U);
 }
 
-TEST_F(UsageLimiterMessages, MalformedMessagesAreIgnoredAndCounted) {
+TEST_F(UsageMessagesTest, MalformedMessagesAreIgnoredAndCounted) {
   limiter_.OnMessage({.type = usage_message::kind::kRequest, .peer = other_, .tokens = 4},
                      now_);
   limiter_.OnMessage({.type = usage_message::kind::kReply,
@@ -349,7 +349,7 @@
   EXPECT_TRUE(limiter_.TakeMessages().empty());
 }
 
-TEST_F(UsageLimiterMessages, RemovedCapEndsTheWait) {
+TEST_F(UsageMessagesTest, RemovedCapEndsTheWait) {
   EXPECT_EQ(Acquire(1).state, usage_state::kPending);
   limiter_.SetCaps({}, now_);
   const auto results = limiter_.TakeResults();
