Do not send requests again to an evacuated upstream

A request on a kept connection that ends without a response is sent once more on a new one. This also happened after the zone of the upstream was evacuated, beside admission, so the request could reach the zone after the bound. The transport now has no upstream address during an evacuation, and such a request ends as lost rather than as one that could not be sent, since it may have run. Refusing it in admission was ruled out: the transport sends again on its own.

The tests of the entry's check and of a freeze passed with the checked code disabled; both now fail then. Tests of the transport were not run.

--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -396,7 +396,7 @@
     applied_identity_ = identity;
     applied_start_ = start;
     logged_rate_ = kNoRate;
-    links_.SetUpstream(address, identity);
+    LinkUpstream();
     decisions_.OnUpstream("upstream_in_use", identity, address,
                           upstream == nullptr ? 0 : upstream->sequence);
     if (is_replaced) admission_.OnUpstreamReplaced(now);
@@ -489,10 +489,18 @@
   members_changed_ = true;
   ApplyMembers(now);
   peers_.SetTime(now);
+  const bool was_evacuated = admission_.is_evacuated();
   admission_.SetEvacuated(zones.contains(membership_.self().availability_zone), now);
+  if (admission_.is_evacuated() != was_evacuated) LinkUpstream();
   membership_.SetHint(admission_.Hint(now));
 }
 
+void node_runtime::LinkUpstream() {
+  // Without an address, the transport does not send a request again whose connection ends.
+  const bool is_evacuated = admission_.is_evacuated();
+  links_.SetUpstream(is_evacuated ? std::string_view() : applied_address_, applied_identity_);
+}
+
 void node_runtime::TakeEvents() {
   for (const membership_event& event : membership_.TakeEvents()) {
     decisions_.OnMembership(event);
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -131,6 +131,8 @@
   /// Refuses new work for the current incarnation of the upstream.
   void DrainUpstream(time_point now);
   void ApplyMembers(time_point now);
+  /// Passes the address of the upstream to the transport; none while its zone is evacuated.
+  void LinkUpstream();
   /// Passes a changed set of evacuated zones to routing and admission, and logs it.
   void ApplyEvacuations(std::string_view source, time_point now);
   distance DistanceTo(member_id member) const;
--- a/src/transport/upstream_attempt.cc
+++ b/src/transport/upstream_attempt.cc
@@ -446,7 +446,10 @@
     Complete();
     return;
   }
-  if (may_resend_ && !received_any_ && row_->body->Rewind()) {
+  // Without an upstream in use, the request may have run: it must not end as one that could not
+  // be sent.
+  const bool has_upstream = !owner_->address().empty();
+  if (may_resend_ && !received_any_ && has_upstream && row_->body->Rewind()) {
     Release(false);
     Connect();
     return;
--- a/tests/node/evacuation_test.cc
+++ b/tests/node/evacuation_test.cc
@@ -77,9 +77,13 @@
   world_.Advance(seconds(2));
   EXPECT_EQ(StartsSince(0, bound) + StartsSince(1, bound), 0U);
   EXPECT_GE(Complete(first), (last_ - first + 1) * 95 / 100);
+  // The transport would send a request again whose connection ends.
+  EXPECT_EQ(world_.UpstreamAddress(0), "");
+  EXPECT_NE(world_.UpstreamAddress(2), "");
   EXPECT_EQ(world_.daemon(3).restrictions(world_.now()).evacuated_zones, 1U);
   world_.SetEvacuated("central-a", false);
   world_.Advance(seconds(2));
+  EXPECT_NE(world_.UpstreamAddress(0), "");
   Load(seconds(1));
   EXPECT_GT(StartsSince(0, world_.now() - seconds(1)), 0U);
   world_.Settle();
@@ -101,21 +105,22 @@
 
 // Guards against an entry that relies on the owners, also for a key whose home is in the zone.
 TEST_F(EvacuationTest, TheEntrysCheckAloneIsEnough) {
-  const std::string key = world_.IssueKey(0);
+  world_.RemoveUpstream(2);
+  world_.RemoveUpstream(3);
+  world_.Advance(seconds(15));
+  const std::string key = world_.IssueKey(2);
+  const auto attempts = [this] {
+    return world_.daemon(0).calls().owner().counters().attempts +
+           world_.daemon(1).calls().owner().counters().attempts;
+  };
+  EXPECT_EQ(StartsSince(2, world_.now() - seconds(5)), 0U);
+  const std::uint64_t before = attempts();
   Tell(2, "central-a", true, 1);
-  world_.Advance(seconds(2));
-  // Daemons 0 and 1 would learn of it from daemon 2 and refuse the attempts.
-  const std::uint64_t attempts = world_.daemon(0).calls().owner().counters().attempts +
-                                 world_.daemon(1).calls().owner().counters().attempts;
-  for (int i = 0; i < 200; ++i) {
-    world_.Request(2, i % 5 == 0, "", 1, milliseconds(800));
-    world_.Advance(milliseconds(10));
-  }
+  // Sent before daemon 2 has told the owners of it.
+  for (int i = 0; i < 20; ++i) world_.Request(2, i % 5 == 0, "", 1, milliseconds(800));
   const auto keyed = world_.Request(2, true, key, 1, seconds(1));
   world_.Advance(seconds(2));
-  EXPECT_EQ(world_.daemon(0).calls().owner().counters().attempts +
-                world_.daemon(1).calls().owner().counters().attempts,
-            attempts);
+  EXPECT_EQ(attempts(), before);
   EXPECT_EQ(world_.oracle.calls.at(*keyed).reported, error_kind::kEvacuated);
 }
 
@@ -181,14 +186,17 @@
 // Guards against work that a daemon starts when it continues after a freeze in which the
 // evacuation began: what its sockets hold is handled in any order.
 TEST_F(EvacuationTest, AFrozenDaemonStartsNoWorkWhenItContinues) {
-  Load(seconds(1));
+  world_.CutOffLog(0, true);
   world_.Freeze(0, seconds(9));
-  Load(milliseconds(1500));
+  // These wait in its sockets before the datagrams that tell of the evacuation.
+  for (int i = 0; i < 4; ++i) world_.Request(0, false, "", 1, milliseconds(800));
+  world_.Advance(milliseconds(1500));
   world_.SetEvacuated("central-a", true);
-  Load(kBound);
+  world_.Advance(kBound);
   const time_point bound = world_.now();
-  Load(seconds(10));
+  Load(seconds(4));
   EXPECT_EQ(StartsSince(0, bound) + StartsSince(1, bound), 0U);
+  EXPECT_TRUE(world_.daemon(0).evacuations().Contains("central-a"));
 }
 
 // Guards against daemons that cannot read the log and therefore miss the begin or the end of an
--- a/tests/node/runtime_world.h
+++ b/tests/node/runtime_world.h
@@ -157,6 +157,10 @@
   void SetUpstream(std::size_t index, upstream_mode mode) { hosts_[index]->mode = mode; }
   /// The next announcements state that the upstream is cold until `until`.
   void SetCold(std::size_t index, time_point until) { hosts_[index]->cold_until = until; }
+  /// Address to which the transport sends; empty for none.
+  const std::string& UpstreamAddress(std::size_t index) const {
+    return hosts_[index]->upstream_address;
+  }
   /// Times at which requests were sent to the upstream beside the daemon.
   const std::vector<time_point>& Starts(std::size_t index) const {
     return hosts_[index]->starts;
@@ -383,6 +387,7 @@
     std::set<attempt_id> at_upstream;
     std::vector<time_point> starts;
     bool is_log_cut_off = false;
+    std::string upstream_address;
     /// Records of evacuations that this process has read; -1 before the first read.
     std::int64_t evacuations_read = -1;
     time_point cold_until;
@@ -550,7 +555,9 @@
       links[peer] = address;
     }
     void ClosePeer(member_id peer) override { links.erase(peer); }
-    void SetUpstream(std::string_view, std::string_view) override {}
+    void SetUpstream(std::string_view address, std::string_view) override {
+      upstream_address = address;
+    }
   };
 
   static member_id IdOf(std::size_t index) { return member_id{index + 1}; }
