Satisfy the linter in hint_table and evacuation_set

A statement that a longer expression had moved to a line of its own lacked braces, and the linter takes the 0 of a rewritten comparison for a null pointer, as in strong_id. Neither changes behaviour.

--- a/src/membership/evacuation_set.h
+++ b/src/membership/evacuation_set.h
@@ -19,6 +19,8 @@
   /// Offset of the first record that is not included.
   std::int64_t offset = 0;
 
+  // The check takes the 0 of a comparison that is rewritten to <=> for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const evacuation_position&, const evacuation_position&) = default;
 };
 
--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -132,8 +132,9 @@
     std::vector<subset_member> group;
     for (const std::size_t index : service.members) {
       const entry& item = entries_[index];
-      if (item.row.where == where)
+      if (item.row.where == where) {
         group.push_back({item.row.id, index, item.draining || item.evacuated});
+      }
     }
     SelectSubset(own, SubsetLimit(where), group);
     for (const subset_member& each : group) entries_[each.index].preferred = true;
