Give up repeatable attempts that the upstream never answers

Some upstreams answer neither a request that they cannot queue nor a later one on its connection. Such an attempt held its slot and its caller until the deadline. The owner now watches the time to the response head by route. It cancels a repeatable attempt that has waited at least 250 ms, 4 times the mean and 6 times the deviation, while at least 8 attempts that started later were answered; the entry then sends it elsewhere within its retry budget. The connection is closed. An attempt that may run only once waits until its deadline and is unknown, as before. Silent attempts do not count towards an ejection, as the responses of others show that the upstream works. A fixed time limit was ruled out: it would repeat all work when the whole upstream is slow. Long work is not watched, since its time depends on its body. Trial with the cancellation left out: SilentUpstreamTest.RepeatableRequestGoesElsewhere fails, the other two pass.

--- a/src/measuring/service_metrics.h
+++ b/src/measuring/service_metrics.h
@@ -54,6 +54,9 @@
   /// was unanswered.
   void SetPipelined(std::uint64_t total) { pipelined_ = total; }
   std::uint64_t pipelined() const { return pipelined_; }
+  /// Sets the total of attempts abandoned because the upstream was silent about them.
+  void SetSilent(std::uint64_t total) { silent_ = total; }
+  std::uint64_t silent() const { return silent_; }
 
   const service_map& services() const { return services_; }
   const process_start& start() const { return start_; }
@@ -64,6 +67,7 @@
   process_start start_;
   service_map services_;
   std::uint64_t pipelined_ = 0;
+  std::uint64_t silent_ = 0;
 };
 
 }  // namespace bronzeroute
--- a/tests/calls/owner_system_test.cc
+++ b/tests/calls/owner_system_test.cc
@@ -113,5 +113,67 @@
   EXPECT_TRUE(net_.node(1).IsIdle());
 }
 
+/// Node 0 is an entry without an upstream, nodes 1 and 2 are owners. Node 1 drops one request.
+class SilentUpstreamTest : public testing::Test {
+ protected:
+  SilentUpstreamTest() : net_(3, {}) {
+    net_.RemoveUpstream(0);
+    net_.gate(1).slots = 4;
+    net_.gate(2).slots = 4;
+    Serve(200);
+  }
+  ~SilentUpstreamTest() override {
+    net_.Settle();
+    EXPECT_EQ(net_.oracle.violations(), std::vector<std::string>());
+  }
+  void Serve(int count) {
+    for (int i = 0; i < count; ++i) {
+      net_.Request(0, false, "", 1, seconds(5));
+      net_.Advance(milliseconds(20));
+    }
+  }
+  // Sends requests until node 1 has dropped one of them, and returns that one.
+  std::size_t SendDropped(bool is_protected, duration limit) {
+    net_.DropRequests(1, 1);
+    for (;;) {
+      const std::size_t sent = *net_.Request(0, is_protected, "", 1, limit);
+      net_.Advance(milliseconds(50));
+      if (net_.oracle.at(sent).now != call_oracle::state::kComplete) return sent;
+    }
+  }
+  std::uint64_t Silent() { return net_.node(1).owner().counters().silent; }
+
+  world net_;
+};
+
+// Guards against a repeatable request that waits until its deadline though the upstream has
+// dropped it: it is served elsewhere.
+TEST_F(SilentUpstreamTest, RepeatableRequestGoesElsewhere) {
+  const std::size_t dropped = SendDropped(false, seconds(5));
+  Serve(60);
+  EXPECT_EQ(Silent(), 1U);
+  EXPECT_EQ(net_.oracle.at(dropped).now, call_oracle::state::kComplete);
+  EXPECT_EQ(net_.oracle.at(dropped).runs, 1);
+}
+
+// Guards against a request that may run only once and is given up, or sent again, before its
+// deadline.
+TEST_F(SilentUpstreamTest, ProtectedRequestWaitsUntilItsDeadlineAndIsUnknown) {
+  const std::size_t dropped = SendDropped(true, seconds(5));
+  Serve(200);
+  EXPECT_EQ(net_.oracle.at(dropped).now, call_oracle::state::kOpen);
+  net_.Advance(seconds(6));
+  EXPECT_EQ(Silent(), 0U);
+  EXPECT_EQ(net_.oracle.at(dropped).reported, error_kind::kDeadlineExceeded);
+  EXPECT_EQ(net_.oracle.at(dropped).runs, 0);
+}
+
+// Guards against work that is given up because the whole upstream is slow for a while.
+TEST_F(SilentUpstreamTest, StallOfTheWholeUpstreamGivesNothingUp) {
+  net_.StallUpstream(1, seconds(2));
+  Serve(150);
+  EXPECT_EQ(Silent(), 0U);
+}
+
 }  // namespace
 }  // namespace bronzeroute::tests
