Show the memory bound of a long response to a slow caller

The test of long bodies had a caller that reads as fast as it can, so that nothing had to wait. The new one reads 50 MB at 10 MB/s with a receive buffer of 64 KiB, through an entry and an owner, whole and cut in the middle by the upstream; each daemon may grow by 8 MiB, and the cut response must look incomplete.

--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -339,7 +339,7 @@
   // A body that has failed already ends the writer in this call.
   const auto started = writer_;
   started->Start();
-  Cancel(std::move(behind));
+  Cancel(behind);
 }
 
 void http_connection::OnWritten(writer::end how) {
@@ -411,7 +411,7 @@
   writer_ = nullptr;
   phase_ = phase::kDrop;
   deadline_ = MonotonicNow() + kDropTime;
-  Cancel(std::move(unanswered));
+  Cancel(unanswered);
   if (!closed_) Parse();
 }
 
@@ -441,16 +441,16 @@
   if (!aborted.empty() && !aborted.front().written && server != nullptr) {
     server->handler().OnResponseEnded(*aborted.front().row);
   }
-  Cancel(std::move(unanswered));
+  Cancel(unanswered);
 }
 
 void http_connection::OnClientDisconnected() {
   std::list<request> unanswered = std::exchange(pending_, {});
   Close();
-  Cancel(std::move(unanswered));
+  Cancel(unanswered);
 }
 
-void http_connection::Cancel(std::list<request> unanswered) {
+void http_connection::Cancel(const std::list<request>& unanswered) {
   for (const request& each : unanswered) {
     if (each.written) continue;
     each.row->body->Fail();
--- a/src/transport/http_connection.h
+++ b/src/transport/http_connection.h
@@ -117,7 +117,7 @@
   void CloseAfterResponse();
   void Close();
   /// Ends requests that were not answered, after the connection was closed.
-  void Cancel(std::list<request> unanswered);
+  void Cancel(const std::list<request>& unanswered);
 
   boost::asio::ip::tcp::socket socket_;
   http_server* server_;
--- a/tests/process/memory_test.cc
+++ b/tests/process/memory_test.cc
@@ -75,5 +75,51 @@
   }
 }
 
+// Guards against a daemon that buffers what the upstream sends faster than the caller reads,
+// and against a truncated response that looks complete to a caller that lags behind.
+TEST_F(body_memory, SlowCallerOfALongResponseIsBounded) {
+  constexpr std::int64_t kSlowBytes = 50'000'000;
+  // Pipes of 128 KiB, frames and windows of one stream take below 2 MiB at each daemon; the
+  // rest is room for the allocator.
+  constexpr std::int64_t kSlowGrowthKb = 8192;
+  Deploy();
+  raw_request request{.method = "POST",
+                      .path = "/orders/photos?download=1000000",
+                      .headers = {{"Bronzeroute-Deadline-Ms", "60000"}},
+                      .body_bytes = 1'000'000};
+  ASSERT_EQ(SendRaw(deployment_.pair(kEntry).callers, request).status, 200);
+  request.body_bytes = 10;
+  request.path = "/orders/photos?download=" + std::to_string(kSlowBytes);
+  request.read_rate = 10'000'000;
+  for (const bool truncate : {false, true}) {
+    const std::string fault =
+        std::string(R"({"cut_response": )") + (truncate ? "true}" : "false}");
+    for (const std::size_t owner : {kFirst, kSecond}) {
+      ASSERT_TRUE(
+          deployment_.PutJson(deployment_.pair(owner).upstream, "/standin/faults", fault));
+    }
+    std::array<std::int64_t, kPairs> before{};
+    for (std::size_t i = 0; i < kPairs; ++i) {
+      ResetPeak(i);
+      before.at(i) = MemoryKb(i, "VmRSS");
+      ASSERT_GT(before.at(i), 0);
+    }
+    const raw_response response = SendRaw(deployment_.pair(kEntry).callers, request);
+    EXPECT_EQ(response.status, 200) << response.Header("bronzeroute-error");
+    EXPECT_EQ(response.complete, !truncate) << response.error;
+    if (truncate) {
+      EXPECT_LT(response.body_bytes, kSlowBytes);
+    } else {
+      EXPECT_EQ(response.body_bytes, kSlowBytes);
+    }
+    for (std::size_t i = 0; i < kPairs; ++i) {
+      const std::int64_t growth = PeakKb(i) - before.at(i);
+      RecordProperty((truncate ? "truncated_kb_" : "whole_kb_") + std::to_string(i),
+                     std::to_string(growth));
+      EXPECT_LT(growth, kSlowGrowthKb) << "daemon " << i;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace bronzeroute::testing
--- a/tests/process/raw_http.cc
+++ b/tests/process/raw_http.cc
@@ -10,11 +10,13 @@
 #include <array>
 #include <cctype>
 #include <cerrno>
+#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <sstream>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 namespace bronzeroute::testing {
@@ -44,7 +46,12 @@
 
 class connection {
  public:
-  explicit connection(const std::string& address) : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+  connection(const std::string& address, std::int64_t read_rate)
+      : fd_(socket(AF_INET, SOCK_STREAM, 0)), read_rate_(read_rate) {
+    if (read_rate_ > 0) {
+      const int size = kBlock;
+      setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    }
     const std::size_t colon = address.rfind(':');
     sockaddr_in target{};
     target.sin_family = AF_INET;
@@ -78,6 +85,9 @@
     if (begin_ == end_) {
       const ssize_t count = recv(fd_, block_.data(), block_.size(), 0);
       if (count < 0) error_ = std::strerror(errno);
+      if (read_rate_ > 0 && count > 0) {
+        std::this_thread::sleep_for(std::chrono::microseconds(1'000'000 * count / read_rate_));
+      }
       begin_ = 0;
       end_ = count > 0 ? static_cast<std::size_t>(count) : 0;
     }
@@ -106,6 +116,7 @@
 
  private:
   int fd_;
+  std::int64_t read_rate_;
   bool open_ = false;
   std::string error_ = "end of the connection";
   std::vector<char> block_ = std::vector<char>(kBlock);
@@ -170,7 +181,7 @@
 
 raw_response SendRaw(const std::string& address, const raw_request& request) {
   raw_response response;
-  connection link(address);
+  connection link(address, request.read_rate);
   response.connected = link.is_open();
   if (!response.connected) {
     return response;
--- a/tests/process/raw_http.h
+++ b/tests/process/raw_http.h
@@ -14,6 +14,9 @@
   std::map<std::string, std::string> headers;
   /// Length of the body; its bytes are generated while they are sent.
   std::int64_t body_bytes = 0;
+  /// Rate in bytes per second at which the response is read, with a receive buffer of 64 KiB; 0
+  /// for no limit.
+  std::int64_t read_rate = 0;
 };
 
 /// A response as it arrived on the connection.
