Add a decision module for the share of requests that leaves a zone

Cause: the choice scores each request alone, so entries with equal hints may exchange work between full zones, and late hints send too much away.

zone_balance limits the share of each target zone to the share that leaves already plus a part of the target's free slots; policy_zone_balance lets the scores choose within the limits. Tests play the scenarios on the real hint tables; policy_bench compares with three baselines in one run.

--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -18,16 +18,20 @@
 #include <string_view>
 #include <vector>
 
+#include "bench/zone_simulation.h"
 #include "src/admission/admission_system.h"
 #include "src/admission/queue_listener.h"
 #include "src/base/error_response.h"
 #include "src/calls/attempt_head.h"
 #include "src/membership/member_row.h"
 #include "src/routing/hint_rate_limiter.h"
+#include "src/routing/policy_even_zones.h"
+#include "src/routing/policy_home_zone.h"
 #include "src/routing/policy_least_reported.h"
 #include "src/routing/policy_random.h"
 #include "src/routing/policy_round_robin.h"
 #include "src/routing/policy_two_choices.h"
+#include "src/routing/policy_zone_balance.h"
 #include "src/routing/routing_system.h"
 
 namespace bronzeroute {
@@ -777,6 +781,28 @@
               100 * counts.refused / counts.offered);
 }
 
+template <choice_policy Policy>
+void ReportZones(const zone_scenario& parameters, std::uint64_t seed) {
+  const zone_run_result run = zone_simulation<Policy>(parameters, seed).Run();
+  std::printf("zones %-18s %-12s in time %7.3f%% of %llu  cross-zone %6.1f MB\n",
+              parameters.name.data(), Policy::kName.data(),
+              100 * static_cast<double>(run.in_time) / static_cast<double>(run.offered),
+              static_cast<unsigned long long>(run.offered),  // NOLINT
+              static_cast<double>(run.cross_zone_bytes) / 1e6);
+}
+
+/// Cross-zone routing against the choice by score alone, never leaving the zone, and an even
+/// spread over all zones.
+void ReportZoneScenarios(std::uint64_t seed) {
+  constexpr double kLengthS = 10;
+  for (const zone_scenario& each : ZoneScenarios(kLengthS)) {
+    ReportZones<policy_zone_balance>(each, seed);
+    ReportZones<policy_two_choices>(each, seed);
+    ReportZones<policy_home_zone>(each, seed);
+    ReportZones<policy_even_zones>(each, seed);
+  }
+}
+
 /// Wall-clock time of OnMembers and Choose at the target size of 540 members in 43 services.
 void ReportScale(std::uint64_t seed) {
   constexpr std::uint32_t kMembers = 540;
@@ -819,18 +845,22 @@
 
 void ReportDeployment(const deployment_shape& deployment, std::uint64_t seed) {
   Report<policy_two_choices>("product", deployment, load_information::kHints, seed);
+  Report<policy_zone_balance>("zone_balance", deployment, load_information::kHints, seed);
   Report<policy_random>("random", deployment, load_information::kNone, seed);
   Report<policy_round_robin>("round_robin", deployment, load_information::kNone, seed);
   Report<policy_least_reported>("least_reported", deployment, load_information::kReports, seed);
   Report<policy_least_reported>("least_with_hints", deployment, load_information::kHints, seed);
   Report<policy_random_near>("random_near", deployment, load_information::kNone, seed);
   ReportSlow<policy_two_choices>("product", deployment, load_information::kHints, seed);
+  ReportSlow<policy_zone_balance>("zone_balance", deployment, load_information::kHints, seed);
   ReportSlow<policy_random>("random", deployment, load_information::kNone, seed);
   ReportSlow<policy_round_robin>("round_robin", deployment, load_information::kNone, seed);
   ReportSlow<policy_least_reported>("least_reported", deployment, load_information::kReports,
                                     seed);
   ReportSlow<policy_random_near>("random_near", deployment, load_information::kNone, seed);
   ReportFailing<policy_two_choices>("product", deployment, load_information::kHints, seed);
+  ReportFailing<policy_zone_balance>("zone_balance", deployment, load_information::kHints,
+                                     seed);
   ReportFailing<policy_random>("random", deployment, load_information::kNone, seed);
   ReportFailing<policy_least_reported>("least_reported", deployment, load_information::kReports,
                                        seed);
@@ -844,6 +874,7 @@
   std::printf("seed %llu\n", static_cast<unsigned long long>(seed));  // NOLINT
   bronzeroute::ReportDeployment(bronzeroute::kGelo, seed);
   bronzeroute::ReportDeployment(bronzeroute::kSiam, seed);
+  bronzeroute::ReportZoneScenarios(seed);
   bronzeroute::ReportScale(seed);
   return 0;
 }
--- a/src/routing/candidate.h
+++ b/src/routing/candidate.h
@@ -14,6 +14,8 @@
   member_id id;
   incarnation_id incarnation;
   distance where = distance::kSameZone;
+  /// Identifies the availability zone of the member within this process.
+  std::uint32_t zone = 0;
   load_hint hint;
   time_point hint_received;
   /// Attempts this process has sent there since the hint, and all it has open there.
--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_join.h"
+#include "src/base/concat.h"
 #include "src/configuration/may_run_in.h"
 #include "src/configuration/service_spec.h"
 #include "src/membership/member_row.h"
@@ -81,6 +82,11 @@
   return services_.size() - 1;
 }
 
+std::uint32_t hint_table::ZoneIndex(std::string_view region, std::string_view zone) {
+  const auto next = static_cast<std::uint32_t>(zone_index_.size());
+  return zone_index_.try_emplace(Concat(region, "/", zone), next).first->second;
+}
+
 bool hint_table::Update(const member_row& row, distance where) {
   const auto [found, is_new] = index_.try_emplace(row.id, entries_.size());
   if (is_new) entries_.emplace_back();
@@ -97,6 +103,7 @@
   const bool changed = is_replaced || item.service != service || item.row.where != where ||
                        item.draining != row.draining;
   item.row.where = where;
+  item.row.zone = ZoneIndex(row.region, row.availability_zone);
   item.service = service;
   item.draining = row.draining;
   item.state = row.state;
@@ -153,6 +160,7 @@
   replacement.row.id = item->row.id;
   replacement.row.incarnation = incarnation;
   replacement.row.where = item->row.where;
+  replacement.row.zone = item->row.zone;
   replacement.region = item->region;
   replacement.state = item->state;
   replacement.service = item->service;
@@ -303,7 +311,9 @@
   if (service == service_index_.end() || services_[service->second].members.empty()) return;
   service_entry& group = services_[service->second];
   result.any_member = true;
+  result.context.service = spec.name;
   result.context.request = request;
+  result.context.is_further_attempt = !excluded.empty();
   result.context.now = now;
   result.context.costs = costs_;
   result.context.turn = group.turns++;
--- a/src/routing/hint_table.h
+++ b/src/routing/hint_table.h
@@ -96,6 +96,7 @@
 
   entry* Find(member_id member);
   std::size_t ServiceIndex(const std::string& name);
+  std::uint32_t ZoneIndex(std::string_view region, std::string_view zone);
   /// Adds or updates the entry of `row`; true if its group or its place in it changed.
   bool Update(const member_row& row, distance where);
   /// Removes entries that the current call of OnMembers did not name; true if there were any.
@@ -124,6 +125,7 @@
   absl::flat_hash_map<member_id, std::size_t> index_;
   std::vector<service_entry> services_;
   absl::flat_hash_map<std::string, std::size_t> service_index_;
+  absl::flat_hash_map<std::string, std::uint32_t> zone_index_;
 };
 
 }  // namespace bronzeroute
