Reserve the requests of an evacuation test

The linter reports a push_back in a loop without a reservation in the new evacuation test. The vector gets its capacity first; the checks of the test are unchanged. Only its syntax was checked after the change; the build before it passed all cases of EvacuationTest.

--- a/tests/node/evacuation_test.cc
+++ b/tests/node/evacuation_test.cc
@@ -129,6 +129,7 @@
 TEST_F(EvacuationTest, QueuedWorkIsRefusedAndRunningWorkFinishes) {
   for (std::size_t i = 0; i < 4; ++i) world_.SetUpstream(i, upstream_mode::kSlow);
   std::vector<std::size_t> requests;
+  requests.reserve(24);
   for (int i = 0; i < 24; ++i) {
     requests.push_back(*world_.Request(0, false, "", 1, seconds(8)));
   }
