--- a/src/calls/owner_attempt_record.h
+++ b/src/calls/owner_attempt_record.h
@@ -19,8 +19,6 @@
   bool is_protected = false;
   /// The entry cancelled the attempt, or its link broke.
   bool is_abandoned = false;
-  /// The owner gave up because the upstream was silent; see `silence_watch`.
-  bool is_silent = false;
   /// The attempt got a slot.
   bool was_started = false;
   /// Priority of the request, 0 for the highest.
--- a/src/calls/owner_counters.h
+++ b/src/calls/owner_counters.h
@@ -10,8 +10,6 @@
   std::uint64_t started = 0;
   std::uint64_t refused = 0;
   std::uint64_t duplicates = 0;
-  /// Attempts abandoned because the upstream was silent about them; see `silence_watch`.
-  std::uint64_t silent = 0;
   /// Suspensions of this process longer than `kFreezeGap`.
   std::uint64_t freezes = 0;
   /// Events of the upstream client that matched no running attempt.
--- a/src/calls/owner_system.h
+++ b/src/calls/owner_system.h
@@ -21,7 +21,6 @@
 #include "src/calls/owner_counters.h"
 #include "src/calls/received_attempts.h"
 #include "src/calls/self_identity.h"
-#include "src/calls/silence_watch.h"
 #include "src/calls/upstream_outcome.h"
 
 namespace bronzeroute {
@@ -106,8 +105,6 @@
     /// The entry no longer needs the result.
     bool is_abandoned = false;
     bool is_cancelled = false;
-    /// Cancelled because the upstream was silent.
-    bool is_silent = false;
     /// HTTP status of the response, 0 before its head.
     int status = 0;
     row_state state = row_state::kQueued;
@@ -117,9 +114,6 @@
 
   void Accept(exchange_id exchange, const attempt_head& head, bool is_local, time_point now);
   void Abandon(exchange_id exchange, time_point now);
-  /// Cancels repeatable attempts about which the upstream is silent, if the time left is enough
-  /// for another upstream.
-  void CancelSilent(time_point now);
   /// Repeats the checks for an attempt that got a slot, and sends it to the upstream.
   void Start(const attempt_id& id, time_point now);
   /// True if the configuration of this process allows the request to run in its region.
@@ -152,7 +146,6 @@
   absl::flat_hash_map<exchange_id, attempt_id> by_exchange_;
   received_attempts record_;
   key_table keys_;
-  silence_watch silence_;
   std::optional<time_point> drain_deadline_;
   std::optional<time_point> last_tick_;
   owner_counters counters_;
--- a/src/calls/owner_system_impl.h
+++ b/src/calls/owner_system_impl.h
@@ -142,8 +142,6 @@
   } else {
     peers_.AdmitAttempt(exchange, hint);
   }
-  // The time of work with a large body depends on the body, and not on the upstream alone.
-  if (!row.head.is_long) silence_.OnStarted(id, row.head.route_id, now);
   upstreams_.StartUpstream(exchange, id, deadline, is_protected);
 }
 
@@ -236,7 +234,6 @@
   if (row == nullptr || row->state == row_state::kResponding) return;
   row->state = row_state::kResponding;
   row->status = status;
-  silence_.OnResponse(attempt, now);
   EndKey(*row, key_state::kRan, status, now);
   if (row->is_abandoned) return;
   const exchange_id exchange = row->exchange;
@@ -269,9 +266,7 @@
 template <typename Rules>
 upstream_outcome basic_owner_system<Rules>::OutcomeOfLoss(const attempt_row& row,
                                                           time_point now) {
-  // The successes of other attempts show that the upstream works, so that several silent ones
-  // must not eject it.
-  const bool is_given_up = row.is_silent || (row.is_abandoned && now < row.head.deadline);
+  const bool is_given_up = row.is_abandoned && now < row.head.deadline;
   return is_given_up ? upstream_outcome::kCancelled : upstream_outcome::kLost;
 }
 
@@ -299,7 +294,6 @@
   attempt_row row = std::move(found->second);
   rows_.erase(found);
   by_exchange_.erase(row.exchange);
-  silence_.OnEnded(id);
   // Freeing the slot may start queued work at once.
   if (row.state != row_state::kQueued) gate_.OnUpstreamEnded(row.exchange, outcome, now);
   return row;
@@ -345,7 +339,6 @@
            .is_local = row.is_local,
            .is_protected = row.head.is_protected,
            .is_abandoned = row.is_abandoned,
-           .is_silent = row.is_silent,
            .was_started = row.state != row_state::kQueued,
            .priority = row.head.priority,
            .config_version = row.head.config_version,
@@ -414,21 +407,6 @@
   if (!drain_deadline_) drain_deadline_ = now + kDrainQueueTime;
 }
 
-template <typename Rules>
-void basic_owner_system<Rules>::CancelSilent(time_point now) {
-  for (const attempt_id& id : silence_.FindSilent(now)) {
-    const auto found = rows_.find(id);
-    if (found == rows_.end()) continue;
-    attempt_row& row = found->second;
-    const bool may_end_elsewhere = now + silence_.Usual(row.head.route_id) < row.head.deadline;
-    if (row.head.is_protected || row.is_cancelled || !may_end_elsewhere) continue;
-    ++counters_.silent;
-    row.is_cancelled = true;
-    row.is_silent = true;
-    upstreams_.CancelUpstream(row.exchange, id);
-  }
-}
-
 template <typename Rules>
 void basic_owner_system<Rules>::Tick(time_point now) {
   CheckFreeze(now);
@@ -441,7 +419,6 @@
         return drained ? error_kind::kDraining : error_kind::kNone;
       },
       now);
-  CancelSilent(now);
   std::vector<attempt_id> late;
   for (const auto& [id, row] : rows_) {
     if (row.state == row_state::kQueued || row.is_cancelled) continue;
--- a/src/measuring/exposition.cc
+++ b/src/measuring/exposition.cc
@@ -187,18 +187,13 @@
   });
 }
 
-void AppendTotals(std::string& out, const service_metrics& metrics) {
-  const auto append = [&out](string_view name, string_view help, std::uint64_t total) {
-    AppendHeader(out, name, "counter", help);
-    out.append(name).append(" ");
-    AppendNumber(out, static_cast<double>(total));
-    out += '\n';
-  };
-  append("bronzeroute_pipelined_requests_total",
-         "Requests passed on while an earlier one of their connection was unanswered.",
-         metrics.pipelined());
-  append("bronzeroute_silent_attempts_total",
-         "Attempts abandoned because the upstream was silent about them.", metrics.silent());
+void AppendPipelined(std::string& out, const service_metrics& metrics) {
+  constexpr string_view kName = "bronzeroute_pipelined_requests_total";
+  AppendHeader(out, kName, "counter",
+               "Requests passed on while an earlier one of their connection was unanswered.");
+  out.append(kName).append(" ");
+  AppendNumber(out, static_cast<double>(metrics.pipelined()));
+  out += '\n';
 }
 
 void AppendAccounts(std::string& out, const account_metrics& metrics) {
@@ -316,8 +311,8 @@
   AppendObjectives(out, metrics);
   AppendWindows(out, metrics, now);
   if (detail == exposition_detail::kMinutes) AppendMinutes(out, metrics, now);
+  AppendPipelined(out, metrics);
   AppendAccounts(out, metrics.accounts());
-  AppendTotals(out, metrics);
   AppendProcess(out, metrics.start(), now);
   AppendRestrictions(out, restrictions);
   AppendBudget(out, budget, "bronzeroute_measuring_bytes_total", "Bytes sent for measuring.",
--- a/src/measuring/service_metrics.h
+++ b/src/measuring/service_metrics.h
@@ -55,9 +55,6 @@
   /// was unanswered.
   void SetPipelined(std::uint64_t total) { pipelined_ = total; }
   std::uint64_t pipelined() const { return pipelined_; }
-  /// Sets the total of attempts abandoned because the upstream was silent about them.
-  void SetSilent(std::uint64_t total) { silent_ = total; }
-  std::uint64_t silent() const { return silent_; }
 
   const service_map& services() const { return services_; }
   account_metrics& accounts() { return accounts_; }
@@ -71,7 +68,6 @@
   service_map services_;
   std::uint64_t pipelined_ = 0;
   account_metrics accounts_;
-  std::uint64_t silent_ = 0;
 };
 
 }  // namespace bronzeroute
--- a/src/node/decision_log.cc
+++ b/src/node/decision_log.cc
@@ -95,7 +95,6 @@
       .Add("pace", state.ServiceTimePercent(row.ended))
       .Add("started", row.was_started)
       .Add("abandoned", row.is_abandoned)
-      .Add("silent", row.is_silent)
       .Add("outcome", ErrorResponseFor(row.result).name)
       .Add("status", row.status)
       .Add("complete", row.complete);
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -323,7 +323,6 @@
 void node_runtime::Tick(time_point now) {
   peers_.SetTime(now);
   node_.Tick(now);
-  metrics_.SetSilent(node_.owner().counters().silent);
   admission_.Tick(now);
   LogColdLimit(now);
   const load_hint hint = admission_.Hint(now);
