Use shares of caps sooner when all daemons have started again

The wait is left out once every live member is seen to have started within 2 s of this daemon: then none can hold such a delegation. Ruled out: to skip it with a share of restarted members, as a lender that survived would lend twice.

--- a/bench/usage_cost.cc
+++ b/bench/usage_cost.cc
@@ -103,7 +103,7 @@
     for (std::uint32_t i = 0; i < daemons; ++i) {
       limiters_.push_back(std::make_unique<usage_limiter>(Id(i), 1, now_));
       limiters_.back()->SetCaps(caps, now_);
-      limiters_.back()->SetMembers(live, daemons, now_);
+      limiters_.back()->SetMembers(live, daemons, false, now_);
     }
   }
 
--- a/src/accounts/usage_limiter.h
+++ b/src/accounts/usage_limiter.h
@@ -43,8 +43,10 @@
   /// Replaces the caps. Accounts without a cap are not limited.
   void SetCaps(std::span<const usage_cap> caps, time_point now);
   /// `live` are the members that may lend, this one included. `known` is the number of members
-  /// including dead ones, but not those that left.
-  void SetMembers(std::span<const member_id> live, std::uint32_t known, time_point now);
+  /// including dead ones, but not those that left. `all_started_anew` is true if no live member
+  /// had started before this one, so that none holds what an earlier incarnation delegated.
+  void SetMembers(std::span<const member_id> live, std::uint32_t known, bool all_started_anew,
+                  time_point now);
   /// True until the shares of this daemon are in use.
   bool is_starting() const { return is_starting_; }
 
@@ -145,6 +147,7 @@
   time_point ignore_delegations_until_;
   time_point started_;
   bool is_starting_ = true;
+  bool all_started_anew_ = false;
   /// Largest number of known members in the last `kDelegationHold`, as older delegations are
   /// still in use, and when it may decrease.
   std::uint32_t members_ = 0;
--- a/src/accounts/usage_limiter_impl.h
+++ b/src/accounts/usage_limiter_impl.h
@@ -72,8 +72,10 @@
 
 template <usage_rules_type Rules>
 void basic_usage_limiter<Rules>::SetMembers(std::span<const member_id> live,
-                                            std::uint32_t known, time_point now) {
+                                            std::uint32_t known, bool all_started_anew,
+                                            time_point now) {
   Observe(now);
+  all_started_anew_ = all_started_anew;
   if (!std::ranges::equal(live, live_)) {
     live_.assign(live.begin(), live.end());
     for (std::uint32_t group = 0; group < kUsageGroups; ++group) ChooseLender(group);
@@ -98,7 +100,8 @@
     members_ = known_;
     decrease_at_ = time_point::max();
   }
-  if (!is_starting_ || known_ == 0 || now < started_ + kShareStartDelay) return;
+  if (!is_starting_ || known_ == 0) return;
+  if (!all_started_anew_ && now < started_ + kShareStartDelay) return;
   if (now < grown_at_ + kMembersSettleTime && now < started_ + kLongestShareStart) return;
   is_starting_ = false;
   for (auto& [name, row] : accounts_) row.base_advanced_at = now;
--- a/src/node/usage_adapter.cc
+++ b/src/node/usage_adapter.cc
@@ -18,6 +18,10 @@
 // Sequences of an incarnation start at its start time in microseconds, so that they exceed
 // those of the incarnations before it.
 constexpr std::uint64_t kSequencesPerMs = 1000;
+// Members of a deployment that starts as a whole differ this much in their start times, clocks
+// included. A member that has lived longer may lend what an earlier incarnation of this daemon
+// delegated.
+constexpr std::uint64_t kSameStartMs = 2000;
 constexpr auto kLogInterval = std::chrono::seconds(10);
 // Accounts with refusals that are logged in one interval; metrics name all.
 constexpr std::size_t kMaxLoggedAccounts = 8;
@@ -60,14 +64,18 @@
 void usage_adapter::OnMembers(time_point now) {
   live_.clear();
   std::uint32_t known = 0;
+  bool all_started_anew = true;
+  const std::uint64_t own_start = membership_.self().incarnation.value;
   for (const member_row& row : membership_.members()) {
     const bool is_self = row.id == self_;
     if (row.state == member_state::kLeft && !is_self) continue;
     ++known;
-    if (is_self || row.state != member_state::kDead) live_.push_back(row.id);
+    if (!is_self && row.state == member_state::kDead) continue;
+    live_.push_back(row.id);
+    all_started_anew = all_started_anew && row.incarnation.value + kSameStartMs >= own_start;
   }
   std::ranges::sort(live_);
-  limiter_.SetMembers(live_, known, now);
+  limiter_.SetMembers(live_, known, all_started_anew, now);
 }
 
 void usage_adapter::OnMessages(time_point now) {
--- a/tests/accounts/usage_limiter_test.cc
+++ b/tests/accounts/usage_limiter_test.cc
@@ -210,13 +210,35 @@
   }
 }
 
+// Guards against a deployment that starts again as a whole and refuses its accounts for longer
+// than it needs to know its members, and against a daemon that uses its share although a member
+// may still lend what an earlier incarnation delegated.
+TEST(UsageLimiterStart, WaitsForEarlierDelegationsOnlyIfAMemberMayHoldThem) {
+  const member_id self{1};
+  const std::vector<member_id> live = {self, member_id{2}};
+  for (const bool all_started_anew : {false, true}) {
+    time_point now = time_point() + seconds(100);
+    usage_limiter limiter(self, 1, now);
+    limiter.SetMembers(live, 2, all_started_anew, now);
+    now += milliseconds(900);
+    limiter.SetMembers(live, 2, all_started_anew, now);
+    EXPECT_TRUE(limiter.is_starting());
+    now += milliseconds(200);
+    limiter.SetMembers(live, 2, all_started_anew, now);
+    EXPECT_EQ(limiter.is_starting(), !all_started_anew);
+    now += seconds(2);
+    limiter.SetMembers(live, 2, all_started_anew, now);
+    EXPECT_FALSE(limiter.is_starting());
+  }
+}
+
 // A limiter whose only other member may lend.
 class UsageMessagesTest : public ::testing::Test {
  protected:
   UsageMessagesTest() : limiter_(self_, 100, now_) {
     limiter_.SetCaps(caps_, now_);
     const std::vector<member_id> live = {self_, other_};
-    limiter_.SetMembers(live, 2, now_);
+    limiter_.SetMembers(live, 2, false, now_);
     // An account that the other member lends.
     for (int i = 0; account_.empty(); ++i) {
       const std::string name = "a" + std::to_string(i);
--- a/tests/accounts/usage_world.h
+++ b/tests/accounts/usage_world.h
@@ -186,7 +186,7 @@
       }
       if (i == at || row.seen[i]) live.push_back(Id(i));
     }
-    row.limiter->SetMembers(live, size(), now_);
+    row.limiter->SetMembers(live, size(), false, now_);
   }
 
   void Collect(std::uint32_t at) {
--- a/tests/calls/entry_system_test.cc
+++ b/tests/calls/entry_system_test.cc
@@ -211,10 +211,10 @@
   caller_request second = Request();
   second.exchange = exchange_id{6};
   surroundings_.route_regions = region_limit({"east"});
-  EXPECT_CALL(callers_, RespondWithError(exchange_id{6}, _, error_kind::kOutsideRegions, _));
+  EXPECT_CALL(callers_, RespondWithError(exchange_id{6}, _, error_kind::kOutsideRegions, _, _));
   entry_.OnCallerRequest(second, kNow);
   surroundings_.route_regions = region_limit(std::vector<std::string>());
-  EXPECT_CALL(callers_, RespondWithError(exchange_id{6}, _, error_kind::kOutsideRegions, _));
+  EXPECT_CALL(callers_, RespondWithError(exchange_id{6}, _, error_kind::kOutsideRegions, _, _));
   entry_.OnCallerRequest(second, kNow);
   EXPECT_EQ(sent_.size(), 1U);
 }
--- a/tests/measuring/service_metrics_test.cc
+++ b/tests/measuring/service_metrics_test.cc
@@ -199,7 +199,7 @@
   usage_rows rows;
   for (const std::string& name : names) rows.emplace_back(name, &counters);
   const std::string text = ExpositionText(metrics, budget_account(0, duration(0)), kStart,
-                                          exposition_detail::kTotals, rows);
+                                          exposition_detail::kTotals, {}, rows);
   EXPECT_NE(text.find("bronzeroute_usage_granted_total{account=\"account-1199\"} 3\n"),
             std::string::npos);
   EXPECT_EQ(text.find("account-1200"), std::string::npos);
--- a/tests/node/account_secrecy_test.cc
+++ b/tests/node/account_secrecy_test.cc
@@ -40,7 +40,7 @@
                     configuration_peer_port,
                     peer_link_port {
   MOCK_METHOD(void, SetAccount, (exchange_id, std::string_view), (override));
-  MOCK_METHOD(void, RespondWithError, (exchange_id, const call_id&, error_kind, int),
+  MOCK_METHOD(void, RespondWithError, (exchange_id, const call_id&, error_kind, int, duration),
               (override));
   MOCK_METHOD(void, RelayResponse, (exchange_id, const attempt_id&), (override));
   MOCK_METHOD(void, AbortResponse, (exchange_id), (override));
@@ -145,7 +145,8 @@
 TEST_F(AccountSecrecyTest, OperatorsSeeAccountsAndRefusalsButNoKey) {
   EXPECT_CALL(ports_, SetAccount(exchange_id{1}, std::string_view("alpha")));
   EXPECT_CALL(ports_, SetAccount(exchange_id{2}, _)).Times(0);
-  EXPECT_CALL(ports_, RespondWithError(exchange_id{2}, _, error_kind::kUnknownCredential, 0));
+  EXPECT_CALL(ports_,
+              RespondWithError(exchange_id{2}, _, error_kind::kUnknownCredential, 0, _));
   EXPECT_CALL(ports_, SetAccount(exchange_id{3}, std::string_view("")));
   std::string seen = Ask("secret-one");
   EXPECT_NE(seen.find("call: for account alpha\n"), std::string::npos) << seen;
