--- a/tests/transport/dialect_test.cc
+++ b/tests/transport/dialect_test.cc
@@ -590,8 +590,8 @@
   EXPECT_NE(response.find("Retry-After: 1.250\r\n"), std::string::npos) << response;
 }
 
-// Guards against callers of accounts that were refused together and return together, because all
-// of them were told the same time.
+// Guards against callers of accounts that were refused together and return together, because
+// all of them were told the same time.
 TEST_F(DialectTest, RetryTimesAreSpread) {
   daemon_.on_request = [&](const caller_request& request) {
     daemon_.sockets().callers().SetAccount(request.exchange, "alpha");
