--- a/bench/zone_simulation.h
+++ b/bench/zone_simulation.h
@@ -101,7 +101,7 @@
       ScheduleArrival(zone);
     }
     for (std::uint32_t owner = 0; owner < owners_.size(); ++owner) {
-      After(duration(static_cast<duration::rep>(owner * 200'000 / owners_.size())),
+      After(duration{static_cast<duration::rep>(owner * 200'000 / owners_.size())},
             [this, owner] { Broadcast(owner); });
     }
     if (scenario_.lost_until_s > 0) {
@@ -170,7 +170,7 @@
   bool IsLost(std::uint32_t zone) const { return is_lost_ && zone == 0; }
   duration OneWay(std::uint32_t entry, std::uint32_t owner) const {
     if (IdOfEntry(entry) == IdOfOwner(owner)) return duration(0);
-    return duration(ZoneOfEntry(entry) == ZoneOfOwner(owner) ? 100 : 900);
+    return duration{ZoneOfEntry(entry) == ZoneOfOwner(owner) ? 100 : 900};
   }
 
   void After(duration time, std::function<void()> action) {
@@ -246,7 +246,7 @@
       auto item = std::make_shared<call>();
       item->arrival = now_;
       item->entry = at * kEntries + static_cast<std::uint32_t>(arrivals_() % kEntries);
-      item->work = duration(static_cast<duration::rep>(work_(arrivals_)));
+      item->work = duration{static_cast<duration::rep>(work_(arrivals_))};
       ++result_.offered;
       entry& from = *entries_[item->entry];
       from.retries = std::min(from.retries + 0.2, 20.0);
