Count requests of an admission test in the type of their ids

The linter found a cast that comes after an addition of smaller type. The test submits and completes the same requests as before.

--- a/tests/admission/admission_system_test.cc
+++ b/tests/admission/admission_system_test.cc
@@ -210,11 +210,10 @@
   system_.SetWarmAt(At(seconds(3)), At({}));
   EXPECT_EQ(system_.EffectiveSlots(At({})), 6);
   int refused = 0;
-  for (int i = 0; i < 100; ++i) {
-    const duration now = milliseconds(10 * i);
-    if (i >= 20) Complete(static_cast<std::uint64_t>(i - 19), milliseconds(200), At(now));
-    const auto id = static_cast<std::uint64_t>(i + 1);
-    if (i % 4 != 0) continue;
+  for (std::uint64_t id = 1; id <= 100; ++id) {
+    const duration now = milliseconds(10 * id);
+    if (id > 20) Complete(id - 20, milliseconds(200), At(now));
+    if (id % 4 != 1) continue;
     refused += Submit(id, Read(At(now + seconds(1))), At(now)).state == submit_state::kRefused;
   }
   EXPECT_EQ(refused, 0);
