Reserve and append in two tests as the linter asks

The linter found a vector that grows in a loop and a concatenation with temporary strings. The tests check the same. Ran: Exposition tests 3 of 3, AccountSecrecy tests 2 of 2.

--- a/tests/measuring/service_metrics_test.cc
+++ b/tests/measuring/service_metrics_test.cc
@@ -194,6 +194,7 @@
 TEST(Exposition, AccountsAreCountedUpToABound) {
   const service_metrics metrics({.started = kStart, .unix_time = seconds(0)});
   std::vector<std::string> names;
+  names.reserve(203);
   for (int i = 0; i < 203; ++i) names.push_back("account-" + std::to_string(1000 + i));
   const usage_counters counters{.granted = 3, .refused = 2, .lent = 5};
   usage_rows rows;
--- a/tests/node/account_secrecy_test.cc
+++ b/tests/node/account_secrecy_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "src/base/concat.h"
 #include "src/base/error_response.h"
 #include "src/calls/call_history.h"
 #include "src/calls/caller_port.h"
@@ -178,7 +179,7 @@
   std::string many = "2";
   for (std::size_t i = 0; i < account_metrics::kMaxAccounts + 10; ++i) {
     const std::string name = "a" + std::to_string(i);
-    many += " " + name + ":key-" + name;
+    many += Concat(" ", name, ":key-", name);
   }
   Publish(1, many);
   Tick();
