Put the body of a loop in braces as the linter asks

The linter found one loop without braces in the tests of pipelining; the test is otherwise unchanged.

--- a/tests/transport/pipelining_test.cc
+++ b/tests/transport/pipelining_test.cc
@@ -96,8 +96,9 @@
 TEST_F(PipeliningTest, ReadingStopsAtTheBoundOfUnansweredBytes) {
   handler_.is_concurrent = [](const exchange&) { return true; };
   std::thread sending([&] {
-    for (int i = 0; i < 6; ++i)
+    for (int i = 0; i < 6; ++i) {
       client_.Send(PostRequest("/" + std::to_string(i), std::string(60'000, 'b')));
+    }
   });
   // The third one reaches the bound of 128 KiB.
   handler_.Await(3);
