--- a/review/standins-2/harness.cpp
+++ b/review/standins-2/harness.cpp
@@ -104,24 +104,24 @@
   return result;
 }
 
-// A port that is free for TCP and UDP. Each is given out once.
+// A port that is free for TCP and UDP, below those that the kernel gives to outgoing
+// connections. Each is given out once. Each run has a loopback address of its own, so that runs
+// don't take each other's ports.
 address FreeAddress() {
-  static std::vector<int> given;
-  for (int i = 0; i < 100; ++i) {
+  static const string ip = "127." + std::to_string(1 + getpid() / 250 % 250) + "." +
+                           std::to_string(getpid() % 250) + ".1";
+  static int next = 20000;
+  while (next < 30000) {
+    const address result{.ip = ip, .port = next++};
+    const sockaddr_in native = Native(result);
     const int tcp = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-    sockaddr_in any = Native({});
-    socklen_t size = sizeof any;
-    bool good = bind(tcp, reinterpret_cast<sockaddr*>(&any), sizeof any) == 0 &&
-                getsockname(tcp, reinterpret_cast<sockaddr*>(&any), &size) == 0 &&
-                bind(udp, reinterpret_cast<sockaddr*>(&any), sizeof any) == 0;
+    const bool is_free =
+        bind(tcp, reinterpret_cast<const sockaddr*>(&native), sizeof native) == 0 &&
+        bind(udp, reinterpret_cast<const sockaddr*>(&native), sizeof native) == 0;
     close(tcp);
     close(udp);
-    const int port = ntohs(any.sin_port);
-    if (good && std::find(given.begin(), given.end(), port) == given.end()) {
-      given.push_back(port);
-      return {.port = port};
-    }
+    if (is_free) return result;
   }
   CannotRun("no free port");
 }
@@ -895,6 +895,65 @@
   }
 }
 
+/// All daemons have their share of a core as a usage cap, and one after the other is stopped
+/// and started again.
+int CappedStop(bool trouble) {
+  deployment& all = *new deployment;
+  for (const char* name : {"a1", "a2", "a3"}) all.Add(name, "estoque");
+  all.Add("b1", "pedidos");
+  all.Start();
+  static std::atomic<bool> caps_end = false;
+  std::vector<std::thread> caps;
+  if (trouble) {
+    for (const auto& each : all.daemons) {
+      caps.emplace_back([&each] { CapProcessor(*each, caps_end); });
+    }
+  }
+  all.StartClients(30);
+  SleepMs(3000);
+  std::vector<std::pair<int, int>> stops;
+  for (int round = 0; round < 2; ++round) {
+    for (const auto& each : all.daemons) {
+      const int from = NowMs();
+      each->Signal(SIGTERM);
+      Record("SIGTERM to %s", each->at().name.c_str());
+      const int until = from + 6000;
+      while (!each->HasEnded() && NowMs() < until) SleepMs(5);
+      Record("%s ended after %d ms", each->at().name.c_str(), NowMs() - from);
+      stops.emplace_back(from, NowMs());
+      each->Start();
+      each->AwaitReady(8000);
+      SleepMs(3000);
+    }
+  }
+  caps_end = true;
+  for (auto& each : caps) each.join();
+  for (const auto& each : all.clients) each->End();
+  std::map<string, int> arrived;
+  for (const auto& each : all.workers) {
+    for (const arrival& row : each->Arrivals()) arrived[row.id] = row.at_ms;
+  }
+  int lost = 0;
+  int unanswered = 0;
+  int served = 0;
+  string of;
+  for (const auto& each : all.clients) {
+    for (const auto& row : each->Sent()) {
+      served += row.status == 200 ? 1 : 0;
+      if (row.status != 0 || row.answered_ms - row.at_ms > 950) continue;
+      ++unanswered;
+      if (arrived.contains(row.id)) {
+        ++lost;
+        of += " " + row.id;
+      }
+    }
+  }
+  return Verdict(lost > 0, "LOST, " + std::to_string(lost) +
+                               " requests were passed on and got no answer, of " +
+                               std::to_string(unanswered) + " unanswered and " +
+                               std::to_string(served) + " served:" + of);
+}
+
 /// While daemons start, the platform replaces their settings files without a signal: their
 /// machines now belong to another service. Without the disruption the files change before the
 /// start.
@@ -959,6 +1018,43 @@
           " requests ran with another Caller-Service than that of their machine:" + of);
 }
 
+/// A worker deregisters, the daemon beside it is killed and starts again, and a report from
+/// before arrives late.
+int LateReport(bool trouble) {
+  deployment& all = *new deployment;
+  for (const char* name : {"a1", "a2", "a3"}) all.Add(name, "estoque");
+  all.Add("b1", "pedidos");
+  all.Start();
+  all.StartClients(40);
+  SleepMs(3000);
+  worker& leaving = *all.workers[0];
+  daemon_process& beside = *all.daemons[0];
+  leaving.PauseBeats();
+  SleepMs(1000);
+  const string late = leaving.Report(leaving.sequence() + 1, "ready");
+  Record("the report %s is under way", late.c_str());
+  SleepMs(500);
+  if (!leaving.Deregister())
+    return Verdict(false, "the leaving of the worker was not acknowledged");
+  const int at = NowMs();
+  int calm_from = 0;
+  if (trouble) {
+    SleepMs(300);
+    beside.Kill();
+    SleepMs(500);
+    beside.Start();
+    calm_from = NowMs() + kStabilityWindowMs;
+    if (!beside.AwaitReady(5000)) CannotRun("the daemon did not start again");
+  }
+  SleepMs(at + 2000 - NowMs());
+  const bool taken = leaving.Send("heartbeat", late);
+  Record("the late report arrives, %s", taken ? "acknowledged" : "not acknowledged");
+  SleepMs(at + 8000 - NowMs());
+  leaving.End();
+  for (const auto& each : all.clients) each->End();
+  return JudgeDrain(leaving, at, calm_from, all);
+}
+
 /// A version of the configuration is acknowledged; what is sent later than `configApplyMs`
 /// after it is judged. `is_stale` says for the path, the key and the status of an answer
 /// whether only an older version allows it.
@@ -1110,7 +1206,26 @@
                               " requests ran whose key no configuration ever held");
 }
 
+/// A version splits a route by weights that are no whole numbers, and removes another route.
+int FractionalWeight(bool trouble) {
+  string after = Configuration(7);
+  const auto order = after.find(",{\"name\":\"r-order\"");
+  after.erase(order, after.find("]}]", order) - order);
+  const string whole = "\"service\":\"estoque\"";
+  const string parts = trouble ? "0.9},{\"service\":\"pedidos\",\"weight\":0.1"
+                               : "90},{\"service\":\"pedidos\",\"weight\":10";
+  after.replace(after.find(whole), whole.size(),
+                "\"weightedClusters\":[{\"service\":\"estoque\",\"weight\":" + parts + "}]");
+  return ConfigurationChange(
+      "@" + Configuration(6), after,
+      {{"/order/1", "", [](int status) { return status != 404 && status != 503; }}},
+      "the dropped route /order/ is still served");
+}
+
 int RunScenario(const string& name, bool trouble) {
+  if (name == "capped-stop") return CappedStop(trouble);
+  if (name == "late-report") return LateReport(trouble);
+  if (name == "fractional-weight") return FractionalWeight(trouble);
   if (name == "tenant-name") return TenantName(trouble);
   if (name == "last-tenant") return LastTenant(trouble);
   if (name == "last-routes") return LastRoutes(trouble);
