--- a/review/standins-2/harness.cpp
+++ b/review/standins-2/harness.cpp
@@ -259,6 +259,7 @@
         string buffer;
         while (auto request = ReadMessage(fd, buffer, -1, false)) {
           response answer = handle_(*request);
+          if (answer.status == 0) break;
           if (answer.closes) answer.headers.emplace_back("Connection", "close");
           const string first = "HTTP/1.1 " + std::to_string(answer.status) + " Status";
           if (!WriteAll(fd, Encode(first, answer.headers, answer.body, true)) ||
@@ -633,6 +634,7 @@
   void ResumeBeats() { beats_paused_ = false; }
   void BeginLeaving() { is_leaving_ = true; }
   void End() { ended_ = true; }
+  void LoseAnswers(bool loses) { loses_answers_ = loses; }
 
   std::vector<arrival> Arrivals() const {
     const std::lock_guard lock(mutex_);
@@ -662,6 +664,7 @@
     const int running = ++running_;
     SleepMs(work_ms_);
     --running_;
+    if (loses_answers_) return {.status = 0, .headers = {}, .body = {}};
     return {.status = 200,
             .headers = {{"Attempt-Id", id},
                         {"Response-Seal", "3e1b.07." + id},
@@ -680,6 +683,7 @@
   std::atomic<bool> is_leaving_ = false;
   std::atomic<bool> ended_ = false;
   std::atomic<bool> beats_paused_ = false;
+  std::atomic<bool> loses_answers_ = false;
   std::atomic<int> running_ = 0;
   mutable std::mutex mutex_;
   std::vector<arrival> arrivals_;
@@ -954,6 +958,36 @@
                                std::to_string(served) + " served:" + of);
 }
 
+/// The workers of a service that gets only unsafe requests lose their answers for 2 s. Judged
+/// is whether the service is used again.
+int LostAnswers(bool trouble) {
+  deployment& all = *new deployment;
+  all.Add("a1", "estoque");
+  for (const char* name : {"b1", "b2"}) all.Add(name, "pedidos");
+  all.Start();
+  for (const auto& each : all.daemons) {
+    all.clients.push_back(std::make_unique<client>(each->at(), "shop.example", "/order/", 50));
+    all.clients.back()->Start();
+  }
+  SleepMs(3000);
+  for (const auto& each : all.workers) each->LoseAnswers(trouble);
+  Record("the workers lose their answers");
+  SleepMs(2000);
+  for (const auto& each : all.workers) each->LoseAnswers(false);
+  Record("the workers are sound again");
+  const int from = NowMs() + 15000;
+  SleepMs(45000);
+  for (const auto& each : all.clients) each->End();
+  int sent = 0;
+  for (const auto& each : all.clients) {
+    for (const auto& row : each->Sent()) sent += row.at_ms >= from ? 1 : 0;
+  }
+  const int served = all.Served(from);
+  return Verdict(served * 4 < sent, "from 15 s after the disruption on, " +
+                                        std::to_string(served) + " of " + std::to_string(sent) +
+                                        " unsafe requests were served");
+}
+
 /// While daemons start, the platform replaces their settings files without a signal: their
 /// machines now belong to another service. Without the disruption the files change before the
 /// start.
@@ -1223,6 +1257,7 @@
 }
 
 int RunScenario(const string& name, bool trouble) {
+  if (name == "lost-answers") return LostAnswers(trouble);
   if (name == "capped-stop") return CappedStop(trouble);
   if (name == "late-report") return LateReport(trouble);
   if (name == "fractional-weight") return FractionalWeight(trouble);
