--- a/review/standins-2/harness.cpp
+++ b/review/standins-2/harness.cpp
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/inotify.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -1006,14 +1007,19 @@
     daemon_process& each = *changed.back();
     const string text = Settings(each.at(), "comprovantes", all.log);
     if (!trouble) WriteFile(each.file(), text);
+    const int watch = inotify_init1(IN_CLOEXEC);
+    inotify_add_watch(watch, each.file().c_str(), IN_CLOSE_NOWRITE);
     each.Start();
-    const int delay = 6 * i + 15;
+    const int delay = 5 * i;
     caps.emplace_back([&each, &caps_end] { CapProcessor(each, caps_end); });
-    changes.emplace_back([&each, text, trouble, delay] {
+    changes.emplace_back([&each, text, trouble, delay, watch] {
+      pollfd entry{.fd = watch, .events = POLLIN, .revents = 0};
+      poll(&entry, 1, 10000);
       SleepMs(delay);
       if (trouble) WriteFile(each.file(), text);
-      Record("settings of %s now name the service comprovantes, %d ms after its start",
+      Record("settings of %s name the service comprovantes, %d ms after it has read them",
              each.at().name.c_str(), delay);
+      close(watch);
     });
     SleepMs(300);
   }
