--- a/review/standins-2/harness.cpp
+++ b/review/standins-2/harness.cpp
@@ -260,7 +260,11 @@
         string buffer;
         while (auto request = ReadMessage(fd, buffer, -1, false)) {
           response answer = handle_(*request);
-          if (answer.status == 0) break;
+          if (answer.status == 0) {
+            const linger reset{.l_onoff = 1, .l_linger = 0};
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+            break;
+          }
           if (answer.closes) answer.headers.emplace_back("Connection", "close");
           const string first = "HTTP/1.1 " + std::to_string(answer.status) + " Status";
           if (!WriteAll(fd, Encode(first, answer.headers, answer.body, true)) ||
@@ -635,7 +639,8 @@
   void ResumeBeats() { beats_paused_ = false; }
   void BeginLeaving() { is_leaving_ = true; }
   void End() { ended_ = true; }
-  void LoseAnswers(bool loses) { loses_answers_ = loses; }
+  /// Resets the connections of this share of the requests, without running them.
+  void Fail(double share) { fail_share_ = share; }
 
   std::vector<arrival> Arrivals() const {
     const std::lock_guard lock(mutex_);
@@ -662,10 +667,13 @@
               .headers = {{"Not-Executed", "1"}, {"Instance-Id", id_}},
               .body = ""};
     }
+    if (random() < fail_share_ * RAND_MAX) {
+      Record("worker %s: resets %s", id_.c_str(), id.c_str());
+      return {.status = 0, .headers = {}, .body = {}};
+    }
     const int running = ++running_;
     SleepMs(work_ms_);
     --running_;
-    if (loses_answers_) return {.status = 0, .headers = {}, .body = {}};
     return {.status = 200,
             .headers = {{"Attempt-Id", id},
                         {"Response-Seal", "3e1b.07." + id},
@@ -684,7 +692,7 @@
   std::atomic<bool> is_leaving_ = false;
   std::atomic<bool> ended_ = false;
   std::atomic<bool> beats_paused_ = false;
-  std::atomic<bool> loses_answers_ = false;
+  std::atomic<double> fail_share_ = 0;
   std::atomic<int> running_ = 0;
   mutable std::mutex mutex_;
   std::vector<arrival> arrivals_;
@@ -783,6 +791,13 @@
     "200,"
     "\"burst\":200}],";
 
+// The configuration without the route /order/.
+string FirstRouteOnly(int version) {
+  string result = Configuration(version);
+  const auto order = result.find(",{\"name\":\"r-order\"");
+  return result.erase(order, result.find("]}]", order) - order);
+}
+
 struct deployment {
   store log;
   std::vector<std::unique_ptr<daemon_process>> daemons;
@@ -959,34 +974,57 @@
                                std::to_string(served) + " served:" + of);
 }
 
-/// The workers of a service that gets only unsafe requests lose their answers for 2 s. Judged
-/// is whether the service is used again.
-int LostAnswers(bool trouble) {
+/// A version adds a route for unsafe requests to a service that has no other. Then its workers
+/// reset half of their requests for 8 s. Judged is the steady state from 15 s after that on.
+int GreyWorkers(bool trouble) {
+  constexpr double kFailedShare = 0.5;
+  constexpr int kGreyMs = 8000;
+  constexpr int kSteadyAfterMs = 15000;
+  constexpr int kSteadyMs = 30000;
   deployment& all = *new deployment;
   all.Add("a1", "estoque");
   for (const char* name : {"b1", "b2"}) all.Add(name, "pedidos");
-  all.Start();
-  for (const auto& each : all.daemons) {
-    all.clients.push_back(std::make_unique<client>(each->at(), "shop.example", "/order/", 50));
-    all.clients.back()->Start();
+  all.Start("@" + FirstRouteOnly(5));
+  all.log.Put("keyed.op", "config", Configuration(7));
+  Record("the store has acknowledged r7, which adds /order/");
+  SleepMs(3000);
+  for (const char* prefix : {"/stock/", "/order/"}) {
+    for (const auto& each : all.daemons) {
+      machine at = each->at();
+      at.name += prefix[1];
+      all.clients.push_back(std::make_unique<client>(at, "shop.example", prefix, 50));
+      all.clients.back()->Start();
+    }
   }
   SleepMs(3000);
-  for (const auto& each : all.workers) each->LoseAnswers(trouble);
-  Record("the workers lose their answers");
-  SleepMs(2000);
-  for (const auto& each : all.workers) each->LoseAnswers(false);
-  Record("the workers are sound again");
-  const int from = NowMs() + 15000;
-  SleepMs(45000);
+  if (trouble) {
+    for (std::size_t i = 1; i < all.workers.size(); ++i) all.workers[i]->Fail(kFailedShare);
+    Record("the workers of pedidos reset half of their requests");
+    SleepMs(kGreyMs);
+    for (const auto& each : all.workers) each->Fail(0);
+    Record("the workers of pedidos are sound again");
+  }
+  const int from = NowMs() + kSteadyAfterMs;
+  SleepMs(kSteadyAfterMs + kSteadyMs);
   for (const auto& each : all.clients) each->End();
-  int sent = 0;
+  int sent[2] = {0, 0};
+  int served[2] = {0, 0};
   for (const auto& each : all.clients) {
-    for (const auto& row : each->Sent()) sent += row.at_ms >= from ? 1 : 0;
+    for (const auto& row : each->Sent()) {
+      const int kind = row.machine.back() == 'o' ? 1 : 0;
+      if (row.at_ms < from) continue;
+      ++sent[kind];
+      served[kind] += row.status == 200 ? 1 : 0;
+    }
   }
-  const int served = all.Served(from);
-  return Verdict(served * 4 < sent, "from 15 s after the disruption on, " +
-                                        std::to_string(served) + " of " + std::to_string(sent) +
-                                        " unsafe requests were served");
+  if (served[0] == 0) CannotRun("no request was served");
+  const double first = static_cast<double>(served[0]) / sent[0];
+  const double added = static_cast<double>(served[1]) / sent[1];
+  return Verdict(
+      sent[1] >= 20 && added < first / 4,
+      "CONFIG, in steady state " + std::to_string(served[1]) + " of " +
+          std::to_string(sent[1]) + " requests on the route that was added were served, and " +
+          std::to_string(served[0]) + " of " + std::to_string(sent[0]) + " on the first one");
 }
 
 /// While daemons start, the platform replaces their settings files without a signal: their
@@ -1248,9 +1286,7 @@
 
 /// A version splits a route by weights that are no whole numbers, and removes another route.
 int FractionalWeight(bool trouble) {
-  string after = Configuration(7);
-  const auto order = after.find(",{\"name\":\"r-order\"");
-  after.erase(order, after.find("]}]", order) - order);
+  string after = FirstRouteOnly(7);
   const string whole = "\"service\":\"estoque\"";
   const string parts = trouble ? "0.9},{\"service\":\"pedidos\",\"weight\":0.1"
                                : "90},{\"service\":\"pedidos\",\"weight\":10";
@@ -1263,7 +1299,7 @@
 }
 
 int RunScenario(const string& name, bool trouble) {
-  if (name == "lost-answers") return LostAnswers(trouble);
+  if (name == "grey-workers") return GreyWorkers(trouble);
   if (name == "capped-stop") return CappedStop(trouble);
   if (name == "late-report") return LateReport(trouble);
   if (name == "fractional-weight") return FractionalWeight(trouble);
