--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/harness ] || exit 2
-exec target/review-2/harness last-routes review/10
+exec target/review-2/harness late-report review/10
