Keep acknowledged departures of upstreams across restarts of the daemon

Cause: upstream_history, which knows the incarnations that have left, lives in one process. The log of the new process shows upstream_in_use for the identity and sequence of the late announcement; without the kill it is late_announcement_ignored. Ruled out by that: an announcement that counts as a later incarnation, and work that passes by the owner's admission, since none arrives once the new process knows.

A process that starts takes over the departures of its own newest record, or hears of them from a peer that knew an earlier incarnation; until the first read of the log, at most 1 s, announcements wait. The same holds for draining announcements and for responses that say that the upstream leaves.

--- a/src/membership/member_codec.cc
+++ b/src/membership/member_codec.cc
@@ -45,6 +45,12 @@
   details->set_membership_address(Shortened(row.membership_address, host));
   details->set_callers_address(Shortened(row.callers_address, host));
   details->set_admin_address(Shortened(row.admin_address, host));
+  for (const upstream_departure& each : row.departures) {
+    proto::UpstreamDeparture* const to = details->add_departures();
+    to->set_identity(each.identity);
+    to->set_started_ms(each.started_ms);
+    to->set_is_bound(!each.is_exact);
+  }
 }
 
 std::optional<member_update> ReadMemberRecord(const proto::MemberRecord& record) {
@@ -71,6 +77,11 @@
     row.membership_address = Completed(details.membership_address(), host);
     row.callers_address = Completed(details.callers_address(), host);
     row.admin_address = Completed(details.admin_address(), host);
+    for (const proto::UpstreamDeparture& each : details.departures()) {
+      AddDeparture(row.departures, {.identity = each.identity(),
+                                    .started_ms = each.started_ms(),
+                                    .is_exact = !each.is_bound()});
+    }
   }
   return update;
 }
--- a/src/membership/member_row.h
+++ b/src/membership/member_row.h
@@ -2,10 +2,12 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "src/base/strong_id.h"
 #include "src/base/time.h"
 #include "src/membership/member_state.h"
+#include "src/membership/upstream_departure.h"
 #include "src/routing/load_hint.h"
 
 namespace bronzeroute {
@@ -26,6 +28,8 @@
   std::string membership_address;
   std::string callers_address;
   std::string admin_address;
+  /// Upstreams beside this daemon that have left, the most recent last.
+  std::vector<upstream_departure> departures;
   bool draining = false;
   std::int64_t config_version = -1;
   load_hint hint;
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -25,6 +25,8 @@
   row.membership_address = from.membership_address;
   row.callers_address = from.callers_address;
   row.admin_address = from.admin_address;
+  // Kept across restarts of the member: a new incarnation may not have learned of them yet.
+  for (const upstream_departure& each : from.departures) AddDeparture(row.departures, each);
 }
 
 }  // namespace
--- a/src/membership/membership_system.cc
+++ b/src/membership/membership_system.cc
@@ -122,7 +122,8 @@
   forced_probe_at_ = now + settings_.max_probe_interval;
   MarkChanged(0, true, false);
   // The upstream announces itself within one interval; waiting for it avoids a second record.
-  next_append_ = upstream_ ? now : now + settings_.announcement_interval;
+  const bool waits = !upstream_ && departures_recorded();
+  next_append_ = waits ? now + settings_.announcement_interval : now;
 }
 
 void membership_system::BumpIncarnation(incarnation_id above, time_point now) {
@@ -205,6 +206,46 @@
   Report(membership_event_kind::kUpstreamAnnounced, 0);
 }
 
+void membership_system::RecordDeparture(const upstream_departure& departure, time_point now) {
+  Observe(now);
+  if (AddDeparture(table_.Mutable(0).departures, departure)) {
+    ++table_.track(0).details_version;
+    departures_version_ = table_.track(0).details_version;
+    table_.Refresh(0);
+    if (joined_) MarkChanged(0, true, true);
+  }
+  // The upstream waits for the acknowledgement, so neither a jitter nor a backoff applies.
+  if (joined_ && !departures_recorded()) next_append_ = std::min(next_append_, now);
+}
+
+std::vector<upstream_departure> membership_system::TakePastDepartures() {
+  return std::exchange(past_departures_, {});
+}
+
+void membership_system::LearnDepartures(const member_row& own, time_point now) {
+  bool is_changed = false;
+  for (const upstream_departure& each : own.departures) {
+    if (!AddDeparture(table_.Mutable(0).departures, each)) continue;
+    past_departures_.push_back(each);
+    is_changed = true;
+  }
+  // The records of this incarnation have to carry them too: they replace the earlier ones.
+  if (is_changed) ChangeOwnDetails(now);
+}
+
+void membership_system::SendPastDepartures(member_id restarted, std::string_view address,
+                                           time_point now) {
+  const std::ptrdiff_t found = table_.IndexOf(restarted);
+  if (found <= 0 || table_.row(Index(found)).departures.empty()) return;
+  MemberDatagram message;
+  message.set_kind(MemberDatagram::GOSSIP);
+  FillSender(message, false);
+  std::size_t size = message.ByteSizeLong();
+  AddRecord(Index(found), true, message, size);
+  Send(restarted, address, message, size, charge_purpose::kMembershipChange, urgency::kForced,
+       now);
+}
+
 void membership_system::ChangeOwnDetails(time_point now) {
   ++table_.track(0).details_version;
   table_.Refresh(0);
@@ -611,6 +652,7 @@
   const member_id sender{message.sender()};
   const std::ptrdiff_t found = table_.IndexOf(sender);
   if (found < 0 || message.sender_incarnation() > table_.row(Index(found)).incarnation.value) {
+    SendPastDepartures(sender, from, now);
     RequestDetails(sender, sender, from, now);
     return;
   }
@@ -831,6 +873,7 @@
 }
 
 void membership_system::ApplyOwnRecord(const member_update& update, time_point now) {
+  LearnDepartures(update.row, now);
   member_row& self = table_.Mutable(0);
   if (update.row.incarnation.value > self.incarnation.value) {
     BumpIncarnation(update.row.incarnation, now);
@@ -1066,6 +1109,7 @@
     const std::optional<member_update> update = DecodeMemberLogRecord(record.data);
     if (!update) continue;
     if (update->row.id == self().id) {
+      LearnDepartures(update->row, now);
       has_own_record = has_own_record || IsOwnRecord(*update);
       if (update->row.incarnation.value > self().incarnation.value ||
           (update->row.incarnation == self().incarnation && !append_started_)) {
@@ -1100,7 +1144,7 @@
 
 bool membership_system::IsOwnRecord(const member_update& update) const {
   return update.row.incarnation == self().incarnation && update.row.state == self().state &&
-         update.row.service == self().service;
+         update.row.service == self().service && update.row.departures == self().departures;
 }
 
 void membership_system::AppendAgain(time_point now) {
@@ -1131,6 +1175,9 @@
     OnAppendResult(pending_token_, false, now);
   }
   if (pending_token_ != 0 || now < next_append_ || leave_recorded_) return;
+  // The append replaces the record of the previous incarnation, whose departures would be lost.
+  const bool waits = !has_read_log_ && now < started_ + settings_.first_read_wait;
+  if (waits && !leaving_) return;
   // No leave record is needed if no join record was appended.
   if (leaving_ && !append_started_) {
     leave_recorded_ = true;
@@ -1139,6 +1186,7 @@
   append_started_ = true;
   pending_token_ = ++token_;
   pending_is_leave_ = leaving_;
+  pending_version_ = table_.track(0).details_version;
   next_append_ = time_point::max();
   append_timeout_ = now + settings_.append_timeout;
   log_.Append(settings_.stream, MemberKey(self().id),
@@ -1151,6 +1199,7 @@
   if (appended) {
     append_backoff_ = settings_.initial_backoff;
     leave_recorded_ = pending_is_leave_;
+    recorded_version_ = pending_version_;
     next_append_ = std::min(next_append_, now + Jittered(retention_ * 2 / 5, retention_ / 2));
     return;
   }
--- a/src/membership/membership_system.h
+++ b/src/membership/membership_system.h
@@ -23,6 +23,7 @@
 #include "src/membership/membership_settings.h"
 #include "src/membership/merge_result.h"
 #include "src/membership/upstream_announcement.h"
+#include "src/membership/upstream_departure.h"
 #include "src/routing/load_hint.h"
 
 namespace bronzeroute::proto {
@@ -61,6 +62,16 @@
   /// The upstream beside this daemon announced itself; expected every 2 s.
   void OnAnnouncement(upstream_announcement announcement, time_point now);
 
+  /// An upstream beside this daemon has left. The record of this member carries the departure,
+  /// so that its later incarnations learn of it from the log or from a peer. May be repeated.
+  void RecordDeparture(const upstream_departure& departure, time_point now);
+  /// True if the log has every departure that was passed to RecordDeparture.
+  bool departures_recorded() const { return recorded_version_ >= departures_version_; }
+  /// Departures that earlier incarnations of this member recorded, learned since the last call.
+  std::vector<upstream_departure> TakePastDepartures();
+  /// True if the log has been read, or cannot be read now.
+  bool has_tried_log() const { return has_read_log_ || log_unavailable_; }
+
   /// Reports to peers that the owner takes no new work.
   void Drain(time_point now);
   /// Reports to peers that the owner takes work again.
@@ -189,6 +200,11 @@
   void ApplyRecord(const member_update& update, member_id sender, std::string_view from,
                    bool pass_on, time_point now);
   void ApplyOwnRecord(const member_update& update, time_point now);
+  /// Takes over departures that an earlier incarnation of this member recorded.
+  void LearnDepartures(const member_row& own, time_point now);
+  /// Tells a member that has restarted of the departures that it recorded before, since it may
+  /// not be able to read the log.
+  void SendPastDepartures(member_id restarted, std::string_view address, time_point now);
   void AfterMerge(std::size_t index, const merge_result& result, bool pass_on, time_point now);
   void AfterStateChange(std::size_t index, time_point now);
   void ExpireAt(std::size_t index, time_point deadline);
@@ -229,6 +245,7 @@
   std::optional<upstream_announcement> upstream_;
   std::vector<membership_event> events_;
   std::vector<usage_message> usage_messages_;
+  std::vector<upstream_departure> past_departures_;
 
   time_point last_observed_;
   time_point join_at_;
@@ -273,6 +290,11 @@
   std::uint64_t token_ = 0;
   std::uint64_t pending_token_ = 0;
   bool pending_is_leave_ = false;
+  /// Versions of the own details: the one of the pending append, the last one that the log has,
+  /// and the first one with all recorded departures.
+  std::uint32_t pending_version_ = 0;
+  std::uint32_t recorded_version_ = 0;
+  std::uint32_t departures_version_ = 0;
   bool append_started_ = false;
   bool leaving_ = false;
   bool leave_recorded_ = false;
--- a/src/membership/upstream_history.cc
+++ b/src/membership/upstream_history.cc
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "src/membership/upstream_announcement.h"
+#include "src/membership/upstream_departure.h"
 
 namespace bronzeroute {
 namespace {
@@ -41,14 +42,28 @@
 void upstream_history::Retire(std::string_view identity, std::optional<std::int64_t> started_ms,
                               std::int64_t unix_ms, time_point now) {
   if (identity.empty()) return;
-  Forget(now);
   const key* const latest = LatestOf(identity);
   const bool is_exact = started_ms || latest != nullptr;
   if (!started_ms) started_ms = latest != nullptr ? latest->second : unix_ms;
-  const auto [found, is_first] = departures_.try_emplace(std::string(identity));
+  Restore({.identity = std::string(identity), .started_ms = *started_ms, .is_exact = is_exact},
+          now);
+}
+
+void upstream_history::Restore(const upstream_departure& departed, time_point now) {
+  Forget(now);
+  const auto [found, is_first] = departures_.try_emplace(departed.identity);
   departure& known = found->second;
-  if (!is_first && known.started_ms > *started_ms) return;
-  known = {.started_ms = *started_ms, .is_exact = is_exact, .left = now};
+  if (!is_first && known.started_ms > departed.started_ms) return;
+  known = {.started_ms = departed.started_ms, .is_exact = departed.is_exact, .left = now};
+}
+
+std::optional<upstream_departure> upstream_history::DepartureOf(
+    std::string_view identity) const {
+  const auto found = departures_.find(std::string(identity));
+  if (found == departures_.end()) return std::nullopt;
+  return upstream_departure{.identity = found->first,
+                            .started_ms = found->second.started_ms,
+                            .is_exact = found->second.is_exact};
 }
 
 bool upstream_history::HasLeft(std::string_view identity, std::int64_t started_ms) const {
--- a/src/membership/upstream_history.h
+++ b/src/membership/upstream_history.h
@@ -12,6 +12,7 @@
 namespace bronzeroute {
 
 struct upstream_announcement;
+struct upstream_departure;
 
 /// Decides which incarnation of the upstream beside this daemon is the current one.
 /// Announcements may be late, out of order, from an incarnation that has ended, or from another
@@ -31,6 +32,12 @@
   /// current time of day. Times are in Unix milliseconds.
   void Retire(std::string_view identity, std::optional<std::int64_t> started_ms,
               std::int64_t unix_ms, time_point now);
+  /// An earlier process beside this upstream knew that the incarnation has left.
+  void Restore(const upstream_departure& departed, time_point now);
+  /// The latest departure of `identity`, or nothing.
+  std::optional<upstream_departure> DepartureOf(std::string_view identity) const;
+  /// True if an incarnation of `identity` has announced itself.
+  bool HasAnnounced(std::string_view identity) const { return LatestOf(identity) != nullptr; }
   /// True if the latest known incarnation of `identity` has left or was replaced by another.
   bool IsRetired(std::string_view identity) const;
   /// True if the incarnation has left.
@@ -46,11 +53,9 @@
     std::uint64_t sequence = 0;
     time_point last_announced;
   };
-  /// An identity that has left.
+  /// The latest incarnation of an identity that has left; see `upstream_departure`.
   struct departure {
-    /// Start of the latest incarnation that has left.
     std::int64_t started_ms = 0;
-    /// False if the start is unknown; `started_ms` then is an upper bound.
     bool is_exact = true;
     time_point left;
   };
--- a/src/node/decision_log.cc
+++ b/src/node/decision_log.cc
@@ -197,6 +197,12 @@
   sink_->Write(line.Add("stream", stream));
 }
 
+void decision_log::OnDepartureNotRecorded(std::size_t waits) {
+  if (sink_ == nullptr) return;
+  log_line line(log_weight::kState, "admit", "departure_not_recorded");
+  sink_->Write(line.Add("reports_not_acknowledged", waits));
+}
+
 void decision_log::OnUpstream(std::string_view event, std::string_view identity,
                               std::string_view address, std::uint64_t sequence) {
   if (sink_ == nullptr) return;
--- a/src/node/decision_log.h
+++ b/src/node/decision_log.h
@@ -47,6 +47,9 @@
                       std::size_t accounts);
   /// The log came back from an older copy; the stream is read anew.
   void OnLogRestored(std::string_view stream);
+  /// The log did not take the departure of an upstream in time, so that `waits` reports of it
+  /// were not acknowledged.
+  void OnDepartureNotRecorded(std::size_t waits);
   void OnUpstream(std::string_view event, std::string_view identity, std::string_view address,
                   std::uint64_t sequence);
 
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -15,6 +15,7 @@
 #include "src/measuring/request_class.h"
 #include "src/measuring/request_result.h"
 #include "src/membership/evacuation_stream.h"
+#include "src/membership/upstream_departure.h"
 #include "src/node/peer_link_port.h"
 #include "src/node/runtime_ports.h"
 #include "src/node/runtime_settings.h"
@@ -30,6 +31,11 @@
 // Time allowed for the leave to reach peers before the process exits; pushes are sent every
 // 100 ms.
 constexpr auto kLeavePropagationTime = std::chrono::milliseconds(250);
+// Time after the start for which announcements wait for the departures in the log. A read takes
+// a few ms; an upstream that lives announces itself about every second.
+constexpr auto kAnnouncementHold = std::chrono::seconds(1);
+// Announcements held at most; one upstream sends one or two within the hold.
+constexpr std::size_t kMaxHeldAnnouncements = 16;
 // Relative change of a named limit that is worth a line in the log.
 constexpr double kLoggedRateChange = 0.1;
 // Limits of the measuring budget until a configuration document sets them.
@@ -105,6 +111,7 @@
                        .routes = routes_,
                        .usage = &usage_},
             settings.seed),
+      hold_until_(now + kAnnouncementHold),
       stop_linger_(settings.stop_linger),
       slot_share_(settings.slot_share) {
   node_.SetRetryShares(settings.retries);
@@ -196,6 +203,7 @@
 void node_runtime::OnAppendResult(std::uint64_t token, bool succeeded, time_point now) {
   configuration_.OnAppendResult(token, succeeded, now);
   membership_.OnAppendResult(token, succeeded, now);
+  EndDepartureWaits(now);
 }
 
 void node_runtime::OnSnapshot(member_id peer, std::string_view record, time_point now) {
@@ -213,6 +221,13 @@
                           announcement.address, announcement.sequence);
     return false;
   }
+  // An identity may be that of an upstream whose departure only the log knows.
+  const bool may_have_left = !membership_.has_tried_log() && now < hold_until_;
+  if (may_have_left && !announcement.identity.empty() && !announcement.is_leaving) {
+    if (held_announcements_.size() == kMaxHeldAnnouncements) return false;
+    held_announcements_.push_back(std::move(announcement));
+    return true;
+  }
   if (!history_.Accept(announcement, now)) {
     decisions_.OnUpstream("late_announcement_ignored", announcement.identity,
                           announcement.address, announcement.sequence);
@@ -220,6 +235,10 @@
   }
   const bool is_leaving = announcement.is_leaving;
   const time_point warm_at = announcement.warm_at;
+  if (is_leaving) {
+    membership_.RecordDeparture(
+        {.identity = announcement.identity, .started_ms = announcement.started_ms}, now);
+  }
   membership_.OnAnnouncement(std::move(announcement), now);
   ApplyUpstream(now);
   if (warm_at != time_point{}) admission_.SetWarmAt(warm_at, now);
@@ -228,6 +247,44 @@
   return true;
 }
 
+void node_runtime::ProcessHeldAnnouncements(time_point now) {
+  if (held_announcements_.empty()) return;
+  if (!membership_.has_tried_log() && now < hold_until_) return;
+  for (upstream_announcement& each : std::exchange(held_announcements_, {})) {
+    OnAnnouncement(std::move(each), now);
+  }
+}
+
+void node_runtime::ApplyPastDepartures(time_point now) {
+  for (const upstream_departure& each : membership_.TakePastDepartures()) {
+    decisions_.OnUpstream("earlier_departure_learned", each.identity, "", 0);
+    history_.Restore(each, now);
+    if (each.identity == applied_identity_ &&
+        history_.HasLeft(applied_identity_, applied_start_)) {
+      DrainUpstream(now);
+    }
+  }
+}
+
+void node_runtime::AwaitDepartureRecord(time_point deadline, std::function<void(bool)> done,
+                                        time_point now) {
+  departure_waits_.push_back({deadline, std::move(done)});
+  EndDepartureWaits(now);
+}
+
+void node_runtime::EndDepartureWaits(time_point now) {
+  if (departure_waits_.empty()) return;
+  const bool recorded = membership_.departures_recorded();
+  std::vector<departure_wait> ended;
+  std::erase_if(departure_waits_, [&](departure_wait& each) {
+    const bool ends = recorded || now >= each.deadline;
+    if (ends) ended.push_back(std::move(each));
+    return ends;
+  });
+  if (!ended.empty() && !recorded) decisions_.OnDepartureNotRecorded(ended.size());
+  for (const departure_wait& each : ended) each.done(recorded);
+}
+
 bool node_runtime::IsFromAnotherWriter(const upstream_announcement& announcement) const {
   const auto current = configuration_.current();
   if (announcement.identity.empty() || current == nullptr ||
@@ -243,7 +300,12 @@
 void node_runtime::OnUpstreamLeaving(std::string_view identity,
                                      std::optional<std::int64_t> started_ms,
                                      std::int64_t unix_ms, time_point now) {
+  // Another writer may invent identities, and each record costs a call to the log.
+  const bool is_own = identity == applied_identity_ || applied_identity_.empty() ||
+                      history_.HasAnnounced(identity);
   history_.Retire(identity, started_ms, unix_ms, now);
+  const std::optional<upstream_departure> departure = history_.DepartureOf(identity);
+  if (is_own && departure) membership_.RecordDeparture(*departure, now);
   if (identity == applied_identity_ && history_.HasLeft(identity, applied_start_)) {
     DrainUpstream(now);
   }
@@ -260,6 +322,8 @@
   if (!notice.is_leaving || upstream_leaves_) return;
   // A report that says otherwise is older than this response.
   history_.Retire(applied_identity_, applied_start_, 0, now);
+  membership_.RecordDeparture({.identity = applied_identity_, .started_ms = applied_start_},
+                              now);
   DrainUpstream(now);
   ApplyMembers(now);
 }
@@ -330,7 +394,9 @@
   membership_.Tick(now);
   configuration_.Tick(now);
   ApplyConfiguration(now);
+  ProcessHeldAnnouncements(now);
   ApplyUpstream(now);
+  EndDepartureWaits(now);
   if (now >= next_members_) {
     routing_.OnHint({identity_.id, membership_.self().incarnation}, hint, now);
     members_changed_ = true;
@@ -447,6 +513,7 @@
 
 void node_runtime::ApplyMembers(time_point now) {
   TakeEvents();
+  ApplyPastDepartures(now);
   if (!members_changed_) {
     return;
   }
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -82,6 +83,11 @@
   /// for `unix_ms`, the current time of day in Unix milliseconds.
   void OnUpstreamLeaving(std::string_view identity, std::optional<std::int64_t> started_ms,
                          std::int64_t unix_ms, time_point now);
+  /// Calls `done` with true once the log has each departure of an upstream that this daemon
+  /// acknowledges, so that the acknowledgement binds its later incarnations too; with false if
+  /// that takes until `deadline`.
+  void AwaitDepartureRecord(time_point deadline, std::function<void(bool)> done,
+                            time_point now);
   /// The upstream reported its load with a response.
   void OnUpstreamLoad(const load_report& report, time_point now);
   /// The upstream named a limit with a response, or none, or said that it leaves.
@@ -138,6 +144,12 @@
   void LogRate(const upstream_notice& notice);
   /// Logs the begin and the end of the limit of a cold upstream.
   void LogColdLimit(time_point now);
+  /// Processes the announcements held since the start, once departures before it are known.
+  void ProcessHeldAnnouncements(time_point now);
+  /// Takes over the departures that earlier incarnations of this daemon recorded.
+  void ApplyPastDepartures(time_point now);
+  /// Ends the waits of `AwaitDepartureRecord` that are over.
+  void EndDepartureWaits(time_point now);
   /// Refuses new work for the current incarnation of the upstream.
   void DrainUpstream(time_point now);
   void ApplyMembers(time_point now);
@@ -174,6 +186,14 @@
   std::string applied_identity_;
   std::int64_t applied_start_ = 0;
   upstream_history history_;
+  /// Announcements that arrived before the log could be read for departures.
+  std::vector<upstream_announcement> held_announcements_;
+  time_point hold_until_;
+  struct departure_wait {
+    time_point deadline;
+    std::function<void(bool)> done;
+  };
+  std::vector<departure_wait> departure_waits_;
   /// The current incarnation of the upstream leaves.
   bool upstream_leaves_ = false;
   /// Requests per second that the upstream named last, as logged; -1 for no limit.
