Let a protected call be the trial of an ejected upstream after a second

Cause: an owner ejects its upstream after five failures in a row and lets it return through one trial call, which was never a protected one. Where all calls are protected, none was ever the trial. The same rule at the entry left up to half of the members unused by it. Ruled out: the limit of one half at the entry, since half of the requests reached an owner and were refused there as upstream_ejected; a health probe as the trial, which answers well while requests fail; an end of the ejection without a trial, which would send all work to an upstream that still fails.

Change: ejection::MayTry decides for owner and entry. A due trial waits one second for a call that may be repeated, then a protected call is the trial. The property that forbade protected trials is replaced by one that allows them only where the trial has been due for that second.

--- a/src/admission/admission_system.cc
+++ b/src/admission/admission_system.cc
@@ -350,8 +350,7 @@
 
 submit_result admission_system::SubmitTrial(exchange_id exchange, const attempt_head& head,
                                             std::size_t route, bool is_long, time_point now) {
-  if (health_.At(now) != ejection_state::kTrialDue || head.is_protected ||
-      !MayStart(is_long, now)) {
+  if (!health_.MayTry(head.is_protected, now) || !MayStart(is_long, now)) {
     return Refused(error_kind::kUpstreamEjected, is_long);
   }
   health_.BeginTrial();
--- a/src/calls/upstream_chooser.h
+++ b/src/calls/upstream_chooser.h
@@ -21,7 +21,7 @@
   virtual ~upstream_chooser() = default;
 
   /// A member that serves `service` and is not in `excluded`, or nothing. A protected call
-  /// never serves as the trial call of an ejected upstream.
+  /// serves as the trial call of an ejected upstream only if no other call does for some time.
   virtual std::optional<member_target> Choose(std::string_view service,
                                               const choice_request& request,
                                               std::span<const member_id> excluded,
--- a/src/routing/ejection.h
+++ b/src/routing/ejection.h
@@ -15,8 +15,17 @@
   static constexpr std::uint32_t kFailuresToEject = 5;
   static constexpr duration kFirstEjection = std::chrono::seconds(1);
   static constexpr duration kLongestEjection = std::chrono::seconds(30);
+  /// Time for which a due trial waits for a call that may be repeated. The caller of a
+  /// protected call whose trial fails does not learn whether it ran, but without any trial an
+  /// upstream that gets only protected calls would never return.
+  static constexpr duration kProtectedTrialDelay = std::chrono::seconds(1);
 
   ejection_state At(time_point now) const;
+  /// True if a call may be the trial now.
+  bool MayTry(bool is_protected, time_point now) const {
+    return At(now) == ejection_state::kTrialDue &&
+           (!is_protected || now >= until_ + kProtectedTrialDelay);
+  }
   std::uint32_t failures_in_row() const { return failures_in_row_; }
   /// End of the current ejection; meaningless while clear.
   time_point until() const { return until_; }
--- a/src/routing/ejection_state.h
+++ b/src/routing/ejection_state.h
@@ -9,7 +9,7 @@
   kClear,
   /// No work until the ejection ends.
   kEjected,
-  /// One unprotected call may be sent as a trial.
+  /// One call may be sent as a trial; see `ejection::MayTry`.
   kTrialDue,
   /// A trial call is open; no other work.
   kTrialOpen,
--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -306,7 +306,7 @@
 
 bool hint_table::IsTrialDue(const entry& item, const choice_request& request,
                             time_point now) const {
-  if (request.is_protected || item.health.At(now) != ejection_state::kTrialDue) return false;
+  if (!item.health.MayTry(request.is_protected, now)) return false;
   return !request.is_long || now >= item.health.until() + kLongTrialDelay;
 }
 
--- a/tests/admission/admission_system_test.cc
+++ b/tests/admission/admission_system_test.cc
@@ -255,7 +255,7 @@
 }
 
 // Guards against an upstream that fails fast and so attracts all work, and against protected
-// work that is used as the trial of an ejected upstream.
+// work that is used as the trial of an ejected upstream at once.
 TEST_F(admission_fixture, EjectsAfterFiveFailuresAndReturnsThroughOneTrial) {
   Fill(1, 6);
   ASSERT_EQ(Submit(7, Read(At(seconds(1)))).state, submit_state::kQueued);
@@ -280,6 +280,26 @@
   EXPECT_FALSE(system_.Hint(At(seconds(3))).failing);
 }
 
+// Guards against an upstream with protected work only that is refused for good after failures:
+// no other work came that could have been the trial.
+TEST_F(admission_fixture, ProtectedWorkIsTheTrialOnceNoOtherWorkWasForASecond) {
+  Fill(1, 6);
+  for (std::uint64_t i = 1; i <= 5; ++i) End(i, upstream_result::kFailed, duration(50));
+  attempt_head order = Read(At(seconds(90)));
+  order.is_protected = true;
+  EXPECT_EQ(Submit(7, order, At(milliseconds(1999))).kind, error_kind::kUpstreamEjected);
+  EXPECT_EQ(Submit(8, order, At(seconds(2))).state, submit_state::kStarted);
+  EXPECT_EQ(Submit(9, order, At(seconds(2))).kind, error_kind::kUpstreamEjected)
+      << "one trial at a time";
+  End(8, upstream_result::kFailed, duration(50), At(seconds(2)));
+  EXPECT_EQ(Submit(10, order, At(milliseconds(4999))).kind, error_kind::kUpstreamEjected)
+      << "the second ejection lasts 2 s";
+  EXPECT_EQ(Submit(11, order, At(seconds(5))).state, submit_state::kStarted);
+  Complete(11, milliseconds(5), At(seconds(5)));
+  EXPECT_FALSE(system_.Hint(At(seconds(5))).failing);
+  EXPECT_EQ(Submit(12, order, At(seconds(5))).state, submit_state::kStarted);
+}
+
 // Guards against entries that keep an old hint, and against failed requests that lower the mean
 // service time.
 TEST_F(admission_fixture, HintShowsExactStateWithRisingSequence) {
