--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -228,17 +228,18 @@
     held_announcements_.push_back(std::move(announcement));
     return true;
   }
+  const bool is_leaving = announcement.is_leaving;
+  if (is_leaving) {
+    membership_.RecordDeparture(
+        {.identity = announcement.identity, .started_ms = announcement.started_ms}, now);
+  }
   if (!history_.Accept(announcement, now)) {
+    if (is_leaving) OnLateLeaving(announcement, now);
     decisions_.OnUpstream("late_announcement_ignored", announcement.identity,
                           announcement.address, announcement.sequence);
     return false;
   }
-  const bool is_leaving = announcement.is_leaving;
   const time_point warm_at = announcement.warm_at;
-  if (is_leaving) {
-    membership_.RecordDeparture(
-        {.identity = announcement.identity, .started_ms = announcement.started_ms}, now);
-  }
   membership_.OnAnnouncement(std::move(announcement), now);
   ApplyUpstream(now);
   if (warm_at != time_point{}) admission_.SetWarmAt(warm_at, now);
@@ -285,6 +286,17 @@
   for (const departure_wait& each : ended) each.done(recorded);
 }
 
+void node_runtime::OnLateLeaving(const upstream_announcement& announcement, time_point now) {
+  const bool is_in_use =
+      announcement.identity == applied_identity_ && announcement.started_ms == applied_start_;
+  if (is_in_use) {
+    DrainUpstream(now);
+    ApplyMembers(now);
+  } else {
+    history_.Retire(announcement.identity, announcement.started_ms, 0, now);
+  }
+}
+
 bool node_runtime::IsFromAnotherWriter(const upstream_announcement& announcement) const {
   const auto current = configuration_.current();
   if (announcement.identity.empty() || current == nullptr ||
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -144,6 +144,9 @@
   void LogRate(const upstream_notice& notice);
   /// Logs the begin and the end of the limit of a cold upstream.
   void LogColdLimit(time_point now);
+  /// An announcement that arrived out of order says that its incarnation leaves. No incarnation
+  /// takes that back, so it counts whatever was announced since.
+  void OnLateLeaving(const upstream_announcement& announcement, time_point now);
   /// Processes the announcements held since the start, once departures before it are known.
   void ProcessHeldAnnouncements(time_point now);
   /// Takes over the departures that earlier incarnations of this daemon recorded.
--- a/tests/node/departure_test.cc
+++ b/tests/node/departure_test.cc
@@ -164,6 +164,31 @@
   EXPECT_TRUE(IsInUse());
 }
 
+// Guards against another writer's announcement with a higher sequence that hides that the
+// upstream leaves.
+TEST_F(DepartureTest, LeavingCountsWhateverWasAnnouncedSince) {
+  ASSERT_TRUE(Announce(50));
+  EXPECT_FALSE(Announce(3, true));
+  EXPECT_FALSE(IsInUse());
+  Announce(51);
+  EXPECT_FALSE(IsInUse());
+  world_.Advance(milliseconds(300));
+  Restart();
+  world_.Advance(seconds(1));
+  Announce(52);
+  EXPECT_FALSE(IsInUse());
+}
+
+// Guards against a late leaving of an earlier incarnation that drains the live one, or that is
+// forgotten.
+TEST_F(DepartureTest, LateLeavingOfAnEarlierIncarnationLeavesTheLiveOneInUse) {
+  ASSERT_TRUE(Announce(1, false, "next", kStarted + 50));
+  EXPECT_FALSE(Announce(2, true));
+  EXPECT_TRUE(IsInUse());
+  for (std::uint64_t sequence = 3; sequence < 9; ++sequence) EXPECT_FALSE(Announce(sequence));
+  EXPECT_EQ(world_.daemon(0).membership().upstream()->identity, "next");
+}
+
 // Each guards against an acknowledgement that a later process of the daemon does not know of.
 TEST_F(DepartureTest, AcknowledgementWaitsForTheLog) {
   world_.log.delay = milliseconds(200);
