--- a/src/configuration/route_target.h
+++ b/src/configuration/route_target.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <string>
 
 namespace bronzeroute {
@@ -9,7 +8,7 @@
 struct route_target {
   std::string service;
   /// Share of the requests, relative to the weights of the route's other targets.
-  std::uint32_t weight = 1;
+  double weight = 1;
 };
 
 }  // namespace bronzeroute
