Refuse a request with an unknown key also if its id continues that of a running one

Cause: such an id marks a call of running work, which needs no account; the id comes from the caller. Calls carry no key by the users' pages, so a request with one is no call. Ruled out: the key itself, since the same key gets 401 with another id. A test expected such requests to pass with an unknown key too; it now expects that of exempt routes only, and a new one expects 401.

Measured: UnknownKeyIsRefusedWhateverTheDepth fails on the code before and passes now. Still open: a request without any key whose id continues a running one passes, and a call whose id does not continue gets 401.

--- a/src/node/route_directory_adapter.cc
+++ b/src/node/route_directory_adapter.cc
@@ -32,8 +32,9 @@
   const account_spec* const account =
       request.credential ? current.FindAccount(*request.credential) : nullptr;
   if (account == nullptr) {
-    // A depth above 0 identifies a call of work that runs at this daemon's own upstream.
-    return needs_no_account || request.depth > 0;
+    // A depth above 0 marks a call of work that runs at this daemon's own upstream. Such calls
+    // carry no key, and callers choose the ids that the depth comes from.
+    return needs_no_account || (request.depth > 0 && !request.credential);
   }
   decision.account = account->name;
   decision.account_priority = account->priority;
--- a/tests/node/route_directory_adapter_test.cc
+++ b/tests/node/route_directory_adapter_test.cc
@@ -93,24 +93,39 @@
   EXPECT_EQ(Find("/elsewhere/1", "third").error, error_kind::kUnknownRoute);
 }
 
-// Guards against 401 for requests that need no key: those of an exempt route and the calls that
-// the daemon's own upstream makes for work that runs there, also with a key that is unknown.
+// Guards against 401 for requests that need no key: those of an exempt route, also with a key
+// that is unknown, and the calls that the daemon's own upstream makes for work that runs there.
 TEST_F(RouteDirectoryAdapterTest, ExemptRequestsAndCallsOfRunningWorkNeedNoKey) {
   Read(0, "1 alpha:first eastern:second");
-  for (const auto& key : {std::optional<std::string>(), std::optional<std::string>("third")}) {
-    for (const auto& [path, depth] : {std::pair{"/free/1", 0U}, {"/orders/1", 1U}}) {
-      const route_decision decision = Find(path, key, depth);
-      EXPECT_EQ(decision.error, error_kind::kNone) << path;
-      EXPECT_TRUE(decision.has_accounts) << path;
-      EXPECT_EQ(decision.account, "") << path;
-      EXPECT_EQ(decision.account_priority, 0U) << path;
-    }
+  struct row {
+    std::string path;
+    std::optional<std::string> key;
+    std::uint32_t depth;
+  };
+  for (const auto& [path, key, depth] :
+       {row{"/free/1", std::nullopt, 0}, {"/free/1", "third", 0}, {"/orders/1", {}, 1}}) {
+    const route_decision decision = Find(path, key, depth);
+    EXPECT_EQ(decision.error, error_kind::kNone) << path;
+    EXPECT_TRUE(decision.has_accounts) << path;
+    EXPECT_EQ(decision.account, "") << path;
+    EXPECT_EQ(decision.account_priority, 0U) << path;
   }
   EXPECT_EQ(Find("/free/1", "second").account, "eastern");
   EXPECT_EQ(Find("/free/1", "second").regions, region_limit({"east", "south"}));
   EXPECT_EQ(Find("/orders/1", "second", 1).account, "eastern");
 }
 
+// Guards against a request with a key that no account holds which runs because its caller chose
+// an id that continues the one of a running request.
+TEST_F(RouteDirectoryAdapterTest, UnknownKeyIsRefusedWhateverTheDepth) {
+  Read(0, "1 alpha:first eastern:second");
+  for (const std::uint32_t depth : {0U, 1U, 9U}) {
+    for (const std::string key : {"third", "", "firs"}) {
+      EXPECT_EQ(Find("/orders/1", key, depth).error, error_kind::kUnknownCredential) << key;
+    }
+  }
+}
+
 // Guards against keys that are looked at, or fields that are changed, in a deployment without
 // accounts, and against 401 from a daemon that has no configuration yet.
 TEST_F(RouteDirectoryAdapterTest, WithoutAccountsNoKeyIsNeeded) {
