Notice a change of the settings that comes between their first read and the first look at the file

Cause: the state of the file that later looks are compared with was taken after the settings had been read and the daemon had started. Now it is taken before the read, so that at worst unchanged settings are read once more.

Measured: ChangeDuringTheStartIsNoticed, which replaces the file while the daemon reads it, fails before (35.8 s, the time limit of its wait) and passes now.

--- a/src/daemon/run_daemon.cc
+++ b/src/daemon/run_daemon.cc
@@ -92,10 +92,10 @@
   });
 }
 
-/// Runs until SIGTERM or SIGINT arrives; reloads the settings when they change.
+/// Runs until SIGTERM or SIGINT arrives; reloads the settings when they change. `seen` is the
+/// state of `file` before the settings in effect were read.
 void Serve(daemon& running, log_writer& events, const sigset_t& signals,
-           const std::string& file) {
-  file_state seen(file);
+           const std::string& file, file_state seen) {
   for (;;) {
     const int received = sigtimedwait(&signals, nullptr, &kSettingsPoll);
     if (received == SIGTERM || received == SIGINT) return;
@@ -106,7 +106,7 @@
 }
 
 [[noreturn]] void Run(const settings& options, const daemon_parts& parts,
-                      const std::string& file) {
+                      const std::string& file, const file_state& read_state) {
   // Threads started later inherit this mask, so only sigtimedwait() in Serve() receives the
   // signals.
   const sigset_t signals = HandledSignals();
@@ -123,7 +123,7 @@
     std::cerr << "daemon: cannot start: " << status.message() << std::endl;
     std::_Exit(kExitStartFailed);
   }
-  Serve(*running, *events, signals, file);
+  Serve(*running, *events, signals, file, read_state);
   running->BeginStop();
   for (;;) {
     nanosleep(&kStopPoll, nullptr);
@@ -169,13 +169,15 @@
     }
     const auto file = parsed["settings"].as<std::string>();
     std::stringstream errors;
+    // Before the read, so that a change during the start counts as one.
+    const file_state read_state(file);
     const auto settings = ReadSettings(file, errors);
     if (!settings) {
       std::cerr << name << ": " << errors.str();
       return kExitBadSettings;
     }
     if (parsed.count("check") != 0) return kExitOk;
-    Run(*settings, parts, file);
+    Run(*settings, parts, file, read_state);
   } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << name << ": " << error.what() << "; see --help\n";
     return kExitUsage;
--- a/tests/process/reload_test.cc
+++ b/tests/process/reload_test.cc
@@ -1,4 +1,8 @@
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/ioctl.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
@@ -64,5 +68,35 @@
   EXPECT_TRUE(deployment_.pair(kFirst).daemon->IsRunning());
 }
 
+// Guards against a change of the settings between their first read and the first look at the
+// state of the file, which was never noticed.
+TEST_F(reload, ChangeDuringTheStartIsNoticed) {
+  Deploy();
+  std::ifstream file(SettingsFile());
+  std::stringstream text;
+  text << file.rdbuf();
+  const std::string original = text.str();
+  child_process& before = *deployment_.pair(kFirst).daemon;
+  before.Signal(SIGTERM);
+  before.Wait();
+  // The daemon reads its settings from a pipe, whose end it gets only once a changed file has
+  // taken the place of the pipe.
+  std::filesystem::remove(SettingsFile());
+  ASSERT_EQ(mkfifo(SettingsFile().c_str(), S_IRUSR | S_IWUSR), 0);
+  const int pipe = open(SettingsFile().c_str(), O_RDWR | O_CLOEXEC);
+  ASSERT_EQ(write(pipe, original.data(), original.size()),
+            static_cast<ssize_t>(original.size()));
+  deployment_.StartDaemon(kFirst);
+  EXPECT_TRUE(deployment::WaitFor([pipe] {
+    int unread = 0;
+    return ioctl(pipe, FIONREAD, &unread) == 0 && unread == 0;
+  }));
+  WriteSettings(original + "[stop]\nlinger_ms = -1\n");
+  close(pipe);
+  EXPECT_TRUE(deployment::WaitFor([&] {
+    return HasNamedError(std::ranges::count(original, '\n') + 2);
+  })) << deployment_.Output("daemon-0").substr(0, 4000);
+}
+
 }  // namespace
 }  // namespace bronzeroute::testing
