Refuse all requests under a version without routes

Cause: a document without routes by host was taken for one of the product's own form, in which the first segment of a path names the service.

--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -24,8 +24,10 @@
   std::uint32_t measuring_bytes_per_second = 0;
   std::uint32_t measuring_upstream_ms_per_second = 0;
   std::vector<service_spec> services;
-  /// Routes by host and path. If there are none, the first segment of a path names its service.
+  /// Routes by host and path.
   std::vector<host_route> host_routes;
+  /// Requests without a route in `host_routes` are refused, even if there are none at all.
+  bool needs_host_route = false;
   /// Client accounts. If there are none, requests need no key and belong to no account.
   std::vector<account_spec> accounts;
   caller_limits limits;
@@ -37,6 +39,9 @@
   const service_spec* FindService(std::string_view service_name) const;
   /// The route of a request, or null. Requires `IndexRoutes`.
   const host_route* FindHostRoute(std::string_view host, std::string_view path) const;
+  /// True if requests are routed by `host_routes`; otherwise the first segment of a path names
+  /// its service.
+  bool IsRoutedByHost() const { return needs_host_route || !host_routes.empty(); }
   /// The route with this `host_route::id`, or null. Requires `IndexRoutes`.
   const host_route* FindRouteById(std::uint64_t id) const;
   /// Computes the route ids and builds the indexes for `FindHostRoute` and `FindRouteById`.
--- a/src/node/route_directory_adapter.cc
+++ b/src/node/route_directory_adapter.cc
@@ -82,7 +82,7 @@
     return decision;
   }
   decision.config_version = configuration_.version();
-  if (!current->host_routes.empty()) {
+  if (current->IsRoutedByHost()) {
     const host_route* const route = current->FindHostRoute(request.host, request.path);
     if (route == nullptr) {
       decision.error = error_kind::kUnknownRoute;
@@ -129,7 +129,7 @@
                                            std::string_view path) const {
   const std::shared_ptr<const document> current = configuration_.current();
   if (current == nullptr) return false;
-  if (!current->host_routes.empty()) {
+  if (current->IsRoutedByHost()) {
     const host_route* const route = current->FindHostRoute(host, path);
     return route != nullptr && !route->is_protected;
   }
--- a/tests/node/account_document.h
+++ b/tests/node/account_document.h
@@ -17,6 +17,7 @@
 /// the paths /orders/ and, without the need of an account, /free/ of the host "shop". The route
 /// /orders/ has the priority 3 and allows the regions "east" and "west". The accounts have the
 /// priorities 1, 2 and so on; the account "eastern" allows only the regions "east" and "south".
+/// In a document of the form "VERSION unrouted" there are no routes.
 inline parse_result ReadAccountDocument(std::string_view bytes) {
   parse_result result;
   const std::vector<std::string> words = absl::StrSplit(std::string(bytes), ' ');
@@ -30,6 +31,10 @@
   service.long_share = 1;
   service.objective = 0.99;
   service.objective_latency = std::chrono::seconds(1);
+  if (words.size() > 1 && words[1] == "unrouted") {
+    read.needs_host_route = true;
+    return result;
+  }
   for (const char* prefix : {"/orders/", "/free/"}) {
     host_route route;
     route.host = "shop";
--- a/tests/node/route_directory_adapter_test.cc
+++ b/tests/node/route_directory_adapter_test.cc
@@ -126,6 +126,16 @@
   }
 }
 
+// Guards against a route that is served after a version has removed it and all others, since its
+// prefix is the name of its service.
+TEST_F(RouteDirectoryAdapterTest, VersionWithoutRoutesRefusesAllRequests) {
+  Read(0, "1");
+  EXPECT_EQ(Error(std::nullopt), error_kind::kNone);
+  Read(1, "2 unrouted");
+  EXPECT_EQ(Error(std::nullopt), error_kind::kUnknownRoute);
+  EXPECT_FALSE(routes_.IsRepeatable("GET", "shop", "/orders/1"));
+}
+
 // Guards against keys that are looked at, or fields that are changed, in a deployment without
 // accounts, and against 401 from a daemon that has no configuration yet.
 TEST_F(RouteDirectoryAdapterTest, WithoutAccountsNoKeyIsNeeded) {
--- a/tests/platform/read_configuration_test.cc
+++ b/tests/platform/read_configuration_test.cc
@@ -64,6 +64,18 @@
   EXPECT_EQ(read->FindHostRoute("hulo84.example", "/xapu221/other/"), nullptr);
 }
 
+// Guards against a version that removes all routes and leaves them in use, since the first
+// segment of a path then named its service.
+TEST(ReadConfiguration, DocumentWithoutRoutesRefusesAllRequests) {
+  std::string text = Example();
+  const std::size_t first = text.find("\"listeners\":[") + 13;
+  text.erase(first, text.find("],\"clusters\"") - first);
+  const parse_result result = ReadConfiguration(text);
+  ASSERT_TRUE(result.value) << text;
+  EXPECT_TRUE(result.value->host_routes.empty());
+  EXPECT_TRUE(result.value->IsRoutedByHost());
+}
+
 // Guards against a damaged document that partly takes effect or terminates the process.
 TEST(ReadConfiguration, RejectsInvalidDocuments) {
   for (const std::string& text :
