Let PipeliningTest.IdleTimeBeginsAfterTheLastResponse wait for the server, and reads of tests end

The test hung in a sanitizer build of the review. Cause: the client may have the second response before the server has processed the end of its write, which sets the deadline of the idle time; the only tick of the test then came too early, and the read after it waited without end. Now the test waits for the end of the response at the server before the tick.

So that a test with such a fault says so: the waits of holding_handler fail after 30 s, and a read from a connection that a test opened throws after 30 s without a byte or an end; it cannot be mistaken for the end of the connection.

--- a/tests/transport/holding_handler.h
+++ b/tests/transport/holding_handler.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <gtest/gtest.h>
+
 #include <algorithm>
+#include <chrono>
 #include <condition_variable>
 #include <cstddef>
 #include <functional>
@@ -44,6 +47,12 @@
   void AwaitDisconnected(std::size_t count) {
     Wait([&] { return disconnected_.size() >= count; });
   }
+  /// Waits until `count` responses have ended, which the server has then processed: the client
+  /// may have read them before.
+  void AwaitEnded(std::size_t count) {
+    Wait([&] { return ended_.size() >= count; });
+    RunOnLoop([] {});
+  }
   std::vector<std::string> Paths() {
     std::vector<std::string> paths;
     RunOnLoop([&] {
@@ -94,10 +103,12 @@
   }
 
  private:
+  static constexpr std::chrono::seconds kWaitLimit{30};
+
   template <typename Condition>
   void Wait(Condition holds) {
     std::unique_lock<std::mutex> lock(mutex_);
-    changed_.wait(lock, holds);
+    EXPECT_TRUE(changed_.wait_for(lock, kWaitLimit, holds)) << "not reached in time";
   }
   template <typename Action>
   void Change(Action action) {
--- a/tests/transport/pipelining_test.cc
+++ b/tests/transport/pipelining_test.cc
@@ -32,8 +32,13 @@
   PipeliningTest() {
     StartEventLoop();
     handler_.is_concurrent = [](const exchange& row) { return row.method != "POST"; };
-    port_ = FreePort();
-    EXPECT_TRUE(server_.Start("127.0.0.1:" + std::to_string(port_)).ok());
+    // Another process may bind a free port before the server does.
+    bool is_started = false;
+    for (int tries = 0; tries < 10 && !is_started; ++tries) {
+      port_ = FreePort();
+      is_started = server_.Start("127.0.0.1:" + std::to_string(port_)).ok();
+    }
+    EXPECT_TRUE(is_started);
     client_ = raw_socket::Connect(port_);
   }
   ~PipeliningTest() override { server_.Stop(); }
@@ -227,6 +232,7 @@
   RunOnLoop([&] { server_.Tick(MonotonicNow()); });
   handler_.Respond(1);
   EXPECT_TRUE(Next().ends_with("</2>"));
+  handler_.AwaitEnded(2);
   RunOnLoop([&] { server_.Tick(MonotonicNow() + std::chrono::seconds(1)); });
   EXPECT_EQ(client_.ReceiveAll(), "");
 }
--- a/tests/transport/raw_socket.h
+++ b/tests/transport/raw_socket.h
@@ -7,7 +7,9 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdint>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -15,7 +17,8 @@
 namespace bronzeroute {
 
 /// A blocking TCP socket on the loopback address, with which tests control every byte and every
-/// close.
+/// close. Reading throws if a connection that a test opened gets neither a byte nor its end for
+/// 30 s.
 class raw_socket {
  public:
   explicit raw_socket(int handle = -1) : handle_(handle) {}
@@ -42,6 +45,8 @@
   static raw_socket Connect(std::uint16_t port, timeval limit = {}) {
     raw_socket result(::socket(AF_INET, SOCK_STREAM, 0));
     ::setsockopt(result.handle_, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+    constexpr timeval kReceiveLimit{.tv_sec = 30, .tv_usec = 0};
+    ::setsockopt(result.handle_, SOL_SOCKET, SO_RCVTIMEO, &kReceiveLimit, sizeof kReceiveLimit);
     sockaddr_in address = Loopback(port);
     if (::connect(result.handle_, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
       result.Close();
@@ -68,6 +73,9 @@
   std::string Receive(std::size_t max = 65536) const {
     std::string bytes(max, '\0');
     const ssize_t size = ::recv(handle_, bytes.data(), bytes.size(), 0);
+    if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      throw std::runtime_error("neither a byte nor the end of the connection in time");
+    }
     bytes.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
     return bytes;
   }
