Stand-in of the platform: departures whose daemon is killed once it has acknowledged them

The oracle judges every request that is sent once the machine counts again.

A test and a comment are reformatted.

--- a/src/membership/membership_settings.h
+++ b/src/membership/membership_settings.h
@@ -76,8 +76,8 @@
   /// same records from peers, and the log is the secondary source.
   duration settled_read_pause = std::chrono::seconds(1);
   duration settle_time = std::chrono::seconds(10);
-  /// Time after the start for which the first append waits for a read. A log that serves appends
-  /// but no reads must not hide the member for longer.
+  /// Time after the start for which the first append waits for a read. A log that serves
+  /// appends but no reads must not hide the member for longer.
   duration first_read_wait = std::chrono::seconds(5);
   duration append_timeout = std::chrono::seconds(10);
   duration initial_backoff = std::chrono::milliseconds(500);
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -48,6 +48,7 @@
       ("limited-share", "share of the upstreams of the first service that name a limit", cxxopts::value(options.limited_share)->default_value("0"))
       ("limit-factor", "limit as a share of the requests that an upstream got before", cxxopts::value(options.limit_factor)->default_value("0.5"))
       ("leaving", "number of upstreams that leave", cxxopts::value(options.leaving)->default_value("0"))
+      ("departing", "number of upstreams that depart and whose daemon is then killed", cxxopts::value(options.departing)->default_value("0"))
       ("accounts", "number of client accounts; 0 for none", cxxopts::value(options.accounts)->default_value("0"))
       ("hot-account", "requests of the largest account as a multiple of its cap", cxxopts::value(options.hot_account)->default_value("1"))
       ("evacuations", "number of evacuations of a zone", cxxopts::value(options.evacuations)->default_value("0"))
--- a/standins/platform/platform_run.cc
+++ b/standins/platform/platform_run.cc
@@ -367,6 +367,45 @@
   }
 }
 
+void platform_run::ScheduleDepartures() {
+  for (int i = 0; i < options_.departing; ++i) {
+    // Different machines, in the first half of the run: a late report counts for 10 s.
+    const std::size_t machine = upstreams_.size() * static_cast<std::size_t>(i) /
+                                static_cast<std::size_t>(options_.departing);
+    RunAfter(options_.length * (i + 1) / (2 * options_.departing + 2), [this, i, machine] {
+      if (is_ended_) return;
+      upstreams_[machine]->Depart(i % 2 == 0, [this, machine](bool acknowledged) {
+        if (acknowledged && !is_ended_) OnDepartureAcknowledged(machine);
+      });
+    });
+  }
+}
+
+void platform_run::OnDepartureAcknowledged(std::size_t machine) {
+  constexpr milliseconds kKilledAfter{300};
+  constexpr milliseconds kReportLateBy{2500};
+  ++departures_;
+  const std::string& name = places_[machine].name;
+  std::cout << absl::StrFormat("%s at %s departs at %.3f\n", upstreams_[machine]->identity(),
+                               name, SecondsOfDay())
+            << std::flush;
+  // The machine counts again once it has been up for the stability window.
+  const milliseconds restarted = kKilledAfter + kStartTime + site_.bounds.stability;
+  upstream_oracle_.OnDepartureAcknowledged(
+      upstreams_[machine]->identity(),
+      clock::now() + std::max(restarted, milliseconds(site_.bounds.drain)));
+  RunAfter(kKilledAfter, [this, machine, name] {
+    if (is_ended_ || !restarting_.insert(name).second) return;
+    avoided_.insert(name);
+    daemons_[machine]->Signal(SIGKILL);
+    oracle_.OnDaemonFault(name, clock::now(), clock::time_point::max());
+    StartAgain(machine);
+  });
+  RunAfter(kReportLateBy, [this, machine] {
+    if (!is_ended_) upstreams_[machine]->SendLateReport();
+  });
+}
+
 void platform_run::ScheduleEvacuations() {
   for (int i = 0; i < options_.evacuations; ++i) {
     const auto length = options_.length / (options_.evacuations + 1);
@@ -511,6 +550,7 @@
     ScheduleRestart();
     ScheduleLimits();
     ScheduleLeaving();
+    ScheduleDepartures();
     ScheduleEvacuations();
   });
   while (clock::now() < end && !stop) std::this_thread::sleep_for(kPoll);
@@ -563,6 +603,7 @@
                                oracle_.excused());
   std::cout << absl::StrFormat("arrivals counted against limits: %d\n",
                                upstream_oracle_.limited_arrivals());
+  std::cout << absl::StrFormat("departures acknowledged: %d\n", departures_);
   std::cout << absl::StrFormat("arrivals of requests with regions: %d; at cold upstreams: %d\n",
                                placement_oracle_.limited_arrivals(),
                                placement_oracle_.cold_arrivals());
--- a/standins/platform/platform_run.h
+++ b/standins/platform/platform_run.h
@@ -54,9 +54,13 @@
   /// Lets some upstreams name a limit, and later no limit again.
   void ScheduleLimits();
   void ScheduleLeaving();
+  void ScheduleDepartures();
+  void OnDepartureAcknowledged(std::size_t machine);
   void ScheduleEvacuations();
   void EndEvacuation(const std::string& zone);
   std::vector<account_shape> MakeAccounts();
+  /// Departures that were acknowledged.
+  int departures_ = 0;
   /// The account that sends the next request, or null if there are none.
   const account_shape* PickAccount();
   void Tick();
--- a/standins/platform/platform_upstream.cc
+++ b/standins/platform/platform_upstream.cc
@@ -45,8 +45,7 @@
   return endpoint_.Start(Address(place_.ip, kUpstreamPort));
 }
 
-void platform_upstream::Announce() {
-  const bool says_leaving = is_leaving_ && steady_clock::now() >= leaving_reported_at_;
+std::string platform_upstream::Report(std::string_view state, std::uint64_t sequence) const {
   const json body = {{"address", Address(place_.ip, kUpstreamPort)},
                      {"born", born_},
                      {"info",
@@ -55,17 +54,43 @@
                        {"zone", place_.zone},
                        {"slots", service_.slots}}},
                      {"status",
-                      {{"state", says_leaving ? "draining" : "ready"},
-                       {"sequence", ++sequence_},
+                      {{"state", std::string(state)},
+                       {"sequence", sequence},
                        {"coldLeftMs", ColdLeft().count()}}}};
+  return body.dump();
+}
+
+void platform_upstream::Tell(std::string_view call, std::string body,
+                             std::function<void(bool)> done) {
   client_request report;
   report.method = "POST";
-  report.target = "/api/instances/" + identity_ + "/heartbeat";
+  report.target = absl::StrFormat("/api/instances/%s/%s", identity_, call);
   report.headers = {{"Host", "control"}, {"Content-Type", "application/json"}};
-  report.body = body.dump();
+  report.body = std::move(body);
   report.patience = std::chrono::seconds(1);
   client_.Send(Address(place_.ip, kControlPort), std::move(report),
-               [](const client_response& /*response*/) {});
+               [done = std::move(done)](const client_response& response) {
+                 done(response.status / 100 == 2);
+               });
+}
+
+void platform_upstream::Announce() {
+  if (has_departed_) return;
+  const bool says_leaving = is_leaving_ && steady_clock::now() >= leaving_reported_at_;
+  Tell("heartbeat", Report(says_leaving ? "draining" : "ready", ++sequence_), [](bool) {});
+}
+
+void platform_upstream::Depart(bool deregisters, std::function<void(bool)> done) {
+  has_departed_ = true;
+  if (deregisters) {
+    Tell("deregister", json{{"born", born_}}.dump(), std::move(done));
+  } else {
+    Tell("heartbeat", Report("draining", sequence_ + 2), std::move(done));
+  }
+}
+
+void platform_upstream::SendLateReport() {
+  Tell("heartbeat", Report("ready", sequence_ + 1), [](bool) {});
 }
 
 void platform_upstream::BecomeCold(steady_clock::time_point until) {
--- a/standins/platform/platform_upstream.h
+++ b/standins/platform/platform_upstream.h
@@ -46,6 +46,11 @@
   /// Says in each response that it leaves; its reports say so from `reported_at` on, since they
   /// may be late.
   void BeginLeaving(std::chrono::steady_clock::time_point reported_at);
+  /// Tells the daemon that it leaves, with a last report or, if `deregisters`, without one, and
+  /// sends no report from then on. `done` gets whether the daemon acknowledged it.
+  void Depart(bool deregisters, std::function<void(bool)> done);
+  /// A report from before `Depart`, the next in its order, arrives now.
+  void SendLateReport();
   /// Is cold from now until `until`; its reports say so, the next at the earliest.
   void BecomeCold(std::chrono::steady_clock::time_point until);
   const machine_place& place() const { return place_; }
@@ -63,6 +68,10 @@
     bool has_failed = false;
   };
 
+  /// The body of a report with the state `ready` or `draining`.
+  std::string Report(std::string_view state, std::uint64_t sequence) const;
+  /// Sends `body` to the daemon beside it.
+  void Tell(std::string_view call, std::string body, std::function<void(bool)> done);
   void Handle(const received_request& request, const http_endpoint::responder& respond);
   void RefuseRun(const http_endpoint::responder& respond, int status);
   void Run(const std::shared_ptr<job>& work);
@@ -89,6 +98,7 @@
   int arrivals_ = 0;
   double limit_ = -1;
   bool is_leaving_ = false;
+  bool has_departed_ = false;
   std::chrono::steady_clock::time_point cold_until_;
   std::chrono::steady_clock::time_point leaving_reported_at_;
   std::deque<std::shared_ptr<job>> queue_;
--- a/standins/platform/run_options.h
+++ b/standins/platform/run_options.h
@@ -30,6 +30,10 @@
   double limit_factor = 0.5;
   /// Number of upstreams that leave, one after the other.
   int leaving = 0;
+  /// Number of upstreams that depart, by turns with a report and without one. Once that is
+  /// acknowledged, the daemon beside is killed and started again, and a report from before
+  /// arrives late.
+  int departing = 0;
   /// Number of client accounts; 0 for none. One of them sends `hot_account` times its cap.
   int accounts = 0;
   double hot_account = 1;
--- a/standins/platform/upstream_oracle.cc
+++ b/standins/platform/upstream_oracle.cc
@@ -35,6 +35,11 @@
   upstreams_[upstream].leaving_passed_on.try_emplace(machine, now);
 }
 
+void upstream_oracle::OnDepartureAcknowledged(const std::string& upstream,
+                                              clock::time_point judged_from) {
+  upstreams_[upstream].departed = judged_from;
+}
+
 void upstream_oracle::OnRestart(const std::string& machine, clock::time_point /*now*/) {
   for (auto& [name, row] : upstreams_) {
     row.limit_passed_on.erase(machine);
@@ -55,6 +60,12 @@
                                                 "had passed on that this upstream leaves",
                                                 request, upstream, machine, after.count())});
   }
+  if (row.departed && sent > *row.departed) {
+    const std::chrono::duration<double> after = sent - *row.departed;
+    breaks_.push_back({"DRAIN", absl::StrFormat("id %s reached %s, sent at %s %.3f s after its "
+                                                "departure had to be in effect",
+                                                request, upstream, machine, after.count())});
+  }
   const auto limit = row.limit_passed_on.find(machine);
   if (row.per_second >= 0 && limit != row.limit_passed_on.end() &&
       limit->second + kKnownAfter <= now && row.named + bounds_.stability <= now) {
--- a/standins/platform/upstream_oracle.h
+++ b/standins/platform/upstream_oracle.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,8 +14,9 @@
 namespace bronzeroute::standin {
 
 /// Judges what upstreams got against what they had named in their responses: a limit (LIMIT) or
-/// that they leave (DRAIN). A machine counts once a caller on it has received such a response,
-/// until the daemon there starts again. Times are of one steady clock.
+/// that they leave (DRAIN), and against departures that their daemon has acknowledged, which
+/// bind all machines. For the other two, a machine counts once a caller on it has received such
+/// a response, until the daemon there starts again. Times are of one steady clock.
 class upstream_oracle {
  public:
   using clock = std::chrono::steady_clock;
@@ -29,6 +31,9 @@
   /// A response in which `upstream` says that it leaves reached a caller on `machine`.
   void OnLeavingPassedOn(const std::string& upstream, const std::string& machine,
                          clock::time_point now);
+  /// The daemon beside `upstream` has acknowledged that it leaves: no request that is sent
+  /// after `judged_from` may reach it.
+  void OnDepartureAcknowledged(const std::string& upstream, clock::time_point judged_from);
   /// A request that a caller on `machine` sent at `sent` reached the upstream.
   void OnArrival(const std::string& upstream, const std::string& machine,
                  const std::string& request, clock::time_point sent, clock::time_point now);
@@ -46,6 +51,7 @@
     /// When each machine passed on the limit, and the leaving, first since its start.
     std::map<std::string, clock::time_point> limit_passed_on;
     std::map<std::string, clock::time_point> leaving_passed_on;
+    std::optional<clock::time_point> departed;
     /// Arrivals of the last window that count against the limit.
     std::deque<clock::time_point> arrivals;
     bool is_broken = false;
--- a/tests/node/route_directory_adapter_test.cc
+++ b/tests/node/route_directory_adapter_test.cc
@@ -126,8 +126,8 @@
   }
 }
 
-// Guards against a route that is served after a version has removed it and all others, since its
-// prefix is the name of its service.
+// Guards against a route that is served after a version has removed it and all others, since
+// its prefix is the name of its service.
 TEST_F(RouteDirectoryAdapterTest, VersionWithoutRoutesRefusesAllRequests) {
   Read(0, "1");
   EXPECT_EQ(Error(std::nullopt), error_kind::kNone);
--- a/tests/platform_run/small_deployment_test.cc
+++ b/tests/platform_run/small_deployment_test.cc
@@ -85,6 +85,15 @@
   EXPECT_EQ(run.code, 0) << run.output;
 }
 
+// Guards against the use of an upstream whose departure was acknowledged by a daemon that is
+// then killed, when a report from before arrives late.
+TEST_F(small_deployment, DepartedUpstreamsAreNotUsedAfterTheirDaemonWasKilled) {
+  const run_result run = Play({"--site", Example(), "--seconds", "20", "--change-ms", "0",
+                               "--departing", "4", "--seed", "8"});
+  EXPECT_EQ(run.code, 0) << run.output;
+  EXPECT_NE(run.output.find("departures acknowledged: 4"), std::string::npos) << run.output;
+}
+
 // Guards against confirmed versions that are missed, and daemons that are not found, after the
 // store came back from an older copy, while daemons are stopped and started again.
 TEST_F(small_deployment, VersionsAreInEffectAfterTheStoreWasRestored) {
--- a/tests/platform_run/upstream_oracle_test.cc
+++ b/tests/platform_run/upstream_oracle_test.cc
@@ -82,5 +82,15 @@
   EXPECT_EQ(Broken(), "DRAIN ");
 }
 
+TEST_F(UpstreamOracleTest, FindsARequestFromAnyMachineAfterADepartureInSpiteOfARestart) {
+  oracle_.OnDepartureAcknowledged("i-1", At(2000));
+  oracle_.OnArrival("i-1", "m-1", "1", At(2000), At(2900));
+  oracle_.OnArrival("i-2", "m-1", "2", At(3000), At(3100));
+  oracle_.OnRestart("m-1", At(3500));
+  EXPECT_EQ(Broken(), "");
+  oracle_.OnArrival("i-1", "m-2", "3", At(4000), At(4100));
+  EXPECT_EQ(Broken(), "DRAIN ");
+}
+
 }  // namespace
 }  // namespace bronzeroute::standin
