--- a/tests/process/owner_loss_test.cc
+++ b/tests/process/owner_loss_test.cc
@@ -47,6 +47,11 @@
     }
     return text;
   }
+  // Why the call went where it did, for failure messages.
+  std::string ExplainText(std::size_t entry, const std::string& call) {
+    deployment_.RunCtl({"explain", "--admin", deployment_.pair(entry).admin, call});
+    return deployment_.ctl_output();
+  }
 };
 
 // Guards against a protected call that is repeated or reported as not-run when its owner is
@@ -142,10 +147,12 @@
         [this] { return IsIdle(kFirst) && IsIdle(kSecond) && IsIdle(kEntry); }));
     EXPECT_EQ(oracle.Contradictions(), "") << "deadline " << deadline_ms;
     const std::int64_t before = deployment_.Runs(frozen);
+    std::string last_call;
     EXPECT_TRUE(deployment::WaitFor([&] {
-      deployment_.Call(kEntry, "GET", "/orders/1");
+      last_call = deployment_.Call(kEntry, "GET", "/orders/1").call_id;
       return deployment_.Runs(frozen) > before;
-    }));
+    })) << ExplainText(kEntry, last_call)
+        << MembersText();
   }
 }
 
