--- a/tests/node/departure_test.cc
+++ b/tests/node/departure_test.cc
@@ -47,7 +47,17 @@
     return daemon.membership().upstream() != nullptr && !daemon.admission().system().draining();
   }
 
+  /// Waits, as the endpoints do, for the record of the departures; the outcome is in
+  /// `recorded_`.
+  void AwaitRecord() {
+    recorded_.reset();
+    world_.daemon(0).AwaitDepartureRecord(
+        world_.now() + milliseconds(800), [this](bool is_recorded) { recorded_ = is_recorded; },
+        world_.now());
+  }
+
   runtime_world world_{3, {}};
+  std::optional<bool> recorded_;
 };
 
 // Each guards against a daemon that was restarted and uses an upstream whose departure the
@@ -193,27 +203,21 @@
 TEST_F(DepartureTest, AcknowledgementWaitsForTheLog) {
   world_.log.delay = milliseconds(200);
   Deregister();
-  std::optional<bool> recorded;
-  world_.daemon(0).AwaitDepartureRecord(
-      world_.now() + milliseconds(800), [&](bool is_recorded) { recorded = is_recorded; },
-      world_.now());
+  AwaitRecord();
   world_.Advance(milliseconds(150));
-  EXPECT_EQ(recorded, std::nullopt);
+  EXPECT_EQ(recorded_, std::nullopt);
   world_.Advance(milliseconds(100));
-  EXPECT_EQ(recorded, true);
+  EXPECT_EQ(recorded_, true);
 }
 
 TEST_F(DepartureTest, DepartureThatTheLogDoesNotTakeIsNotAcknowledgedUntilItDoes) {
   world_.log.is_down = true;
   const auto announce_leaving = [&](std::uint64_t sequence) {
-    std::optional<bool> recorded;
     Announce(sequence, true);
     EXPECT_FALSE(IsInUse());
-    world_.daemon(0).AwaitDepartureRecord(
-        world_.now() + milliseconds(800), [&](bool is_recorded) { recorded = is_recorded; },
-        world_.now());
+    AwaitRecord();
     world_.Advance(milliseconds(900));
-    return recorded;
+    return recorded_;
   };
   EXPECT_EQ(announce_leaving(2), false);
   EXPECT_EQ(announce_leaving(3), false);
@@ -224,12 +228,9 @@
 TEST_F(DepartureTest, AppendWhoseResponseIsLostIsRepeated) {
   world_.log.lose_answers = 1;
   Deregister();
-  std::optional<bool> recorded;
-  world_.daemon(0).AwaitDepartureRecord(
-      world_.now() + milliseconds(800), [&](bool is_recorded) { recorded = is_recorded; },
-      world_.now());
+  AwaitRecord();
   world_.Advance(milliseconds(800));
-  EXPECT_EQ(recorded, true);
+  EXPECT_EQ(recorded_, true);
 }
 
 // Guards against another writer whose departures of invented upstreams cost calls to the log or
