--- a/src/membership/upstream_departure.cc
+++ b/src/membership/upstream_departure.cc
@@ -5,8 +5,8 @@
 namespace bronzeroute {
 
 bool AddDeparture(std::vector<upstream_departure>& to, const upstream_departure& added) {
-  if (added.identity.empty() || added.identity.size() > kMaxDepartureIdentityBytes)
-    return false;
+  const std::size_t bytes = added.identity.size();
+  if (bytes == 0 || bytes > kMaxDepartureIdentityBytes) return false;
   const auto known = std::ranges::find(to, added.identity, &upstream_departure::identity);
   if (known != to.end()) {
     if (*known == added || known->started_ms > added.started_ms) return false;
