Refuse requests of a share without a service, and keys of no single account, as not run

A document could express neither: a reader had to refuse it as a whole, so that the version was in effect nowhere.

Change: a route target without a service stands for a share whose requests get 503 unservable_route, after the check of the key; keys in `refused_credentials` get 503 unservable_account.

Nothing produces such documents yet. RouteDirectoryAdapterTest.RouteWithoutService* and KeyOfNoSingleAccount* pass.

--- a/src/base/error_kind.cc
+++ b/src/base/error_kind.cc
@@ -22,6 +22,10 @@
 // Retry delay while the daemon beside the caller restarts.
 constexpr duration kRestartRetryDelay = std::chrono::seconds(1);
 
+// Retry delay until an operator has published a corrected configuration: an earlier retry gets
+// the same response.
+constexpr duration kCorrectionRetryDelay = std::chrono::seconds(5);
+
 constexpr auto kTable = std::to_array<error_response>({
     {kNone, "none", 200, kRan, false, "No error."},
     {kBadHeader, "bad_header", 400, kNotRun, false, "A Bronzeroute header is malformed."},
@@ -92,6 +96,12 @@
      "No upstream in the regions allowed for the request can take it.", kBusyRetryDelay},
     {kEvacuated, "evacuated", 503, kNotRun, true,
      "The availability zone of the upstream is evacuated.", kBusyRetryDelay},
+    {kUnservableRoute, "unservable_route", 503, kNotRun, false,
+     "The configuration in force names no usable service for this request of the route.",
+     kCorrectionRetryDelay},
+    {kUnservableAccount, "unservable_account", 503, kNotRun, false,
+     "The configuration in force contains the key, but no single usable account that holds it.",
+     kCorrectionRetryDelay},
 });
 
 }  // namespace
--- a/src/base/error_kind.h
+++ b/src/base/error_kind.h
@@ -49,6 +49,8 @@
   kUsageCapReached = 36,
   kOutsideRegions = 37,
   kEvacuated = 38,
+  kUnservableRoute = 39,
+  kUnservableAccount = 40,
 };
 
 /// The response that a caller receives for `kind`.
--- a/src/calls/route_decision.h
+++ b/src/calls/route_decision.h
@@ -11,10 +11,10 @@
 
 /// Route and settings of a request according to the configuration in effect.
 struct route_decision {
-  /// kNone, kNotReady, kUnknownService, kUnknownRoute or kUnknownCredential.
+  /// kNone, kNotReady, kUnknownService, kUnknownRoute, kUnknownCredential, kUnservableAccount
+  /// or kUnservableRoute.
   error_kind error = error_kind::kNone;
-  /// The service that receives the request; empty after kNotReady, kUnknownRoute and
-  /// kUnknownCredential.
+  /// The service that receives the request; empty after an error other than kUnknownService.
   std::string service{};
   bool is_protected = false;
   bool is_long = false;
--- a/src/configuration/document.cc
+++ b/src/configuration/document.cc
@@ -40,7 +40,13 @@
 
 const account_spec* document::FindAccount(const credential_digest& credential) const {
   const auto found = by_credential_.find(credential);
-  return found == by_credential_.end() ? nullptr : &accounts[found->second];
+  const bool is_held = found != by_credential_.end() && found->second != kNoAccount;
+  return is_held ? &accounts[found->second] : nullptr;
+}
+
+bool document::IsRefused(const credential_digest& credential) const {
+  const auto found = by_credential_.find(credential);
+  return found != by_credential_.end() && found->second == kNoAccount;
 }
 
 const account_spec* document::FindAccountByName(std::string_view account_name) const {
@@ -51,6 +57,9 @@
 bool document::IndexAccounts() {
   absl::flat_hash_map<credential_digest, std::size_t> by_credential;
   absl::flat_hash_map<std::string, std::size_t> by_name;
+  for (const credential_digest& refused : refused_credentials) {
+    by_credential.emplace(refused, kNoAccount);
+  }
   for (std::size_t i = 0; i < accounts.size(); ++i) {
     if (!by_name.emplace(accounts[i].name, i).second) return false;
     for (const credential_digest& credential : accounts[i].credentials) {
--- a/src/node/route_directory_adapter.cc
+++ b/src/node/route_directory_adapter.cc
@@ -23,23 +23,28 @@
   return path.substr(0, path.find_first_of("/?"));
 }
 
-// Sets the account of `request` in `decision`. Returns false if the request needs an account
-// and has none.
-bool FindAccount(const document& current, const caller_request& request, bool needs_no_account,
-                 route_decision& decision) {
-  if (current.accounts.empty()) return true;
+// Sets the account of `request` in `decision`. Returns kNone, or kUnknownCredential or
+// kUnservableAccount if the request needs an account and has none.
+error_kind FindAccount(const document& current, const caller_request& request,
+                       bool needs_no_account, route_decision& decision) {
+  if (current.accounts.empty()) return error_kind::kNone;
   decision.has_accounts = true;
   const account_spec* const account =
       request.credential ? current.FindAccount(*request.credential) : nullptr;
   if (account == nullptr) {
     // A depth above 0 marks a call of work that runs at this daemon's own upstream. Such calls
     // carry no key, and callers choose the ids that the depth comes from.
-    return needs_no_account || (request.depth > 0 && !request.credential);
+    if (needs_no_account || (request.depth > 0 && !request.credential)) {
+      return error_kind::kNone;
+    }
+    return request.credential && current.IsRefused(*request.credential)
+               ? error_kind::kUnservableAccount
+               : error_kind::kUnknownCredential;
   }
   decision.account = account->name;
   decision.account_priority = account->priority;
   decision.regions = decision.regions.And(account->regions);
-  return true;
+  return error_kind::kNone;
 }
 
 }  // namespace
@@ -89,11 +94,13 @@
       return decision;
     }
     decision.regions = route->regions;
-    if (!FindAccount(*current, request, route->needs_no_account, decision)) {
-      decision.error = error_kind::kUnknownCredential;
+    decision.error = FindAccount(*current, request, route->needs_no_account, decision);
+    if (decision.error != error_kind::kNone) return decision;
+    decision.service = NextTarget(*route);
+    if (decision.service.empty()) {
+      decision.error = error_kind::kUnservableRoute;
       return decision;
     }
-    decision.service = NextTarget(*route);
     decision.is_protected = route->is_protected;
     decision.is_long = route->is_long;
     decision.is_marked_short = !route->is_long;
@@ -111,9 +118,9 @@
     decision.error = error_kind::kUnknownService;
     return decision;
   }
-  if (!FindAccount(*current, request, false, decision)) {
+  decision.error = FindAccount(*current, request, false, decision);
+  if (decision.error != error_kind::kNone) {
     decision.service.clear();
-    decision.error = error_kind::kUnknownCredential;
     return decision;
   }
   const route_spec route = FindRoute(*spec, request.method, request.path);
--- a/src/node/route_directory_adapter.h
+++ b/src/node/route_directory_adapter.h
@@ -28,7 +28,8 @@
                     std::string_view path) const;
 
  private:
-  /// Returns the service that receives the next request of `route`, by the targets' weights.
+  /// Returns the service that receives the next request of `route`, by the targets' weights;
+  /// empty if the request falls to a share without a service.
   const std::string& NextTarget(const host_route& route);
 
   const configuration_system& configuration_;
--- a/tests/node/account_document.h
+++ b/tests/node/account_document.h
@@ -17,7 +17,9 @@
 /// the paths /orders/ and, without the need of an account, /free/ of the host "shop". The route
 /// /orders/ has the priority 3 and allows the regions "east" and "west". The accounts have the
 /// priorities 1, 2 and so on; the account "eastern" allows only the regions "east" and "south".
-/// In a document of the form "VERSION unrouted" there are no routes.
+/// In a document of the form "VERSION unrouted" there are no routes, and in one of the form
+/// "VERSION closed NAME:KEY ..." requests need a key even without accounts, /orders/ has no
+/// service, and the key "refused" belongs to no account.
 inline parse_result ReadAccountDocument(std::string_view bytes) {
   parse_result result;
   const std::vector<std::string> words = absl::StrSplit(std::string(bytes), ' ');
@@ -35,11 +37,13 @@
     read.needs_host_route = true;
     return result;
   }
+  const bool is_closed = words.size() > 1 && words[1] == "closed";
   for (const char* prefix : {"/orders/", "/free/"}) {
     host_route route;
     route.host = "shop";
     route.prefix = prefix;
     route.targets = {{.service = "orders"}};
+    if (is_closed && route.prefix == "/orders/") route.targets = {route_target()};
     route.time_limit = std::chrono::seconds(1);
     route.priority = 3;
     route.needs_no_account = route.prefix == "/free/";
@@ -47,7 +51,8 @@
     read.host_routes.push_back(route);
   }
   read.IndexRoutes();
-  for (std::size_t i = 1; i < words.size(); ++i) {
+  if (is_closed) read.refused_credentials = {DigestCredential("refused")};
+  for (std::size_t i = is_closed ? 2 : 1; i < words.size(); ++i) {
     const std::vector<std::string> parts = absl::StrSplit(words[i], ':');
     account_spec account;
     account.name = parts.front();
--- a/tests/node/route_directory_adapter_test.cc
+++ b/tests/node/route_directory_adapter_test.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "src/base/error_response.h"
 #include "src/calls/caller_request.h"
 #include "src/configuration/configuration_peer_port.h"
 #include "src/configuration/configuration_record.h"
@@ -136,6 +137,30 @@
   EXPECT_FALSE(routes_.IsRepeatable("GET", "shop", "/orders/1"));
 }
 
+// Guards against a route that falls to another one, or to 404, since it cannot be served, and
+// against callers without a valid key who learn of that.
+TEST_F(RouteDirectoryAdapterTest, RouteWithoutServiceIsRefusedAsNotRun) {
+  Read(0, "1 closed alpha:first");
+  const route_decision refused = Find("/orders/1", "first");
+  EXPECT_EQ(refused.error, error_kind::kUnservableRoute);
+  EXPECT_EQ(refused.service, "");
+  EXPECT_EQ(Error("second"), error_kind::kUnknownCredential);
+  const error_response& response = ErrorResponseFor(error_kind::kUnservableRoute);
+  EXPECT_EQ(response.http_status, 503);
+  EXPECT_EQ(response.state, execution::kNotRun);
+}
+
+// Guards against 401 for a key that the version contains, and against a run for the wrong
+// account.
+TEST_F(RouteDirectoryAdapterTest, KeyOfNoSingleAccountIsRefusedAsNotRun) {
+  Read(0, "1 closed alpha:first");
+  EXPECT_EQ(Error("refused"), error_kind::kUnservableAccount);
+  EXPECT_EQ(Find("/orders/1", "refused", 1).error, error_kind::kUnservableAccount);
+  EXPECT_EQ(Find("/free/1", "refused").error, error_kind::kNone);
+  EXPECT_EQ(Find("/free/1", "refused").account, "");
+  EXPECT_EQ(ErrorResponseFor(error_kind::kUnservableAccount).http_status, 503);
+}
+
 // Guards against keys that are looked at, or fields that are changed, in a deployment without
 // accounts, and against 401 from a daemon that has no configuration yet.
 TEST_F(RouteDirectoryAdapterTest, WithoutAccountsNoKeyIsNeeded) {
