Let a version take effect whatever one of its values is

Cause: ReadConfiguration() refused the whole document for one value, while the store accepts it and its response is the ack. Ruled out: wider ranges alone, as a name that stands twice or a service that is not defined has none; leaving out every faulty element, as an account would lose its cap, or a route its kind.

What is replaced is kept in the document (the first 16 values and their number), logged once a version (values_replaced, which takes the place of unknown_values) and counted by bronzeroute_config_replaced_values.

--- a/src/configuration/configuration_system.cc
+++ b/src/configuration/configuration_system.cc
@@ -206,7 +206,6 @@
     } else {
       result.outcome = record_outcome::kAccepted;
       from_peer_ = false;
-      result.unknown = std::move(parsed.unknown);
       in_effect_.version = parsed.value->version;
       in_effect_.as_of = in_effect_.version;
       in_effect_.bytes = record.data;
--- a/src/configuration/folded_record.h
+++ b/src/configuration/folded_record.h
@@ -26,8 +26,6 @@
   bool was_missed = false;
   /// Errors in the document if the outcome is `kInvalidDocument`.
   std::vector<document_error> errors;
-  /// Values of an accepted document that this build does not know.
-  std::vector<document_error> unknown;
 };
 
 }  // namespace bronzeroute
--- a/src/configuration/parse_result.h
+++ b/src/configuration/parse_result.h
@@ -12,8 +12,6 @@
 struct parse_result {
   std::optional<document> value;
   std::vector<document_error> errors;
-  /// Values of a valid document that this build does not know and treats in a safe way.
-  std::vector<document_error> unknown;
 };
 
 }  // namespace bronzeroute
--- a/src/measuring/exposition.cc
+++ b/src/measuring/exposition.cc
@@ -237,6 +237,9 @@
     AppendNumber(out, value);
     out += '\n';
   };
+  append("bronzeroute_config_replaced_values", "gauge",
+         "Values of the configuration in effect that cannot be used as written.",
+         static_cast<double>(restrictions.replaced_values));
   append("bronzeroute_evacuated_zones", "gauge",
          "Availability zones that this daemon knows to be evacuated.",
          static_cast<double>(restrictions.evacuated_zones));
--- a/src/node/decision_log.cc
+++ b/src/node/decision_log.cc
@@ -10,8 +10,10 @@
 #include "src/calls/call_id_text.h"
 #include "src/calls/call_record.h"
 #include "src/calls/owner_attempt_record.h"
+#include "src/configuration/document.h"
 #include "src/configuration/document_error.h"
 #include "src/configuration/folded_record.h"
+#include "src/configuration/substitution.h"
 #include "src/logging/log_line.h"
 #include "src/logging/log_sink.h"
 #include "src/membership/membership_event.h"
@@ -122,21 +124,22 @@
     line.Add("errors", record.errors.size()).Add("first", DescribeError(record.errors.front()));
   }
   sink_->Write(line);
-  if (record.unknown.empty()) return;
-  log_line unknown(log_weight::kState, "config", "unknown_values");
-  unknown.Add("offset", record.offset).Add("values", record.unknown.size());
-  const std::size_t listed = std::min(record.unknown.size(), kMaxListedValues);
-  for (const document_error& each : std::span(record.unknown).first(listed)) {
-    unknown.Add("value", DescribeError(each));
-  }
-  sink_->Write(unknown);
 }
 
-void decision_log::OnConfigurationInEffect(std::int64_t version, std::string_view source) {
+void decision_log::OnConfigurationInEffect(const document& current, std::int64_t version,
+                                           std::string_view source) {
   if (sink_ == nullptr) return;
   log_line line(log_weight::kState, "config", "in_effect");
   line.Add("version", version).Add("source", source);
   sink_->Write(line);
+  if (current.substitutions == 0) return;
+  log_line replaced(log_weight::kState, "config", "values_replaced");
+  replaced.Add("version", version).Add("values", current.substitutions);
+  const std::span<const substitution> all = current.listed_substitutions;
+  for (const substitution& each : all.first(std::min(all.size(), kMaxListedValues))) {
+    replaced.Add("value", DescribeSubstitution(each));
+  }
+  sink_->Write(replaced);
 }
 
 void decision_log::OnUpstreamRate(std::string_view identity, std::optional<double> per_second) {
--- a/src/node/decision_log.h
+++ b/src/node/decision_log.h
@@ -11,6 +11,7 @@
 class admission_system;
 class log_sink;
 struct call_record;
+struct document;
 struct usage_counters;
 struct membership_event;
 struct owner_attempt_record;
@@ -29,7 +30,10 @@
   void OnAttemptEnded(const owner_attempt_record& row, const admission_system& state);
   void OnMembership(const membership_event& event);
   void OnConfigurationRecord(const folded_record& record);
-  void OnConfigurationInEffect(std::int64_t version, std::string_view source);
+  /// `current` is in effect as `version`. Its values that were replaced get a line of their
+  /// own.
+  void OnConfigurationInEffect(const document& current, std::int64_t version,
+                               std::string_view source);
   /// The upstream names a limit in requests per second, or no longer names one.
   void OnUpstreamRate(std::string_view identity, std::optional<double> per_second);
   /// The limit of a cold upstream begins with `per_second` starts per second, or ends (0).
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -364,7 +364,9 @@
 
 restriction_metrics node_runtime::restrictions(time_point now) const {
   const admission_system& system = admission_.system();
-  return {.evacuated_zones = evacuations_.zones().size(),
+  const auto current = configuration_.current();
+  return {.replaced_values = current == nullptr ? 0 : current->substitutions,
+          .evacuated_zones = evacuations_.zones().size(),
           .cold_rate_per_s = system.ColdRate(now),
           .held_by_cold_limit = system.held_by_cold_limit()};
 }
@@ -446,7 +448,7 @@
   admission_.SetAccounts(current->accounts);
   budget_.SetLimits(current->measuring_bytes_per_second,
                     std::chrono::milliseconds(current->measuring_upstream_ms_per_second));
-  decisions_.OnConfigurationInEffect(applied_version_, configuration_.source());
+  decisions_.OnConfigurationInEffect(*current, applied_version_, configuration_.source());
   // An upstream whose service no configuration has named yet is that of another writer.
   const upstream_announcement* const upstream = membership_.upstream();
   if (upstream != nullptr && applied_service_.empty() &&
