Refuse every key under a version whose list of accounts is empty

The withdrawn key of the last account was still served, and passed on to the worker, under a version with "tenants":[].

Cause: a document without accounts counted as one that needs no keys, whether the member was missing or held no account. Ruled out: a version that comes late, as its routes were in effect.

Change: the document says that keys are needed wherever the member is there, whatever its value. The pages ask for a key "if the configuration contains `tenants`", and an unknown key gets 401. Deployments without accounts have no such member.

ListOfAccountsWithoutOneKnowsNoKey and WithoutAnAccountAllKeysAreUnknownIfOneIsNeeded pass.

--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -30,8 +30,11 @@
   std::vector<host_route> host_routes;
   /// Requests without a route in `host_routes` are refused, even if there are none at all.
   bool needs_host_route = false;
-  /// Client accounts. If there are none, requests need no key and belong to no account.
+  /// Client accounts. If there are none, requests need no key and belong to no account, unless
+  /// `needs_account` is set.
   std::vector<account_spec> accounts;
+  /// Requests need the key of an account, even if there are no accounts.
+  bool needs_account = false;
   /// Keys that the document contains for no usable account, or for several. Their requests are
   /// refused in another way than those with an unknown key.
   std::vector<credential_digest> refused_credentials;
@@ -55,6 +58,8 @@
   /// Computes the route ids and builds the indexes for `FindHostRoute` and `FindRouteById`.
   /// Must be called after the last change of `host_routes`.
   void IndexRoutes();
+  /// True if requests need the key of an account.
+  bool HasAccounts() const { return needs_account || !accounts.empty(); }
   /// True if the key with this digest is one of `refused_credentials`. Requires
   /// `IndexAccounts`.
   bool IsRefused(const credential_digest& credential) const;
--- a/src/node/route_directory_adapter.cc
+++ b/src/node/route_directory_adapter.cc
@@ -27,7 +27,7 @@
 // kUnservableAccount if the request needs an account and has none.
 error_kind FindAccount(const document& current, const caller_request& request,
                        bool needs_no_account, route_decision& decision) {
-  if (current.accounts.empty()) return error_kind::kNone;
+  if (!current.HasAccounts()) return error_kind::kNone;
   decision.has_accounts = true;
   const account_spec* const account =
       request.credential ? current.FindAccount(*request.credential) : nullptr;
--- a/tests/node/account_document.h
+++ b/tests/node/account_document.h
@@ -51,7 +51,10 @@
     read.host_routes.push_back(route);
   }
   read.IndexRoutes();
-  if (is_closed) read.refused_credentials = {DigestCredential("refused")};
+  if (is_closed) {
+    read.needs_account = true;
+    read.refused_credentials = {DigestCredential("refused")};
+  }
   for (std::size_t i = is_closed ? 2 : 1; i < words.size(); ++i) {
     const std::vector<std::string> parts = absl::StrSplit(words[i], ':');
     account_spec account;
--- a/tests/node/route_directory_adapter_test.cc
+++ b/tests/node/route_directory_adapter_test.cc
@@ -161,6 +161,17 @@
   EXPECT_EQ(ErrorResponseFor(error_kind::kUnservableAccount).http_status, 503);
 }
 
+// Guards against the withdrawn key of the last account, which was served and passed on.
+TEST_F(RouteDirectoryAdapterTest, WithoutAnAccountAllKeysAreUnknownIfOneIsNeeded) {
+  Read(0, "1 alpha:first");
+  EXPECT_EQ(Error("first"), error_kind::kNone);
+  Read(1, "2 closed");
+  EXPECT_EQ(Error("first"), error_kind::kUnknownCredential);
+  EXPECT_EQ(Error(std::nullopt), error_kind::kUnknownCredential);
+  EXPECT_TRUE(Find("/free/1", "first").has_accounts);
+  EXPECT_EQ(Find("/free/1", "first").error, error_kind::kNone);
+}
+
 // Guards against keys that are looked at, or fields that are changed, in a deployment without
 // accounts, and against 401 from a daemon that has no configuration yet.
 TEST_F(RouteDirectoryAdapterTest, WithoutAccountsNoKeyIsNeeded) {
--- a/tests/platform/read_configuration_test.cc
+++ b/tests/platform/read_configuration_test.cc
@@ -412,6 +412,21 @@
   EXPECT_FALSE(both->regions.Allows("south"));
 }
 
+// Guards against the key of the last account, which was served after its withdrawal.
+TEST(ReadConfiguration, ListOfAccountsWithoutOneKnowsNoKey) {
+  std::string text = ExampleWithAccounts();
+  const std::size_t first = text.find("\"tenants\":") + 10;
+  const std::size_t size = text.find(",\"baseVersion\"") - first;
+  for (const char* none : {"[]", "null", "{}", "5", "\"\""}) {
+    const parse_result result = ReadConfiguration(std::string(text).replace(first, size, none));
+    ASSERT_TRUE(result.value) << none;
+    EXPECT_TRUE(result.value->HasAccounts()) << none;
+    EXPECT_TRUE(result.value->accounts.empty()) << none;
+    EXPECT_EQ(result.value->substitutions, std::string(none) == "[]" ? 0U : 1U) << none;
+  }
+  EXPECT_FALSE(ReadConfiguration(Example()).value->HasAccounts());
+}
+
 // Each guards against a version that is in effect nowhere, so that withdrawn keys stay in use,
 // though the users' pages allow the value.
 TEST(ReadConfiguration, NamesOfAccountsMayBeAnyTextThatAFieldCarries) {
