Search for values that keep a version from taking effect

Each version has to be in effect; keys and routes that it does not hold get 401 and 404; untouched routes and accounts decide as before; caps, attempts, regions, kinds and exemptions allow no more than the version.

--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -52,6 +52,7 @@
       ("accounts", "number of client accounts; 0 for none", cxxopts::value(options.accounts)->default_value("0"))
       ("hot-account", "requests of the largest account as a multiple of its cap", cxxopts::value(options.hot_account)->default_value("1"))
       ("evacuations", "number of evacuations of a zone", cxxopts::value(options.evacuations)->default_value("0"))
+      ("odd-values", "add values to each version that cannot be used")
       ("load", "requests per second as a share of those of the site", cxxopts::value(options.load)->default_value("1"))
       ("seed", "seed of names, requests, changes and faults", cxxopts::value(options.seed)->default_value("1"))
       ("h,help", "print this help")
@@ -78,6 +79,7 @@
     if (parsed.count("restored") != 0) {
       options.fault = bronzeroute::standin::store_fault::kRestored;
     }
+    options.odd_values = parsed.count("odd-values") != 0;
     options.restart_period = std::chrono::milliseconds(restart_ms);
     options.fault_period = std::chrono::milliseconds(fault_ms);
     const auto site = bronzeroute::standin::ReadSite(site_file);
--- a/standins/platform/platform_run.cc
+++ b/standins/platform/platform_run.cc
@@ -92,6 +92,7 @@
       restart_random_(options.seed + 3),
       upstream_random_(options.seed + 4),
       author_(site, options.seed),
+      changer_(options.seed + 5),
       oracle_(site.bounds),
       upstream_oracle_(site.bounds),
       placement_oracle_(site.bounds),
@@ -224,7 +225,9 @@
 
 void platform_run::Publish(const authored_version& version) {
   oracle_.OnSent(version, clock::now());
-  store_.Put(kOperatorTopic, "config", author_.Document(version).dump());
+  nlohmann::json document = author_.Document(version);
+  if (options_.odd_values) changer_.AddValues(document);
+  store_.Put(kOperatorTopic, "config", document_changer::Text(document));
   oracle_.OnConfirmed(version.number, clock::now());
   confirmed_.emplace_back(version.number, UnixMilliseconds());
   std::cout << absl::StrFormat("version r%d confirmed at %.3f: %s\n", version.number,
--- a/standins/platform/platform_run.h
+++ b/standins/platform/platform_run.h
@@ -16,6 +16,7 @@
 #include "standins/platform/configuration_author.h"
 #include "standins/platform/configuration_oracle.h"
 #include "standins/platform/daemon_process.h"
+#include "standins/platform/document_changer.h"
 #include "standins/platform/placement_oracle.h"
 #include "standins/platform/platform_store.h"
 #include "standins/platform/platform_upstream.h"
@@ -79,6 +80,7 @@
   std::mt19937_64 restart_random_;
   std::mt19937_64 upstream_random_;
   configuration_author author_;
+  document_changer changer_;
   configuration_oracle oracle_;
   upstream_oracle upstream_oracle_;
   placement_oracle placement_oracle_;
--- a/standins/platform/run_options.h
+++ b/standins/platform/run_options.h
@@ -40,6 +40,8 @@
   /// Number of evacuations of a zone, one after the other.
   int evacuations = 0;
   std::chrono::milliseconds retention{20'000};
+  /// Adds values to each version that no sound operator would write.
+  bool odd_values = false;
   /// Requests per second, as a share of those of the site.
   double load = 1;
   std::uint64_t seed = 1;
--- a/tests/platform_run/small_deployment_test.cc
+++ b/tests/platform_run/small_deployment_test.cc
@@ -104,6 +104,50 @@
   EXPECT_NE(run.output.find("back from an older copy"), std::string::npos) << run.output;
 }
 
+// Guards against versions that one value in them keeps from taking effect in time, while the
+// store has faults and daemons are stopped and started again.
+TEST_F(small_deployment, VersionsWithValuesThatCannotBeUsedAreInEffect) {
+  const run_result run =
+      Play({"--site", std::string(BRONZEROUTE_SOURCE) + "/examples/platform-accounts.toml",
+            "--seconds", "25", "--change-ms", "250", "--accounts", "12", "--fault-ms", "9000",
+            "--restart-ms", "6000", "--odd-values", "--seed", "9"});
+  EXPECT_EQ(run.code, 0) << run.output;
+  EXPECT_NE(run.output.find("never: 0"), std::string::npos) << run.output;
+}
+
+// Guards against a check of a document that does not tell an operator which values are
+// replaced, or whose result a script cannot tell.
+TEST_F(small_deployment, DocumentIsCheckedBeforeItIsPublished) {
+  const auto check = [this](const std::string& document) {
+    const std::string file = folder_ + "/document.json";
+    const std::string output = folder_ + "/check";
+    std::ofstream(file) << document;
+    const std::vector<std::string> arguments = {"--check-document", file};
+    child_process daemon("bronzerouted-platform", arguments, output);
+    run_result result;
+    result.code = daemon.Wait();
+    std::ifstream written(output);
+    std::stringstream text;
+    text << written.rdbuf();
+    result.output = text.str();
+    return result;
+  };
+  const std::string sound = R"({"version":"r7","limits":{"maxHeaderBytes":16384,
+      "maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"listeners":[],
+      "clusters":[],"tenants":[{"name":"a","apiKeys":["key-of-a"])";
+  EXPECT_EQ(check(sound + "}]}").code, 0);
+  const run_result replaced = check(sound + R"(,"ratePerS":null}]})");
+  EXPECT_EQ(replaced.code, 4);
+  EXPECT_NE(replaced.output.find("tenants[0].ratePerS: found null; allowed: a number from 0 to "
+                                 "10000000; used: 1\n"),
+            std::string::npos)
+      << replaced.output;
+  EXPECT_EQ(replaced.output.find("key-of-a"), std::string::npos) << replaced.output;
+  const run_result refused = check(sound);
+  EXPECT_EQ(refused.code, 5);
+  EXPECT_EQ(refused.output.find("key-of-a"), std::string::npos) << refused.output;
+}
+
 // Guards against requests outside their regions, in an evacuated zone, or at cold upstreams of
 // a zone that is taken back; against another account or a key at an upstream; and against an
 // account that gets more than its cap, while daemons are stopped and started again.
