--- a/src/daemon/daemon_parts.h
+++ b/src/daemon/daemon_parts.h
@@ -24,6 +24,8 @@
   http_dialect dialect;
   configuration_form form = configuration_form::kPublications;
   document_reader read_document = ReadTomlDocument;
+  /// As `read_document`, but lists all values that are replaced.
+  document_reader check_document = ReadTomlDocument;
   /// Opens the client of the log service, which reports its results to the listener.
   std::function<std::unique_ptr<log_port>(const settings&, log_listener)> open_log;
   /// Adds the deployment's own endpoints on the address `announcements`; may be empty.
--- a/src/daemon/run_daemon.cc
+++ b/src/daemon/run_daemon.cc
@@ -17,6 +17,7 @@
 #include <string>
 
 #include "src/base/concat.h"
+#include "src/daemon/check_document.h"
 #include "src/daemon/daemon.h"
 #include "src/daemon/daemon_parts.h"
 #include "src/daemon/parse_settings.h"
@@ -147,22 +148,30 @@
   options.add_options()
       ("settings", "settings file (TOML)", cxxopts::value<std::string>())
       ("check", "check the settings and exit")
+      ("check-document", "check a configuration document and exit", cxxopts::value<std::string>())
       ("h,help", "print this help")
       ("version", "print the version");
   // clang-format on
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") != 0) {
-      std::cout << options.help()
-                << "\nThe settings file is read again when it changes and on SIGHUP.\n"
-                   "Exit codes: 0 stopped by a signal, 1 cannot start (an address is in use), "
-                   "2 usage error, 3 invalid settings.\n";
+      std::cout
+          << options.help()
+          << "\nThe settings file is read again when it changes and on SIGHUP.\n"
+             "Exit codes: 0 stopped by a signal, 1 cannot start (an address is in use), "
+             "2 usage error, 3 invalid settings.\n"
+             "Exit codes of --check-document: 0 accepted as written, 1 the file cannot be "
+             "read, 4 accepted with values replaced, 5 refused.\n";
       return kExitOk;
     }
     if (parsed.count("version") != 0) {
       std::cout << name << " " << BRONZEROUTE_VERSION << "\n";
       return kExitOk;
     }
+    if (parsed.count("check-document") != 0) {
+      return static_cast<int>(CheckDocument(parsed["check-document"].as<std::string>(),
+                                            parts.check_document, std::cout));
+    }
     if (parsed.count("settings") == 0) {
       std::cerr << name << ": --settings FILE is required; see --help\n";
       return kExitUsage;
