Hold what operators see of replaced values in a test

AccountSecrecyTest.OperatorsSeeReplacedValuesAndWhatTheyRefuse: the line values_replaced of a version that takes effect, the metric, the outcomes of requests that such a value refuses with the version in the same line, and no key in any of them.

--- a/tests/node/account_document.h
+++ b/tests/node/account_document.h
@@ -19,7 +19,7 @@
 /// priorities 1, 2 and so on; the account "eastern" allows only the regions "east" and "south".
 /// In a document of the form "VERSION unrouted" there are no routes, and in one of the form
 /// "VERSION closed NAME:KEY ..." requests need a key even without accounts, /orders/ has no
-/// service, and the key "refused" belongs to no account.
+/// service, the key "refused" belongs to no account, and two values were replaced.
 inline parse_result ReadAccountDocument(std::string_view bytes) {
   parse_result result;
   const std::vector<std::string> words = absl::StrSplit(std::string(bytes), ' ');
@@ -54,6 +54,12 @@
   if (is_closed) {
     read.needs_account = true;
     read.refused_credentials = {DigestCredential("refused")};
+    read.substitutions = 2;
+    read.listed_substitutions = {{.error = {.file = "configuration",
+                                            .key = "orders.service",
+                                            .found = "null",
+                                            .allowed = "a name"},
+                                  .used = "none"}};
   }
   for (std::size_t i = is_closed ? 2 : 1; i < words.size(); ++i) {
     const std::vector<std::string> parts = absl::StrSplit(words[i], ':');
--- a/tests/node/account_secrecy_test.cc
+++ b/tests/node/account_secrecy_test.cc
@@ -141,6 +141,33 @@
   std::uint64_t last_exchange_ = 0;
 };
 
+// Guards against a value of a version that is replaced without an operator seeing it, and
+// against a response whose cause in the version cannot be found.
+TEST_F(AccountSecrecyTest, OperatorsSeeReplacedValuesAndWhatTheyRefuse) {
+  EXPECT_EQ(runtime_.restrictions(now_).replaced_values, 0U);
+  EXPECT_EQ(events_.text.find("values_replaced"), std::string::npos);
+  Publish(1, "2 closed alpha:secret-one");
+  Tick();
+  EXPECT_NE(events_.text.find("event=values_replaced version=2 values=2 "
+                              "value=\"configuration: orders.service: found null; allowed: a "
+                              "name; used: none\"\n"),
+            std::string::npos)
+      << events_.text;
+  const std::string metrics =
+      ExpositionText(runtime_.metrics(), runtime_.budget(), now_, exposition_detail::kMinutes,
+                     runtime_.restrictions(now_));
+  EXPECT_NE(metrics.find("\nbronzeroute_config_replaced_values 2\n"), std::string::npos)
+      << metrics;
+  EXPECT_NE(Ask("secret-one").find("unservable_route (not-run)"), std::string::npos);
+  EXPECT_NE(Ask("refused").find("unservable_account (not-run)"), std::string::npos);
+  EXPECT_NE(events_.text.find("config=2"), std::string::npos) << events_.text;
+  EXPECT_NE(events_.text.find("outcome=unservable_route"), std::string::npos);
+  Publish(2, "3 alpha:secret-one");
+  Tick();
+  EXPECT_EQ(runtime_.restrictions(now_).replaced_values, 0U);
+  EXPECT_EQ(events_.text.find("secret"), std::string::npos);
+}
+
 // Guards against a key in a log line, a metric or an explanation, and against requests refused
 // for their key, or counts of an account, that operators cannot see.
 TEST_F(AccountSecrecyTest, OperatorsSeeAccountsAndRefusalsButNoKey) {
