--- a/tests/node/route_directory_adapter_test.cc
+++ b/tests/node/route_directory_adapter_test.cc
@@ -8,28 +8,17 @@
 
 #include "src/base/error_response.h"
 #include "src/calls/caller_request.h"
-#include "src/configuration/configuration_peer_port.h"
 #include "src/configuration/configuration_record.h"
 #include "src/configuration/configuration_system.h"
-#include "src/platform/log_port.h"
 #include "src/platform/log_read.h"
 #include "tests/node/account_document.h"
+#include "tests/node/configuration_mocks.h"
 
 namespace bronzeroute::tests {
 namespace {
 
 using testing::NiceMock;
 
-struct mock_log : log_port {
-  MOCK_METHOD(void, Append,
-              (std::string_view, std::string_view, std::string_view, std::uint64_t),
-              (override));
-  MOCK_METHOD(void, Read, (std::string_view, std::int64_t), (override));
-};
-struct mock_configuration_peers : configuration_peer_port {
-  MOCK_METHOD(void, FetchSnapshot, (member_id, std::int64_t), (override));
-};
-
 configuration_settings Settings() {
   return {.environment = "trial",
           .self = member_id{1},
--- a/tests/platform/changed_documents_test.cc
+++ b/tests/platform/changed_documents_test.cc
@@ -24,14 +24,13 @@
 #include "src/base/credential_digest.h"
 #include "src/base/error_response.h"
 #include "src/calls/caller_request.h"
-#include "src/configuration/configuration_peer_port.h"
 #include "src/configuration/configuration_record.h"
 #include "src/configuration/configuration_system.h"
 #include "src/configuration/route_index.h"
 #include "src/node/route_directory_adapter.h"
-#include "src/platform/log_port.h"
 #include "src/platform/log_read.h"
 #include "standins/platform/document_changer.h"
+#include "tests/node/configuration_mocks.h"
 
 namespace bronzeroute::platform {
 namespace {
@@ -39,6 +38,8 @@
 using nlohmann::json;
 using standin::document_changer;
 using testing::NiceMock;
+using tests::mock_configuration_peers;
+using tests::mock_log;
 
 constexpr int kChangesPerDocument = 3;
 // Documents changed from one valid document.
@@ -46,16 +47,6 @@
 constexpr int kShownFailures = 3;
 const std::array<std::string, 3> kRegions = {"north", "south", "west"};
 
-struct mock_log : log_port {
-  MOCK_METHOD(void, Append,
-              (std::string_view, std::string_view, std::string_view, std::uint64_t),
-              (override));
-  MOCK_METHOD(void, Read, (std::string_view, std::int64_t), (override));
-};
-struct mock_configuration_peers : configuration_peer_port {
-  MOCK_METHOD(void, FetchSnapshot, (member_id, std::int64_t), (override));
-};
-
 std::uint64_t FromEnvironment(const char* name, std::uint64_t otherwise) {
   const char* const text = std::getenv(name);
   return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
--- a/tests/platform_run/small_deployment_test.cc
+++ b/tests/platform_run/small_deployment_test.cc
@@ -35,8 +35,12 @@
                      {"--daemon", std::string(BRONZEROUTE_BIN) + "/bronzerouted-platform",
                       "--settings", source + "/deploy/settings.toml", "--folder", folder_});
     child_process run("brstandin_platform", arguments, output);
+    return ResultOf(run, output);
+  }
+  /// Waits for the end of `process`, which writes to the file `output`.
+  static run_result ResultOf(child_process& process, const std::string& output) {
     run_result result;
-    result.code = run.Wait();
+    result.code = process.Wait();
     std::ifstream file(output);
     std::stringstream text;
     text << file.rdbuf();
@@ -124,13 +128,7 @@
     std::ofstream(file) << document;
     const std::vector<std::string> arguments = {"--check-document", file};
     child_process daemon("bronzerouted-platform", arguments, output);
-    run_result result;
-    result.code = daemon.Wait();
-    std::ifstream written(output);
-    std::stringstream text;
-    text << written.rdbuf();
-    result.output = text.str();
-    return result;
+    return ResultOf(daemon, output);
   };
   const std::string sound = R"({"version":"r7","limits":{"maxHeaderBytes":16384,
       "maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"listeners":[],
