Search all that daemons write for keys of accounts

Not searched: what one daemon sends to another, and the admin endpoint of the document, which has the keys for operators.

--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -51,6 +51,7 @@
       ("departing", "number of upstreams that depart and whose daemon is then killed", cxxopts::value(options.departing)->default_value("0"))
       ("accounts", "number of client accounts; 0 for none", cxxopts::value(options.accounts)->default_value("0"))
       ("hot-account", "requests of the largest account as a multiple of its cap", cxxopts::value(options.hot_account)->default_value("1"))
+      ("refused-per-s", "requests per second with a key that daemons have to refuse", cxxopts::value(options.refused_per_second)->default_value("0"))
       ("evacuations", "number of evacuations of a zone", cxxopts::value(options.evacuations)->default_value("0"))
       ("odd-values", "add values to each version that cannot be used")
       ("load", "requests per second as a share of those of the site", cxxopts::value(options.load)->default_value("1"))
--- a/standins/platform/platform_run.cc
+++ b/standins/platform/platform_run.cc
@@ -37,6 +37,11 @@
 // Time before the end of an evacuation at which the upstreams of the zone become cold.
 constexpr milliseconds kColdBeforeEnd{200};
 constexpr std::size_t kMaxShown = 20;
+constexpr std::size_t kExplainedCalls = 20;
+// Longer than any field that daemons accept.
+constexpr std::size_t kLongField = 40'000;
+constexpr int kOk = 200;
+constexpr std::string_view kAdminPrefix = "/.bronzeroute/v1/";
 const std::string kStoreIp = "127.40.0.1";
 const std::string kOperatorTopic = "keyed.op";
 
@@ -59,6 +64,33 @@
   return sorted[at];
 }
 
+std::vector<std::string> KeysOf(const std::vector<account_shape>& accounts) {
+  std::vector<std::string> keys;
+  keys.reserve(accounts.size());
+  for (const account_shape& each : accounts) keys.push_back(each.key);
+  return keys;
+}
+
+/// Ids of the last calls that `log` names.
+std::vector<std::string> LastCalls(std::string_view log) {
+  static constexpr std::string_view kField = " call=";
+  std::vector<std::string> ids;
+  while (ids.size() < kExplainedCalls) {
+    const std::size_t at = log.rfind(kField);
+    if (at == std::string_view::npos) break;
+    const std::string_view id = log.substr(at + kField.size());
+    ids.emplace_back(id.substr(0, id.find_first_of(" \n")));
+    log = log.substr(0, at);
+  }
+  return ids;
+}
+
+void SearchResponse(const client_response& response, secrecy_oracle& oracle) {
+  const std::string source = Concat("a response with status ", response.status);
+  for (const auto& [name, value] : response.headers) oracle.OnOutput(source, value);
+  oracle.OnOutput(source, response.body);
+}
+
 double SecondsOfDay() { return static_cast<double>(UnixMilliseconds()) / 1000; }
 
 std::string_view StoreFaultName(store_fault fault) {
@@ -91,6 +123,7 @@
       fault_random_(options.seed + 2),
       restart_random_(options.seed + 3),
       upstream_random_(options.seed + 4),
+      refused_random_(options.seed + 6),
       author_(site, options.seed),
       changer_(options.seed + 5),
       oracle_(site.bounds),
@@ -98,6 +131,7 @@
       placement_oracle_(site.bounds),
       accounts_(MakeAccounts()),
       account_oracle_(accounts_),
+      secrecy_oracle_(KeysOf(accounts_)),
       store_(options.retention) {
   author_.SetAccounts(accounts_);
   PlaceMachines();
@@ -185,6 +219,10 @@
   return text;
 }
 
+std::string platform_run::LogName(const machine_place& place) const {
+  return Concat(options_.folder, "/", place.name, ".log");
+}
+
 void platform_run::StartDaemons() {
   daemons_.resize(places_.size());
   for (std::size_t machine = 0; machine < places_.size(); ++machine) StartDaemon(machine);
@@ -193,8 +231,8 @@
 void platform_run::StartDaemon(std::size_t machine) {
   const std::string name = options_.folder + "/" + places_[machine].name;
   std::ofstream(name + ".toml") << Settings(places_[machine]);
-  daemons_[machine] =
-      std::make_unique<daemon_process>(options_.daemon, name + ".toml", name + ".log");
+  daemons_[machine] = std::make_unique<daemon_process>(options_.daemon, name + ".toml",
+                                                       LogName(places_[machine]));
 }
 
 void platform_run::AwaitReady(const std::atomic<bool>& stop) {
@@ -474,10 +512,98 @@
                [this, id, machine = entry.name](const client_response& response) {
                  oracle_.OnResponse(id, response.status, clock::now());
                  account_oracle_.OnResponse(id, response.status);
+                 SearchResponse(response, secrecy_oracle_);
                  PassOn(response.headers, machine, upstream_oracle_);
                });
 }
 
+void platform_run::ScheduleRefusedRequests() {
+  if (options_.refused_per_second <= 0 || accounts_.empty()) return;
+  std::exponential_distribution<double> gap(options_.refused_per_second);
+  RunAfter(std::chrono::microseconds(static_cast<std::int64_t>(gap(refused_random_) * 1e6)),
+           [this] {
+             if (is_ended_ || clock::now() >= ends_at_) return;
+             SendRefusedRequest();
+             ScheduleRefusedRequests();
+           });
+}
+
+void platform_run::SendRefusedRequest() {
+  const machine_place& entry = places_[refused_random_() % places_.size()];
+  if (avoided_.contains(entry.name)) return;
+  const route_place place = author_.PlaceOf(site_.classes.front().name);
+  const std::string& known = accounts_[refused_random_() % accounts_.size()].key;
+  const std::string id = absl::StrFormat("%016x", refused_random_());
+  const std::string unknown = Concat("key-unknown-", id);
+  client_request request;
+  request.target = place.prefix;
+  request.headers = {{"Host", place.host}, {"Attempt-Id", id}, {"Deadline-Ms", "1000"}};
+  std::string key = known;
+  switch (refused_requests_++ % 7) {
+    case 0:
+      key = unknown;
+      break;
+    case 1:
+      request.headers[0].second = "unknown.example";
+      break;
+    case 2:
+      request.target = "/no-route/";
+      break;
+    case 3:
+      // Two keys.
+      request.headers.emplace_back("X-Api-Key", unknown);
+      break;
+    case 4:
+      key += std::string(kLongField, 'x');
+      break;
+    case 5:
+      // No field value contains a control character.
+      key += '\x01';
+      break;
+    default:
+      // The deadline is no number.
+      request.headers.back().second = "soon";
+      break;
+  }
+  request.headers.emplace_back("X-Api-Key", key);
+  secrecy_oracle_.AddKey(unknown);
+  client_.Send(Address(entry.ip, kOutboundPort), std::move(request),
+               [this](const client_response& response) {
+                 ++refused_statuses_[response.status];
+                 SearchResponse(response, secrecy_oracle_);
+               });
+}
+
+void platform_run::SearchAdminTexts() {
+  std::atomic<std::size_t> open = 0;
+  RunOnLoop([this, &open] {
+    const auto search = [this, &open](const std::string& address, std::string target) {
+      client_request question;
+      question.target = std::move(target);
+      question.headers = {{"Host", "admin"}};
+      ++open;
+      client_.Send(address, std::move(question),
+                   [this, &open, address](const client_response& response) {
+                     if (response.status == kOk) ++admin_texts_;
+                     secrecy_oracle_.OnOutput(address, response.body);
+                     --open;
+                   });
+    };
+    for (const machine_place& place : places_) {
+      const std::string admin = Address(place.ip, kAdminPort);
+      for (const char* const endpoint : {"metrics", "members", "status"}) {
+        search(admin, Concat(kAdminPrefix, endpoint));
+      }
+      const std::string log = ReadFile(LogName(place));
+      secrecy_oracle_.OnOutput(LogName(place), log);
+      for (const std::string& id : LastCalls(log)) {
+        search(admin, Concat(kAdminPrefix, "explain?call=", id));
+      }
+    }
+  });
+  while (open > 0) std::this_thread::sleep_for(kTickPeriod);
+}
+
 void platform_run::Tick() {
   if (is_ended_) return;
   store_.Tick();
@@ -555,10 +681,12 @@
     ScheduleLeaving();
     ScheduleDepartures();
     ScheduleEvacuations();
+    ScheduleRefusedRequests();
   });
   while (clock::now() < end && !stop) std::this_thread::sleep_for(kPoll);
   RunOnLoop([this] { sends_requests_ = false; });
   std::this_thread::sleep_for(stop ? kPoll : milliseconds(3'000));
+  SearchAdminTexts();
   announces = false;
   reports.join();
 }
@@ -567,7 +695,7 @@
   std::vector<double> delays;
   missing = 0;
   for (const machine_place& place : places_) {
-    std::ifstream log(options_.folder + "/" + place.name + ".log");
+    std::ifstream log(LogName(place));
     std::vector<std::pair<std::int64_t, double>> in_effect;
     for (std::string line; std::getline(log, line);) {
       const std::size_t at = line.find("event=in_effect version=");
@@ -610,6 +738,12 @@
   std::cout << absl::StrFormat("arrivals of requests with regions: %d; at cold upstreams: %d\n",
                                placement_oracle_.limited_arrivals(),
                                placement_oracle_.cold_arrivals());
+  std::cout << "requests to be refused:";
+  for (const auto& [status, count] : refused_statuses_) {
+    std::cout << " " << status << " x " << count;
+  }
+  std::cout << absl::StrFormat("\nsearched for keys: %d bytes, %d texts for operators\n",
+                               secrecy_oracle_.searched_bytes(), admin_texts_);
   for (const auto& [account, counts] : account_oracle_.counts()) {
     std::cout << absl::StrFormat("%s: sent %d, ran %d, over its cap %d\n", account, counts.sent,
                                  counts.ran, counts.over_cap);
@@ -619,6 +753,7 @@
   std::ranges::copy(upstream_oracle_.breaks(), std::back_inserter(breaks));
   std::ranges::copy(placement_oracle_.breaks(), std::back_inserter(breaks));
   std::ranges::copy(account_oracle_.breaks(), std::back_inserter(breaks));
+  std::ranges::copy(secrecy_oracle_.breaks(), std::back_inserter(breaks));
   for (const rule_break& each : breaks) {
     if (++by_rule[each.rule] <= kMaxShown) std::cout << each.rule << ": " << each.text << "\n";
   }
--- a/standins/platform/platform_run.h
+++ b/standins/platform/platform_run.h
@@ -21,6 +21,7 @@
 #include "standins/platform/platform_store.h"
 #include "standins/platform/platform_upstream.h"
 #include "standins/platform/run_options.h"
+#include "standins/platform/secrecy_oracle.h"
 #include "standins/platform/upstream_oracle.h"
 
 namespace bronzeroute::standin {
@@ -47,6 +48,7 @@
   void StartDaemon(std::size_t machine);
   void AwaitReady(const std::atomic<bool>& stop);
   std::string Settings(const machine_place& place) const;
+  std::string LogName(const machine_place& place) const;
   void Publish(const authored_version& version);
   void ScheduleChange();
   void ScheduleFault();
@@ -66,6 +68,12 @@
   const account_shape* PickAccount();
   void Tick();
   void SendRequest(const traffic_shape& from, const class_shape& described);
+  /// Sends requests that daemons have to refuse, each with a key.
+  void ScheduleRefusedRequests();
+  void SendRefusedRequest();
+  /// Searches what operators can read of each daemon for keys: its log, metrics, lists and the
+  /// explanations of its last calls.
+  void SearchAdminTexts();
   /// Delays from the confirmation of each version to the line with which a daemon puts it, or
   /// a later one, in effect.
   std::vector<double> EffectDelays(std::size_t& missing) const;
@@ -79,6 +87,7 @@
   std::mt19937_64 fault_random_;
   std::mt19937_64 restart_random_;
   std::mt19937_64 upstream_random_;
+  std::mt19937_64 refused_random_;
   configuration_author author_;
   document_changer changer_;
   configuration_oracle oracle_;
@@ -86,6 +95,7 @@
   placement_oracle placement_oracle_;
   std::vector<account_shape> accounts_;
   account_oracle account_oracle_;
+  secrecy_oracle secrecy_oracle_;
   platform_store store_;
   caller_client client_;
   std::deque<machine_place> places_;
@@ -102,6 +112,11 @@
   bool sends_requests_ = false;
   bool is_ended_ = false;
   std::uint64_t requests_ = 0;
+  /// Requests that daemons have to refuse, by the status of the response.
+  std::map<int, int> refused_statuses_;
+  std::uint64_t refused_requests_ = 0;
+  /// Responses with status 200 of the endpoints for operators.
+  int admin_texts_ = 0;
 };
 
 }  // namespace bronzeroute::standin
--- a/standins/platform/run_options.h
+++ b/standins/platform/run_options.h
@@ -37,6 +37,8 @@
   /// Number of client accounts; 0 for none. One of them sends `hot_account` times its cap.
   int accounts = 0;
   double hot_account = 1;
+  /// Requests per second with a key that daemons have to refuse, over all machines.
+  double refused_per_second = 0;
   /// Number of evacuations of a zone, one after the other.
   int evacuations = 0;
   std::chrono::milliseconds retention{20'000};
--- a/tests/platform_run/small_deployment_test.cc
+++ b/tests/platform_run/small_deployment_test.cc
@@ -119,6 +119,24 @@
   EXPECT_NE(run.output.find("never: 0"), std::string::npos) << run.output;
 }
 
+// Guards against a key of a client account, or one that a caller sent, in a log, a metric, an
+// explanation or a response.
+TEST_F(small_deployment, KeysAppearInNoOutput) {
+  const run_result run =
+      Play({"--site", std::string(BRONZEROUTE_SOURCE) + "/examples/platform-accounts.toml",
+            "--seconds", "15", "--change-ms", "2000", "--accounts", "12", "--hot-account", "4",
+            "--restart-ms", "6000", "--odd-values", "--refused-per-s", "40", "--seed", "10"});
+  EXPECT_EQ(run.code, 0) << run.output;
+  EXPECT_TRUE(std::regex_search(
+      run.output, std::regex("to be refused:.* 400 x .* 401 x .* 404 x .* 431 x")))
+      << run.output;
+  std::smatch texts;
+  ASSERT_TRUE(std::regex_search(run.output, texts, std::regex("([0-9]+) texts for operators")))
+      << run.output;
+  // More than those of one kind from each of the 24 daemons.
+  EXPECT_GT(std::stoi(texts[1]), 3 * 24) << run.output;
+}
+
 // Guards against a check of a document that does not tell an operator which values are
 // replaced, or whose result a script cannot tell.
 TEST_F(small_deployment, DocumentIsCheckedBeforeItIsPublished) {
