Let the first call of KilledOwnerLeavesProtectedCallsUnknown run before the others start

The test failed once under load: all 13 calls were answered 200, but no moment was seen at which p0 and two more ran at the owner that it kills. Behind six protected calls, which all end at the same time, p0 then runs alone. Ruled out: fewer slots than six at the owner, and calls that the owner refused.

Now the others start once p0 is seen running.

--- a/tests/process/owner_loss_test.cc
+++ b/tests/process/owner_loss_test.cc
@@ -70,15 +70,18 @@
   }
   call_oracle oracle(deployment_);
   oracle.StartProtected(kEntry, "/orders/new?work_us=2000000", lost_key, "5000");
+  // Behind six others it would wait for a slot until they end, and then run alone.
+  const bool is_running =
+      deployment::WaitFor([this] { return deployment_.RunsOfMark("p0") == 1; });
   for (const std::string& key : keys) {
     oracle.StartProtected(kEntry, "/orders/new?work_us=2000000", key, "5000");
   }
   for (int i = 0; i < 4; ++i) {
     oracle.StartRepeatable(kEntry, "/orders/1?work_us=1000000", "5000");
   }
-  const bool are_running = deployment::WaitFor([this] {
-    return deployment_.RunsOfMark("p0") == 1 && deployment_.RunRecord(kFirst, "in_use") >= 3;
-  });
+  const bool are_running = is_running && deployment::WaitFor([this] {
+                             return deployment_.RunRecord(kFirst, "in_use") >= 3;
+                           });
   if (!are_running) oracle.Join();
   ASSERT_TRUE(are_running) << oracle.Results();
   deployment_.pair(kFirst).daemon->Signal(SIGKILL);
