Hold the work of upstreams until SigtermFinishesRequestsInFlight has seen it run

The test failed once at load 28: in 30 s it saw no moment at which all 6 calls ran. That a start was late in the one run seen is only likely, as its results were not printed. Ruled out by polls of 36 runs at load 14: fewer effective slots than calls at the start.

brstandin_worker gets the fault hold: work begins its time once that ends. The test holds the calls, sees them run, stops the daemon, waits until it says that it stops, and only then lets the calls begin their 700 ms. All checks stay; that the stop has begun before a call ends is now certain.

--- a/standins/worker/worker_faults.h
+++ b/standins/worker/worker_faults.h
@@ -15,6 +15,8 @@
   bool fail_fast = false;
   /// Responds 503 immediately, without doing the work or recording a run.
   bool shed = false;
+  /// Requests begin their service time only once this ends.
+  bool hold = false;
   /// Closes the connection in the middle of the response.
   bool cut_response = false;
   /// The load endpoint always reports an idle worker.
--- a/standins/worker/worker_service.cc
+++ b/standins/worker/worker_service.cc
@@ -152,6 +152,10 @@
     work->request.reply(status_codes::InternalError, "failing");
     return;
   }
+  if (faults_.hold) {
+    held_.push_back(work);
+    return;
+  }
   const auto query = web::uri::split_query(work->request.relative_uri().query());
   std::int64_t time_us = ServiceTimeUs();
   if (const auto found = query.find("work_us"); found != query.end()) {
@@ -160,6 +164,10 @@
   RunAfter(std::chrono::microseconds(time_us), [this, work] { Respond(work); });
 }
 
+void worker_service::Release() {
+  for (const std::shared_ptr<job>& work : std::exchange(held_, {})) Work(work);
+}
+
 void worker_service::Respond(const std::shared_ptr<job>& work) {
   --record_.in_use;
   ++record_.finished;
@@ -249,6 +257,7 @@
         };
         flag("fail_fast", faults_.fail_fast);
         flag("shed", faults_.shed);
+        flag("hold", faults_.hold);
         flag("cut_response", faults_.cut_response);
         flag("misleading_load", faults_.misleading_load);
         if (value.has_field("service_us")) {
@@ -257,6 +266,7 @@
         if (value.has_field("speed_shift")) {
           faults_.speed_shift = value.at("speed_shift").as_double();
         }
+        if (!faults_.hold) Release();
         request.reply(status_codes::OK);
       } catch (const std::exception& error) {
         request.reply(status_codes::BadRequest, error.what());
--- a/standins/worker/worker_service.h
+++ b/standins/worker/worker_service.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "standins/worker/run_record.h"
 #include "standins/worker/worker_faults.h"
@@ -32,6 +33,8 @@
   void HandleControl(const web::http::http_request& request, const std::string& action);
   void ReadBody(const std::shared_ptr<job>& work);
   void Work(const std::shared_ptr<job>& work);
+  /// Begins the work that was held.
+  void Release();
   void Respond(const std::shared_ptr<job>& work);
   /// Writes `bytes` bytes to `body` as fast as they are read, then closes it.
   void WriteDownload(concurrency::streams::producer_consumer_buffer<std::uint8_t> body,
@@ -43,6 +46,7 @@
   web::http::experimental::listener::http_listener listener_;
   worker_faults faults_;
   run_record record_;
+  std::vector<std::shared_ptr<job>> held_;
   std::mt19937_64 random_;
   double speed_ = 1.0;
   std::int64_t next_speed_shift_ms_ = 0;
--- a/tests/process/whole_path_test.cc
+++ b/tests/process/whole_path_test.cc
@@ -31,6 +31,16 @@
     ASSERT_TRUE(deployment_.WaitReady(pairs));
   }
 
+  /// Lets the upstreams hold the work that they receive, or begin it.
+  bool Hold(bool hold) {
+    const std::string fault = hold ? R"({"hold": true})" : R"({"hold": false})";
+    bool is_set = true;
+    for (std::size_t i = 0; i < deployment_.size(); ++i) {
+      is_set &= deployment_.PutJson(deployment_.pair(i).upstream, "/standin/faults", fault);
+    }
+    return is_set;
+  }
+
   // For failure messages.
   static std::string ResultsText(std::span<const call_result> results) {
     std::string text;
@@ -136,6 +146,8 @@
   Deploy(2);
   for (std::size_t stopped = 0; stopped < 2; ++stopped) {
     std::vector<call_result> results(6);
+    // Held, so that all calls are seen running at once however long it takes to start them.
+    ASSERT_TRUE(Hold(true));
     std::vector<std::thread> callers;
     for (std::size_t i = 0; i < results.size(); ++i) {
       callers.emplace_back([this, i, &results] {
@@ -149,13 +161,23 @@
       most_running = std::max(most_running, running);
       return running == 6;
     });
-    if (are_running) deployment_.pair(stopped).daemon->Signal(SIGTERM);
+    bool is_stopping = false;
+    if (are_running) {
+      deployment_.pair(stopped).daemon->Signal(SIGTERM);
+      is_stopping = deployment::WaitFor([&] {
+        const auto status =
+            deployment_.GetJson(deployment_.pair(stopped).admin, "/.bronzeroute/v1/status");
+        return status.has_field("stopping") && status.at("stopping").as_bool();
+      });
+    }
+    EXPECT_TRUE(Hold(false));
     for (std::thread& caller : callers) {
       caller.join();
     }
     ASSERT_TRUE(are_running) << "at most " << most_running
                              << " of 6 were seen running at once\n"
                              << ResultsText(results);
+    ASSERT_TRUE(is_stopping);
     for (const call_result& result : results) {
       EXPECT_EQ(result.status, 200) << result.error;
     }
