Release the results of fetched configurations on the event loop only

A daemon that stops right after it fetched a configuration from a peer can abort in the same way.

Cause, from a backtrace at the abort and two trials: gRPC's thread for callbacks uses its completion queue after the queue was destroyed. The callback of a fetch held the call, and with it the channel, until gRPC's thread had returned from it. If both daemons of the test closed before that, this thread released the last user of the queue, and so destroyed the queue that it works on.

Ruled out: the attempts' streams, which gRPC's threads never own, and the server, whose queue is released by the thread that stops it.

Change: the callback moves the call on to the event loop.

--- a/src/transport/peer_client.cc
+++ b/src/transport/peer_client.cc
@@ -342,9 +342,13 @@
   call->channels->used_at = MonotonicNow();
   call->done = std::move(done);
   ++open_fetches_;
-  call->channels->ForLong().stub->async()->FetchConfiguration(
-      &call->context, &call->request, &call->reply, [this, call](const grpc::Status& status) {
-        PostToLoop([this, call, status] {
+  fetch& started = *call;
+  // `call` moves on with the result: if gRPC's thread released the last reference to a channel
+  // of the process, it would destroy the queue that it works on.
+  started.channels->ForLong().stub->async()->FetchConfiguration(
+      &started.context, &started.request, &started.reply,
+      [this, call = std::move(call)](const grpc::Status& status) mutable {
+        PostToLoop([this, call = std::move(call), status] {
           --open_fetches_;
           if (!stopped_) {
             if (status.ok()) {
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdio>
 #include <fstream>
+#include <functional>
 #include <future>
 #include <memory>
 #include <sstream>
@@ -575,5 +576,42 @@
   EXPECT_EQ(fetched.get_future().get(), "newer than 41");
 }
 
+// Guards against an abort inside gRPC: its thread must not release the last reference to a
+// channel, since it then waits for itself.
+TEST(Peer, FetchedConfigurationsAreReleasedOnTheEventLoop) {
+  constexpr int kFetches = 5000;
+  test_daemon owner(2);
+  test_daemon entry(1);
+  entry.UsePeer(owner);
+  std::thread::id loop;
+  RunOnLoop([&] {
+    loop = std::this_thread::get_id();
+    owner.sockets().peers().server().SetSnapshotSource([](std::int64_t) { return "any"; });
+  });
+  // A loop that never sleeps takes the result before gRPC's thread has returned from its
+  // callback.
+  std::atomic<bool> stays_awake = true;
+  std::function<void()> stay_awake = [&] {
+    if (stays_awake) PostToLoop(stay_awake);
+  };
+  PostToLoop(stay_awake);
+  std::atomic<int> released_elsewhere = 0;
+  for (int i = 0; i < kFetches; ++i) {
+    std::promise<void> released;
+    RunOnLoop([&] {
+      const std::shared_ptr<void> held(nullptr, [&](void*) {
+        if (std::this_thread::get_id() != loop) ++released_elsewhere;
+        released.set_value();
+      });
+      entry.sockets().peers().client().FetchConfiguration(
+          owner.id(), 0, [held](const absl::StatusOr<std::string>&) {});
+    });
+    released.get_future().wait();
+  }
+  stays_awake = false;
+  RunOnLoop([] {});
+  EXPECT_EQ(released_elsewhere, 0);
+}
+
 }  // namespace
 }  // namespace bronzeroute
