Hold the work of KilledOwnerLeavesProtectedCallsUnknown until its owner is killed

The first call has 2 s in which two others must be seen beside it and the daemon be killed; now that they start after it, less of that is left beside load. The upstreams hold the work of all calls until the kill.

--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -282,6 +282,15 @@
   return status.has_field(field) ? status.at(field).as_number().to_int64() : -1;
 }
 
+bool deployment::HoldWork(bool hold) {
+  const std::string fault = hold ? R"({"hold": true})" : R"({"hold": false})";
+  bool is_set = true;
+  for (const node_pair& each : pairs_) {
+    is_set = PutJson(each.upstream, "/standin/faults", fault) && is_set;
+  }
+  return is_set;
+}
+
 std::int64_t deployment::Runs(std::size_t index) { return RunRecord(index, "started"); }
 
 std::int64_t deployment::RunsOfKey(const std::string& key) { return SumOver("keys", key); }
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -92,6 +92,8 @@
   std::string IssueKey(std::size_t entry, const std::string& service);
   web::json::value GetJson(const std::string& address, const std::string& path);
   bool PutJson(const std::string& address, const std::string& path, const std::string& body);
+  /// Lets all upstreams hold the work that they receive, or begin it.
+  bool HoldWork(bool hold);
   /// Number of requests that the worker has started.
   std::int64_t Runs(std::size_t index);
   /// Runs of `key` over all workers.
--- a/tests/process/owner_loss_test.cc
+++ b/tests/process/owner_loss_test.cc
@@ -69,6 +69,8 @@
     ASSERT_FALSE(keys.back().empty());
   }
   call_oracle oracle(deployment_);
+  // Held, so that none ends before its owner is killed.
+  ASSERT_TRUE(deployment_.HoldWork(true));
   oracle.StartProtected(kEntry, "/orders/new?work_us=2000000", lost_key, "5000");
   // Behind six others it would wait for a slot until they end, and then run alone.
   const bool is_running =
@@ -82,11 +84,13 @@
   const bool are_running = is_running && deployment::WaitFor([this] {
                              return deployment_.RunRecord(kFirst, "in_use") >= 3;
                            });
-  if (!are_running) oracle.Join();
-  ASSERT_TRUE(are_running) << oracle.Results();
-  deployment_.pair(kFirst).daemon->Signal(SIGKILL);
-  deployment_.pair(kFirst).daemon->Wait();
+  if (are_running) {
+    deployment_.pair(kFirst).daemon->Signal(SIGKILL);
+    deployment_.pair(kFirst).daemon->Wait();
+  }
+  EXPECT_TRUE(deployment_.HoldWork(false));
   oracle.Join();
+  ASSERT_TRUE(are_running) << oracle.Results();
   ASSERT_TRUE(deployment::WaitFor([this] {
     return deployment_.RunRecord(kFirst, "in_use") == 0 && IsIdle(kSecond) && IsIdle(kEntry);
   }));
--- a/tests/process/whole_path_test.cc
+++ b/tests/process/whole_path_test.cc
@@ -31,16 +31,6 @@
     ASSERT_TRUE(deployment_.WaitReady(pairs));
   }
 
-  /// Lets the upstreams hold the work that they receive, or begin it.
-  bool Hold(bool hold) {
-    const std::string fault = hold ? R"({"hold": true})" : R"({"hold": false})";
-    bool is_set = true;
-    for (std::size_t i = 0; i < deployment_.size(); ++i) {
-      is_set &= deployment_.PutJson(deployment_.pair(i).upstream, "/standin/faults", fault);
-    }
-    return is_set;
-  }
-
   // For failure messages.
   static std::string ResultsText(std::span<const call_result> results) {
     std::string text;
@@ -147,7 +137,7 @@
   for (std::size_t stopped = 0; stopped < 2; ++stopped) {
     std::vector<call_result> results(6);
     // Held, so that all calls are seen running at once however long it takes to start them.
-    ASSERT_TRUE(Hold(true));
+    ASSERT_TRUE(deployment_.HoldWork(true));
     std::vector<std::thread> callers;
     for (std::size_t i = 0; i < results.size(); ++i) {
       callers.emplace_back([this, i, &results] {
@@ -170,7 +160,7 @@
         return status.has_field("stopping") && status.at("stopping").as_bool();
       });
     }
-    EXPECT_TRUE(Hold(false));
+    EXPECT_TRUE(deployment_.HoldWork(false));
     for (std::thread& caller : callers) {
       caller.join();
     }
