Let the stand-ins of the platform replace texts with absl::StrReplaceAll

document_changer had written again a loop that platform_run already had. Both now call the library. Behaviour is the same: ChangedDocuments.* and small_deployment.{KeysAppearInNoOutput,VersionsWithValuesThatCannotBeUsedAreInEffect} pass.

--- a/standins/platform/document_changer.h
+++ b/standins/platform/document_changer.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <absl/strings/str_replace.h>
+
 #include <algorithm>
 #include <array>
 #include <cstddef>
@@ -9,7 +11,6 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -71,10 +72,8 @@
   /// The text of `document`, where values that JSON can express and `nlohmann::json` cannot
   /// take the place of the largest number and of NUL.
   static std::string Text(const nlohmann::json& document) {
-    std::string text = document.dump();
-    Replace("1.7976931348623157e+308", "1e999", text);
-    Replace("\\u0000", "\\ud800", text);
-    return text;
+    return absl::StrReplaceAll(document.dump(),
+                               {{"1.7976931348623157e+308", "1e999"}, {"\\u0000", "\\ud800"}});
   }
 
  private:
@@ -89,13 +88,6 @@
   static constexpr int kDeep = 200;
   static constexpr std::size_t kLongText = 5'000;
 
-  static void Replace(std::string_view from, std::string_view to, std::string& text) {
-    for (std::size_t at = text.find(from); at != std::string::npos;
-         at = text.find(from, at + to.size())) {
-      text.replace(at, from.size(), to);
-    }
-  }
-
   std::size_t Pick(std::size_t count) {
     return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
   }
--- a/standins/platform/platform_run.cc
+++ b/standins/platform/platform_run.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "absl/strings/str_format.h"
+#include "absl/strings/str_replace.h"
 #include "src/base/concat.h"
 #include "standins/platform/loop_timer.h"
 #include "standins/platform/platform_addresses.h"
@@ -51,13 +52,6 @@
   return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
 }
 
-void Replace(const std::string& from, const std::string& to, std::string& text) {
-  for (std::size_t at = text.find(from); at != std::string::npos;
-       at = text.find(from, at + to.size())) {
-    text.replace(at, from.size(), to);
-  }
-}
-
 double Percentile(const std::vector<double>& sorted, double share) {
   if (sorted.empty()) return 0;
   const auto at = static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1));
@@ -201,17 +195,18 @@
 }
 
 std::string platform_run::Settings(const machine_place& place) const {
-  std::string text = ReadFile(options_.settings_template);
-  Replace("{{region}}", place.region, text);
-  Replace("{{zone}}", place.zone, text);
-  Replace("{{service}}", author_.ServiceName(place.service), text);
-  Replace("{{listen.outbound}}", Address(place.ip, kOutboundPort), text);
-  Replace("{{listen.inbound}}", Address(place.ip, kInboundPort), text);
-  Replace("{{listen.control}}", Address(place.ip, kControlPort), text);
-  Replace("{{listen.ready}}", Address(place.ip, kReadyPort), text);
-  Replace("{{ip}}:{{internalPorts.0}}", Address(place.ip, kMembershipPort), text);
-  Replace("{{ip}}:{{internalPorts.1}}", Address(place.ip, kAdminPort), text);
-  Replace("{{platform.address}}", Address(kStoreIp, kStorePort), text);
+  const std::string text =
+      absl::StrReplaceAll(ReadFile(options_.settings_template),
+                          {{"{{region}}", place.region},
+                           {"{{zone}}", place.zone},
+                           {"{{service}}", author_.ServiceName(place.service)},
+                           {"{{listen.outbound}}", Address(place.ip, kOutboundPort)},
+                           {"{{listen.inbound}}", Address(place.ip, kInboundPort)},
+                           {"{{listen.control}}", Address(place.ip, kControlPort)},
+                           {"{{listen.ready}}", Address(place.ip, kReadyPort)},
+                           {"{{ip}}:{{internalPorts.0}}", Address(place.ip, kMembershipPort)},
+                           {"{{ip}}:{{internalPorts.1}}", Address(place.ip, kAdminPort)},
+                           {"{{platform.address}}", Address(kStoreIp, kStorePort)}});
   if (text.find("{{") != std::string::npos) {
     throw std::runtime_error(options_.settings_template + ": unknown placeholder " +
                              text.substr(text.find("{{"), 30));
