--- a/standins/platform/platform_run.cc
+++ b/standins/platform/platform_run.cc
@@ -195,7 +195,7 @@
 }
 
 std::string platform_run::Settings(const machine_place& place) const {
-  const std::string text =
+  std::string text =
       absl::StrReplaceAll(ReadFile(options_.settings_template),
                           {{"{{region}}", place.region},
                            {"{{zone}}", place.zone},
