--- a/tests/configuration/configuration_system_test.cc
+++ b/tests/configuration/configuration_system_test.cc
@@ -14,6 +14,8 @@
 #include "proto/configuration.pb.h"
 #include "src/configuration/configuration_record.h"
 #include "src/configuration/parse_result.h"
+#include "tests/configuration/mock_configuration_peers.h"
+#include "tests/configuration/mock_log.h"
 #include "tests/configuration/log_model.h"
 #include "tests/configuration/sample_document.h"
 
@@ -24,26 +26,14 @@
 using std::chrono::seconds;
 using testing::_;
 using testing::NiceMock;
+using tests::mock_configuration_peers;
+using tests::mock_log;
 
 constexpr std::string_view kStream = "config.trial";
 constexpr member_id kSelf{1};
 constexpr member_id kPeer{2};
 constexpr member_id kOtherPeer{3};
 
-class mock_log : public log_port {
- public:
-  MOCK_METHOD(void, Append,
-              (std::string_view stream, std::string_view key, std::string_view data,
-               std::uint64_t token),
-              (override));
-  MOCK_METHOD(void, Read, (std::string_view stream, std::int64_t from), (override));
-};
-
-class mock_peers : public configuration_peer_port {
- public:
-  MOCK_METHOD(void, FetchSnapshot, (member_id peer, std::int64_t known_version), (override));
-};
-
 class ConfigurationSystemTest : public testing::Test {
  protected:
   ConfigurationSystemTest() {
@@ -98,7 +88,7 @@
   }
 
   NiceMock<mock_log> log_;
-  NiceMock<mock_peers> peers_;
+  NiceMock<mock_configuration_peers> peers_;
   log_model stream_;
   std::unique_ptr<configuration_system> system_;
   time_point now_{};
@@ -308,7 +298,7 @@
 
   time_point now_{std::chrono::seconds(100)};
   testing::NiceMock<mock_log> log_;
-  testing::NiceMock<mock_peers> peers_;
+  testing::NiceMock<mock_configuration_peers> peers_;
   configuration_system system_{{.environment = "production",
                                 .self = kSelf,
                                 .seed = 1,
--- a/tests/node/configuration_mocks.h
+++ b/tests/configuration/mock_log.h
@@ -5,20 +5,15 @@
 #include <cstdint>
 #include <string_view>
 
-#include "src/configuration/configuration_peer_port.h"
 #include "src/platform/log_port.h"
 
 namespace bronzeroute::tests {
 
-/// The ports of a `configuration_system`.
 struct mock_log : log_port {
   MOCK_METHOD(void, Append,
               (std::string_view, std::string_view, std::string_view, std::uint64_t),
               (override));
   MOCK_METHOD(void, Read, (std::string_view, std::int64_t), (override));
 };
-struct mock_configuration_peers : configuration_peer_port {
-  MOCK_METHOD(void, FetchSnapshot, (member_id, std::int64_t), (override));
-};
 
 }  // namespace bronzeroute::tests
--- a/tests/membership/membership_system_test.cc
+++ b/tests/membership/membership_system_test.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "src/membership/member_codec.h"
+#include "tests/configuration/mock_log.h"
 #include "tests/membership/member_net.h"
 
 namespace bronzeroute {
@@ -528,18 +529,11 @@
  public:
   MOCK_METHOD(void, SendDatagram, (std::string_view, std::string_view), (override));
 };
-class mock_log : public log_port {
- public:
-  MOCK_METHOD(void, Append,
-              (std::string_view, std::string_view, std::string_view, std::uint64_t),
-              (override));
-  MOCK_METHOD(void, Read, (std::string_view, std::int64_t), (override));
-};
 
 // Guards against frequent appends to an unavailable log: retries back off with jitter.
 TEST(Membership, AppendRetriesBackOff) {
   testing::NiceMock<mock_datagrams> datagrams;
-  testing::NiceMock<mock_log> log;
+  testing::NiceMock<tests::mock_log> log;
   budget_account budget(5000, duration(0));
   time_point now{seconds(1)};
   member_row row;
@@ -564,7 +558,7 @@
 // restored from a copy without its record.
 TEST(Membership, RecordThatTheLogHasLostIsAppendedAgain) {
   testing::NiceMock<mock_datagrams> datagrams;
-  testing::NiceMock<mock_log> log;
+  testing::NiceMock<tests::mock_log> log;
   budget_account budget(5000, duration(0));
   time_point now{seconds(1)};
   member_row row;
@@ -609,7 +603,7 @@
 // against a pause between the pages of a long stream.
 TEST(Membership, JoinsOfOtherMembersDoNotMultiplyReads) {
   testing::NiceMock<mock_datagrams> datagrams;
-  testing::NiceMock<mock_log> log;
+  testing::NiceMock<tests::mock_log> log;
   budget_account budget(5000, duration(0));
   time_point now{seconds(1)};
   member_row row;
--- a/tests/node/route_directory_adapter_test.cc
+++ b/tests/node/route_directory_adapter_test.cc
@@ -12,7 +12,8 @@
 #include "src/configuration/configuration_system.h"
 #include "src/platform/log_read.h"
 #include "tests/node/account_document.h"
-#include "tests/node/configuration_mocks.h"
+#include "tests/configuration/mock_configuration_peers.h"
+#include "tests/configuration/mock_log.h"
 
 namespace bronzeroute::tests {
 namespace {
--- a/tests/platform/changed_documents_test.cc
+++ b/tests/platform/changed_documents_test.cc
@@ -30,7 +30,8 @@
 #include "src/node/route_directory_adapter.h"
 #include "src/platform/log_read.h"
 #include "standins/platform/document_changer.h"
-#include "tests/node/configuration_mocks.h"
+#include "tests/configuration/mock_configuration_peers.h"
+#include "tests/configuration/mock_log.h"
 
 namespace bronzeroute::platform {
 namespace {
