Read numbers from the environment in one place in tests

ChangedDocuments had written again what the soak had, and the fuzz tests read their count in the same way.

--- a/tests/calls/fuzz_script.h
+++ b/tests/calls/fuzz_script.h
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <cstdlib>
 #include <iostream>
 #include <map>
 #include <sstream>
@@ -13,6 +12,7 @@
 
 #include "src/base/error_response.h"
 #include "src/base/time.h"
+#include "tests/base/number_from_environment.h"
 #include "tests/calls/call_oracle.h"
 
 namespace bronzeroute::tests {
@@ -96,8 +96,8 @@
 
 /// Number of scripts: BRONZEROUTE_FUZZ_CASES, or `by_default` without it.
 inline int FuzzCases(int by_default) {
-  const char* text = std::getenv("BRONZEROUTE_FUZZ_CASES");
-  return text == nullptr ? by_default : std::atoi(text);
+  return static_cast<int>(
+      NumberFromEnvironment("BRONZEROUTE_FUZZ_CASES", static_cast<std::uint64_t>(by_default)));
 }
 
 /// Checks `property` with a fixed seed; returns the report of its failure, or nothing.
--- a/tests/platform/changed_documents_test.cc
+++ b/tests/platform/changed_documents_test.cc
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
-#include <cstdlib>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -30,6 +29,7 @@
 #include "src/node/route_directory_adapter.h"
 #include "src/platform/log_read.h"
 #include "standins/platform/document_changer.h"
+#include "tests/base/number_from_environment.h"
 #include "tests/configuration/mock_configuration_peers.h"
 #include "tests/configuration/mock_log.h"
 
@@ -48,11 +48,6 @@
 constexpr int kShownFailures = 3;
 const std::array<std::string, 3> kRegions = {"north", "south", "west"};
 
-std::uint64_t FromEnvironment(const char* name, std::uint64_t otherwise) {
-  const char* const text = std::getenv(name);
-  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
-}
-
 /// Writes valid configurations of the users' form: with and without accounts, shares of routes,
 /// home regions and cold limits.
 class document_author {
@@ -464,8 +459,8 @@
 // keys and routes stay in use, and against a substitute that reaches beyond its field or allows
 // more than the version does.
 TEST(ChangedDocuments, EachIsInEffectButForWhatCannotBeUsed) {
-  const std::uint64_t seed = FromEnvironment("BRONZEROUTE_SEED", 20261207);
-  const std::uint64_t documents = FromEnvironment("BRONZEROUTE_DOCUMENTS", 10'000);
+  const std::uint64_t seed = tests::NumberFromEnvironment("BRONZEROUTE_SEED", 20261207);
+  const std::uint64_t documents = tests::NumberFromEnvironment("BRONZEROUTE_DOCUMENTS", 10'000);
   document_author author(seed);
   document_changer changer(seed + 1);
   std::mt19937_64 random(seed + 2);
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -3,9 +3,9 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
-#include <cstdlib>
 #include <string>
 
+#include "tests/base/number_from_environment.h"
 #include "tests/soak/soak_run.h"
 
 namespace bronzeroute::testing {
@@ -18,18 +18,12 @@
 // closed the caller's connection without sending a byte.
 constexpr std::array<std::uint64_t, 2> kRegressionSeeds{2001, 4011};
 
-/// Value of a numeric environment variable, or `otherwise` if it is not set.
-std::uint64_t Number(const char* name, std::uint64_t otherwise) {
-  const char* const text = std::getenv(name);
-  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
-}
-
 // Guards against overlapping kills, pauses, stops, link faults, failing upstreams and new
 // documents that repeat protected work, lose or exchange responses, or prevent an entry from
 // serving afterwards. BRONZEROUTE_SOAK_SEED and BRONZEROUTE_SOAK_COUNT choose other seeds.
 TEST(Soak, GuaranteesHoldUnderFaults) {
-  const std::uint64_t first = Number("BRONZEROUTE_SOAK_SEED", 20'261'204);
-  const std::uint64_t count = Number("BRONZEROUTE_SOAK_COUNT", 2);
+  const std::uint64_t first = tests::NumberFromEnvironment("BRONZEROUTE_SOAK_SEED", 20'261'204);
+  const std::uint64_t count = tests::NumberFromEnvironment("BRONZEROUTE_SOAK_COUNT", 2);
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     EXPECT_EQ(soak_run(seed, kServices, kFaultsFor).Run(), "");
   }
