--- a/tests/platform/changed_documents_test.cc
+++ b/tests/platform/changed_documents_test.cc
@@ -242,6 +242,7 @@
         after_(after),
         old_(old),
         current_(current),
+        claims_before_(Claims(before)),
         claims_(Claims(after)),
         has_accounts_(Has(after, "tenants")) {
     for (const json* account : ElementsOf(MemberOf(after, "tenants"))) {
@@ -346,7 +347,7 @@
   }
 
   void JudgeRoutes() {
-    for (const claim& was : Claims(before_)) {
+    for (const claim& was : claims_before_) {
       const std::string path = was.prefix + "x";
       const claim* const is = ClaimOn(claims_, was.host, path);
       if (is == nullptr) {
@@ -377,8 +378,7 @@
   bool IsServedAsBefore(const claim& is) const {
     const std::string path = is.prefix + "x";
     if (ClaimOn(claims_, is.host, path) != &is) return false;
-    const std::vector<claim> all = Claims(before_);
-    const claim* const was = ClaimOn(all, is.host, path);
+    const claim* const was = ClaimOn(claims_before_, is.host, path);
     return was != nullptr && *was->rule == *is.rule && HasServicesOf(*is.rule);
   }
 
@@ -448,6 +448,7 @@
   const json& after_;
   const reader& old_;
   const reader& current_;
+  std::vector<claim> claims_before_;
   std::vector<claim> claims_;
   bool has_accounts_ = false;
   std::set<std::string> keys_;
