--- a/tests/configuration/configuration_system_test.cc
+++ b/tests/configuration/configuration_system_test.cc
@@ -14,9 +14,9 @@
 #include "proto/configuration.pb.h"
 #include "src/configuration/configuration_record.h"
 #include "src/configuration/parse_result.h"
+#include "tests/configuration/log_model.h"
 #include "tests/configuration/mock_configuration_peers.h"
 #include "tests/configuration/mock_log.h"
-#include "tests/configuration/log_model.h"
 #include "tests/configuration/sample_document.h"
 
 namespace bronzeroute {
--- a/tests/node/route_directory_adapter_test.cc
+++ b/tests/node/route_directory_adapter_test.cc
@@ -11,9 +11,9 @@
 #include "src/configuration/configuration_record.h"
 #include "src/configuration/configuration_system.h"
 #include "src/platform/log_read.h"
-#include "tests/node/account_document.h"
 #include "tests/configuration/mock_configuration_peers.h"
 #include "tests/configuration/mock_log.h"
+#include "tests/node/account_document.h"
 
 namespace bronzeroute::tests {
 namespace {
