--- a/src/configuration/configuration_system.cc
+++ b/src/configuration/configuration_system.cc
@@ -106,6 +106,11 @@
   if (version <= std::max(in_effect_.version, unusable_version_) || version < peer_version_) {
     return;
   }
+  if (version > reported_version_) {
+    reported_version_ = version;
+    reported_at_ = now;
+    events_.push_back({configuration_event_kind::kNewerVersionReported, peer, version});
+  }
   if (newer_peers_.empty()) {
     fetch_at_ = now + (read_failures_ > 0 ? kFetchGraceWithoutLog : kFetchGrace) +
                 Jitter(duration(0), kFetchSpread);
@@ -174,6 +179,10 @@
                                             : std::string();
 }
 
+std::optional<time_point> configuration_system::reported_at() const {
+  return reported_version_ < in_effect_.version ? std::nullopt : std::optional(reported_at_);
+}
+
 std::string_view configuration_system::problem() const {
   if (unusable_version_ > in_effect_.version) {
     return "a newer version is in force that this build cannot read";
@@ -264,6 +273,8 @@
 }
 
 void configuration_system::FailFetch(time_point now) {
+  ++counters_.failed_fetches;
+  events_.push_back({configuration_event_kind::kFetchFailed, *fetching_from_, peer_version_});
   std::erase(newer_peers_, *fetching_from_);
   fetching_from_.reset();
   // With the version reset, the next message of a peer that has it starts a new fetch.
@@ -291,7 +302,10 @@
 
 void configuration_system::StartRead(time_point now) {
   renewed_at_.reset();
-  if (read_open_) renewed_at_ = now;
+  if (read_open_) {
+    renewed_at_ = now;
+    ++counters_.renewed_reads;
+  }
   read_open_ = true;
   read_deadline_ = now + settings_.read_timeout;
   renew_for_peer_at_ = time_point::max();
@@ -313,6 +327,7 @@
   std::uniform_int_distribution<std::size_t> pick(0, newer_peers_.size() - 1);
   fetching_from_ = newer_peers_[pick(random_)];
   fetch_deadline_ = now + kFetchDeadline;
+  ++counters_.fetches;
   peers_.FetchSnapshot(*fetching_from_, in_effect_.version);
 }
 
--- a/src/configuration/configuration_system.h
+++ b/src/configuration/configuration_system.h
@@ -13,6 +13,8 @@
 
 #include "src/base/strong_id.h"
 #include "src/base/time.h"
+#include "src/configuration/configuration_counters.h"
+#include "src/configuration/configuration_event.h"
 #include "src/configuration/configuration_fold.h"
 #include "src/configuration/configuration_peer_port.h"
 #include "src/configuration/configuration_settings.h"
@@ -64,6 +66,12 @@
   std::string_view problem() const;
   /// Returns the records folded since the last call, for the daemon's log lines.
   std::vector<folded_record> TakeFoldedRecords() { return std::exchange(folded_records_, {}); }
+  /// Returns what happened since the last call, for the daemon's log lines.
+  std::vector<configuration_event> TakeEvents() { return std::exchange(events_, {}); }
+  const configuration_counters& counters() const { return counters_; }
+  /// When a peer first reported the version in effect or a later one; nullopt if none did
+  /// before it was in effect here.
+  std::optional<time_point> reported_at() const;
 
  private:
   /// Value of `ranked_anchor_` while no rank delay is computed.
@@ -112,6 +120,8 @@
   configuration_snapshot in_effect_;
   bool from_peer_ = false;
   std::vector<folded_record> folded_records_;
+  std::vector<configuration_event> events_;
+  configuration_counters counters_;
   /// Highest version that cannot be put in effect: this build cannot read it, or the fold did
   /// not accept it.
   std::int64_t unusable_version_ = -1;
@@ -134,6 +144,9 @@
   /// True if the log ends before records that were read earlier.
   bool log_behind_ = false;
 
+  /// Highest version that a peer reported before it was in effect here, and when.
+  std::int64_t reported_version_ = -1;
+  time_point reported_at_{};
   /// Peers that reported `peer_version_`, the highest reported version above the one in effect.
   std::vector<member_id> newer_peers_;
   std::int64_t peer_version_ = -1;
--- a/src/daemon/admin_endpoints.cc
+++ b/src/daemon/admin_endpoints.cc
@@ -186,7 +186,8 @@
         200, "text/plain; version=0.0.4",
         ExpositionText(runtime.metrics(), runtime.budget(), now,
                        with_minutes ? exposition_detail::kMinutes : exposition_detail::kTotals,
-                       runtime.restrictions(now), runtime.usage().Counters())};
+                       runtime.restrictions(now), runtime.usage().Counters(),
+                       runtime.configuration().counters())};
   });
 }
 
--- a/src/measuring/exposition.cc
+++ b/src/measuring/exposition.cc
@@ -251,6 +251,22 @@
          static_cast<double>(restrictions.held_by_cold_limit));
 }
 
+void AppendConfiguration(std::string& out, const configuration_counters& counters) {
+  const auto append = [&out](string_view name, string_view help, std::uint64_t value) {
+    AppendHeader(out, name, "counter", help);
+    out.append(name).append(" ");
+    AppendNumber(out, static_cast<double>(value));
+    out += '\n';
+  };
+  append("bronzeroute_config_reads_renewed_total",
+         "Waiting reads of the configuration that were given up for a new one.",
+         counters.renewed_reads);
+  append("bronzeroute_config_fetches_total", "Requests to peers for their configuration.",
+         counters.fetches);
+  append("bronzeroute_config_fetches_failed_total",
+         "Requests to peers that brought no newer configuration.", counters.failed_fetches);
+}
+
 template <typename Value>
 void AppendBudget(std::string& out, const budget_account& budget, string_view name,
                   string_view help, Value value) {
@@ -305,8 +321,8 @@
 
 std::string ExpositionText(const service_metrics& metrics, const budget_account& budget,
                            time_point now, exposition_detail detail,
-                           const restriction_metrics& restrictions,
-                           const usage_rows& accounts) {
+                           const restriction_metrics& restrictions, const usage_rows& accounts,
+                           const configuration_counters& configuration) {
   std::string out;
   AppendRequests(out, metrics);
   AppendLatency(out, metrics, now);
@@ -318,6 +334,7 @@
   AppendAccounts(out, metrics.accounts());
   AppendProcess(out, metrics.start(), now);
   AppendRestrictions(out, restrictions);
+  AppendConfiguration(out, configuration);
   AppendBudget(out, budget, "bronzeroute_measuring_bytes_total", "Bytes sent for measuring.",
                [](const budget_counter& row) { return static_cast<double>(row.bytes); });
   AppendBudget(out, budget, "bronzeroute_measuring_upstream_seconds_total",
--- a/src/measuring/exposition.h
+++ b/src/measuring/exposition.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "src/base/time.h"
+#include "src/configuration/configuration_counters.h"
 #include "src/measuring/exposition_detail.h"
 #include "src/measuring/restriction_metrics.h"
 
@@ -26,6 +27,7 @@
                            time_point now,
                            exposition_detail detail = exposition_detail::kMinutes,
                            const restriction_metrics& restrictions = {},
-                           const usage_rows& accounts = {});
+                           const usage_rows& accounts = {},
+                           const configuration_counters& configuration = {});
 
 }  // namespace bronzeroute
--- a/src/node/decision_log.cc
+++ b/src/node/decision_log.cc
@@ -10,6 +10,7 @@
 #include "src/calls/call_id_text.h"
 #include "src/calls/call_record.h"
 #include "src/calls/owner_attempt_record.h"
+#include "src/configuration/configuration_event.h"
 #include "src/configuration/document.h"
 #include "src/configuration/document_error.h"
 #include "src/configuration/folded_record.h"
@@ -126,11 +127,21 @@
   sink_->Write(line);
 }
 
+void decision_log::OnConfigurationEvent(const configuration_event& event) {
+  if (sink_ == nullptr) return;
+  const bool is_report = event.kind == configuration_event_kind::kNewerVersionReported;
+  log_line line(log_weight::kState, "config", is_report ? "version_reported" : "fetch_failed");
+  line.Add("version", event.version).Add("member", MemberText(event.peer));
+  sink_->Write(line);
+}
+
 void decision_log::OnConfigurationInEffect(const document& current, std::int64_t version,
-                                           std::string_view source) {
+                                           std::string_view source,
+                                           std::optional<duration> after_report) {
   if (sink_ == nullptr) return;
   log_line line(log_weight::kState, "config", "in_effect");
   line.Add("version", version).Add("source", source);
+  if (after_report) line.Add("after_report_ms", *after_report);
   sink_->Write(line);
   if (current.substitutions == 0) return;
   log_line replaced(log_weight::kState, "config", "values_replaced");
--- a/src/node/decision_log.h
+++ b/src/node/decision_log.h
@@ -6,11 +6,14 @@
 #include <string>
 #include <string_view>
 
+#include "src/base/time.h"
+
 namespace bronzeroute {
 
 class admission_system;
 class log_sink;
 struct call_record;
+struct configuration_event;
 struct document;
 struct usage_counters;
 struct membership_event;
@@ -32,8 +35,10 @@
   void OnConfigurationRecord(const folded_record& record);
   /// `current` is in effect as `version`. Its values that were replaced get a line of their
   /// own.
+  /// `after_report` is the time since a peer first reported the version; nullopt if none did.
   void OnConfigurationInEffect(const document& current, std::int64_t version,
-                               std::string_view source);
+                               std::string_view source, std::optional<duration> after_report);
+  void OnConfigurationEvent(const configuration_event& event);
   /// The upstream names a limit in requests per second, or no longer names one.
   void OnUpstreamRate(std::string_view identity, std::optional<double> per_second);
   /// The limit of a cold upstream begins with `per_second` starts per second, or ends (0).
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -448,7 +448,9 @@
   admission_.SetAccounts(current->accounts);
   budget_.SetLimits(current->measuring_bytes_per_second,
                     std::chrono::milliseconds(current->measuring_upstream_ms_per_second));
-  decisions_.OnConfigurationInEffect(*current, applied_version_, configuration_.source());
+  const std::optional<time_point> reported = configuration_.reported_at();
+  decisions_.OnConfigurationInEffect(*current, applied_version_, configuration_.source(),
+                                     reported ? std::optional(now - *reported) : std::nullopt);
   // An upstream whose service no configuration has named yet is that of another writer.
   const upstream_announcement* const upstream = membership_.upstream();
   if (upstream != nullptr && applied_service_.empty() &&
@@ -604,6 +606,9 @@
   for (const folded_record& each : configuration_.TakeFoldedRecords()) {
     decisions_.OnConfigurationRecord(each);
   }
+  for (const configuration_event& each : configuration_.TakeEvents()) {
+    decisions_.OnConfigurationEvent(each);
+  }
 }
 
 }  // namespace bronzeroute
--- a/tests/configuration/configuration_system_test.cc
+++ b/tests/configuration/configuration_system_test.cc
@@ -398,6 +398,31 @@
   EXPECT_TRUE(records[1].was_missed);
 }
 
+// Guards against logs that do not tell a version which no peer reported from one that no peer
+// supplied.
+TEST_F(VersionedDocumentsTest, TellsWhichVersionWasReportedAndNotSupplied) {
+  Deliver(0, "7");
+  EXPECT_EQ(system_.reported_at(), std::nullopt);
+  const time_point reported = now_;
+  system_.OnPeerVersion(kPeer, 9, now_);
+  for (const time_point end = now_ + seconds(2); now_ < end; now_ += milliseconds(10)) {
+    system_.Tick(now_);
+    if (system_.counters().fetches > 0) break;
+  }
+  system_.OnSnapshotFailed(kPeer, now_);
+  const std::vector<configuration_event> events = system_.TakeEvents();
+  ASSERT_EQ(events.size(), 2U);
+  EXPECT_EQ(events[0].kind, configuration_event_kind::kNewerVersionReported);
+  EXPECT_EQ(events[1].kind, configuration_event_kind::kFetchFailed);
+  for (const configuration_event& each : events) {
+    EXPECT_EQ(each.peer, kPeer);
+    EXPECT_EQ(each.version, 9);
+  }
+  EXPECT_EQ(system_.counters().failed_fetches, 1U);
+  Deliver(1, "9");
+  EXPECT_EQ(system_.reported_at(), reported);
+}
+
 // Guards against a daemon that cannot read the log and keeps an old version, and against
 // returning to an older version from the log after a fetch from a peer.
 TEST_F(VersionedDocumentsTest, TakesAHigherVersionFromAPeer) {
