--- a/tests/node/runtime_world.h
+++ b/tests/node/runtime_world.h
@@ -78,6 +78,14 @@
   configuration_form form = configuration_form::kPublications;
   /// Reads the documents of configuration_form::kVersionedDocuments.
   document_reader read_document = ReadTomlDocument;
+  /// Longest time for which the log holds a read without new records.
+  duration log_wait = seconds(1);
+  /// Whether each daemon knows the addresses of all others from its settings.
+  bool has_seeds = true;
+  /// Settings of the daemons.
+  duration read_pause{};
+  duration member_read_pause = seconds(1);
+  duration join_spread = seconds(5);
 };
 
 /// The log service: streams with offsets and retention, outages, delays and lost responses.
@@ -178,6 +186,14 @@
                             .is_removal = !begins});
   }
   void CutOffLog(std::size_t index, bool cut_off) { hosts_[index]->is_log_cut_off = cut_off; }
+  /// Calls to the log from this daemon get no response, open reads included.
+  void SetLogSilent(std::size_t index, bool is_silent) {
+    hosts_[index]->is_log_silent = is_silent;
+    if (is_silent) hosts_[index]->open_reads.clear();
+  }
+  /// The connection to the log that holds the open reads never carries another response; new
+  /// ones work.
+  void SilenceOpenReads(std::size_t index) { hosts_[index]->open_reads.clear(); }
   void RemoveUpstream(std::size_t index) { hosts_[index]->has_upstream = false; }
 
   void Advance(duration time) {
@@ -390,6 +406,10 @@
     std::set<attempt_id> at_upstream;
     std::vector<time_point> starts;
     bool is_log_cut_off = false;
+    bool is_log_silent = false;
+    /// Number of the open read of each stream.
+    std::map<std::string, std::size_t> open_reads;
+    std::size_t last_read = 0;
     std::string upstream_address;
     /// Records of evacuations that this process has read; -1 before the first read.
     std::int64_t evacuations_read = -1;
@@ -406,6 +426,7 @@
       inbox.clear();
       responses.clear();
       links.clear();
+      open_reads.clear();
       at_upstream.clear();
       exit_by.reset();
     }
@@ -507,20 +528,28 @@
                  });
     }
     void Read(std::string_view name, std::int64_t from) override {
-      WaitRead(std::string(name), from, world.now_ + seconds(1), world.log.delay);
-    }
-    void WaitRead(const std::string& name, std::int64_t from, time_point until,
-                  duration delay) {
-      world.Post(delay, *this, [this, name, from, until] {
+      const std::string stream(name);
+      const std::size_t number = ++last_read;
+      open_reads[stream] = number;
+      WaitRead(stream, number, from, world.now_ + world.options.log_wait, world.log.delay);
+    }
+    void WaitRead(const std::string& name, std::size_t number, std::int64_t from,
+                  time_point until, duration delay) {
+      if (is_log_silent) return;
+      world.Post(delay, *this, [this, name, number, from, until] {
+        const auto open = open_reads.find(name);
+        if (is_log_silent || open == open_reads.end() || open->second != number) return;
         if (!ReachesLog()) {
+          open_reads.erase(open);
           core->OnLogFailed(name, world.now_);
           return;
         }
         if (name.starts_with("config.")) ReadEvacuations();
         const log_read read = world.log.Read(name, from, world.now_);
         if (read.records.empty() && world.now_ < until) {
-          WaitRead(name, from, until, milliseconds(50));
+          WaitRead(name, number, from, until, milliseconds(50));
         } else {
+          open_reads.erase(open);
           core->OnLogRead(read, world.now_);
         }
       });
@@ -549,7 +578,9 @@
     void FetchSnapshot(member_id peer, std::int64_t known) override {
       host* to = world.IsLinked(*this, peer) ? world.Find(peer) : nullptr;
       world.Post(world.Delay(), *this, [this, to, peer, known] {
-        if (to == nullptr || !to->core || to->frozen || !world.IsLinked(*this, peer)) {
+        // A frozen process does not respond.
+        if (to != nullptr && to->core && to->frozen) return;
+        if (to == nullptr || !to->core || !world.IsLinked(*this, peer)) {
           core->OnSnapshotFailed(peer, world.now_);
         } else {
           core->OnSnapshot(peer, to->core->configuration().SnapshotFor(known), world.now_);
@@ -632,7 +663,13 @@
         return result;
       };
     }
-    for (std::size_t i = 0; i < hosts_.size(); ++i) settings.seeds.push_back(AddressOf(i));
+    settings.configuration_read_pause = options.read_pause;
+    settings.member_read_pause = options.member_read_pause;
+    settings.log_read_time = options.log_wait + seconds(9);
+    settings.join_spread = options.join_spread;
+    for (std::size_t i = 0; options.has_seeds && i < hosts_.size(); ++i) {
+      settings.seeds.push_back(AddressOf(i));
+    }
     at.core = std::make_unique<node_runtime>(self, settings,
                                              runtime_ports{at, at, at, at, at, at, at}, now_);
   }
