--- a/src/membership/membership_settings.h
+++ b/src/membership/membership_settings.h
@@ -90,6 +90,11 @@
   /// Peers to which each member pushes an urgent change at once. With 4, a change reaches 98 of
   /// 100 members within a few round trips, and the others with probes.
   std::uint32_t push_fanout = 4;
+  /// Pushes of a new configuration version. Members that read the log receive a version from it
+  /// at about the same time; the pushes are for those whose read does not deliver it. With two
+  /// pushes to 4 peers each, fewer than one of 1000 members hears of a version only from
+  /// probes.
+  std::uint32_t version_pushes = 2;
 };
 
 }  // namespace bronzeroute
--- a/src/membership/membership_system.cc
+++ b/src/membership/membership_system.cc
@@ -138,6 +138,10 @@
 }
 
 void membership_system::SetConfigVersion(std::int64_t version) {
+  // A member that has just started is behind the others.
+  if (joined_ && self().config_version >= 0 && version > self().config_version) {
+    version_pushes_left_ = settings_.version_pushes;
+  }
   table_.Mutable(0).config_version = version;
   highest_version_ = std::max(highest_version_, version);
 }
@@ -492,7 +496,7 @@
 }
 
 void membership_system::TickPush(time_point now) {
-  if (!push_due_ || now < next_push_) return;
+  if ((!push_due_ && version_pushes_left_ == 0) || now < next_push_) return;
   next_push_ = now + settings_.push_interval;
   for (std::uint32_t i = 0; i < settings_.push_fanout; ++i) {
     const std::ptrdiff_t peer = RandomPeer(member_id{});
@@ -515,6 +519,8 @@
     }
   }
   push_due_ = false;
+  // Each message names the version in effect.
+  version_pushes_left_ -= std::min(version_pushes_left_, 1U);
   for (const member_id id : changed_) {
     const std::ptrdiff_t index = table_.IndexOf(id);
     if (index >= 0) table_.track(Index(index)).urgent = false;
--- a/src/membership/membership_system.h
+++ b/src/membership/membership_system.h
@@ -86,7 +86,8 @@
 
   /// The load hint sent on the next messages.
   void SetHint(const load_hint& hint) { hint_ = hint; }
-  /// The configuration version in effect here, sent on the next messages.
+  /// The configuration version in effect here, sent on the next messages. A higher one is
+  /// pushed to some peers at once.
   void SetConfigVersion(std::int64_t version);
 
   /// The evacuations known here, sent on the next messages while there are any, and for some
@@ -274,6 +275,8 @@
   /// Members whose last change is still to be transmitted.
   std::vector<member_id> changed_;
   bool push_due_ = false;
+  /// Pushes that are still to be sent for the configuration version.
+  std::uint32_t version_pushes_left_ = 0;
   /// Ordered, as the order of a hash map differs between processes and a seed must reproduce
   /// the same trace.
   std::map<std::uint64_t, details_request> details_requests_;
