--- a/src/configuration/configuration_system.cc
+++ b/src/configuration/configuration_system.cc
@@ -31,14 +31,6 @@
 constexpr duration kMissedTime = milliseconds(500);
 // Limits the read rate on a log that returns at once when there are no new records.
 constexpr duration kEmptyReadInterval = milliseconds(100);
-// Delay before a version that a peer has is fetched from it, because the log usually supplies
-// the version first. Even after two failed fetches of 1.5 s each, the version is in effect
-// within 6 s.
-constexpr duration kFetchGrace = seconds(1);
-constexpr duration kFetchGraceWithoutLog = milliseconds(100);
-constexpr duration kFetchSpread = milliseconds(400);
-constexpr duration kFetchDeadline = milliseconds(1500);
-constexpr std::size_t kMaxNewerPeers = 8;
 // Delay between the daemons of successive ranks that append a snapshot. An append reaches the
 // other daemons in less time, so they read the snapshot and do not append their own.
 constexpr duration kMaxRankStep = seconds(2);
@@ -57,9 +49,9 @@
     : settings_(std::move(settings)),
       stream_(ConfigurationStream(settings_.environment)),
       log_(log),
-      peers_(peers),
       random_(settings_.seed),
       fold_(settings_.environment),
+      fetcher_(peers, settings_.seed + 1),
       append_token_(kTokenTag) {}
 
 void configuration_system::OnLogRead(const log_read& read, time_point now) {
@@ -74,7 +66,7 @@
       renewal_turn_.reset();
     }
     AdoptDocuments(read, now);
-    DropStalePeers();
+    fetcher_.Drop(in_effect_.version);
     return;
   }
   retention_ = milliseconds(read.retention_ms);
@@ -103,28 +95,15 @@
 }
 
 void configuration_system::OnPeerVersion(member_id peer, std::int64_t version, time_point now) {
-  if (version <= std::max(in_effect_.version, unusable_version_) || version < peer_version_) {
-    return;
-  }
+  if (version <= std::max(in_effect_.version, unusable_version_)) return;
   if (version > reported_version_) {
     reported_version_ = version;
     reported_at_ = now;
     events_.push_back({configuration_event_kind::kNewerVersionReported, peer, version});
-  }
-  if (newer_peers_.empty()) {
-    fetch_at_ = now + (read_failures_ > 0 ? kFetchGraceWithoutLog : kFetchGrace) +
-                Jitter(duration(0), kFetchSpread);
-  }
-  if (version > peer_version_) {
-    newer_peers_.clear();
     renew_for_peer_at_ =
         std::min(renew_for_peer_at_, now + kRenewalGrace + Jitter(duration(0), kRenewalSpread));
   }
-  peer_version_ = version;
-  if (newer_peers_.size() < kMaxNewerPeers &&
-      std::ranges::find(newer_peers_, peer) == newer_peers_.end()) {
-    newer_peers_.push_back(peer);
-  }
+  fetcher_.OnPeerVersion(peer, version, read_failures_ > 0, now);
 }
 
 void configuration_system::OnSnapshot(member_id peer, std::string_view record, time_point now) {
@@ -134,7 +113,7 @@
     OnSnapshotFailed(peer, now);
     return;
   }
-  if (fetching_from_ == peer) fetching_from_.reset();
+  fetcher_.OnResponse(peer, now);
   if (settings_.form == configuration_form::kVersionedDocuments) {
     if (snapshot->version > in_effect_.version && snapshot->parsed != nullptr) {
       in_effect_ = *std::move(snapshot);
@@ -155,12 +134,11 @@
       unusable_version_ = std::max(unusable_version_, snapshot->version);
     }
   }
-  DropStalePeers();
-  fetch_at_ = now + kFirstRetry + Jitter(duration(0), kFetchSpread);
+  fetcher_.Drop(std::max(in_effect_.version, unusable_version_));
 }
 
 void configuration_system::OnSnapshotFailed(member_id peer, time_point now) {
-  if (fetching_from_ == peer) FailFetch(now);
+  fetcher_.OnFailed(peer, now);
 }
 
 void configuration_system::OnMembers(std::span<const member_id> alive) {
@@ -170,7 +148,7 @@
 
 void configuration_system::Tick(time_point now) {
   TickRead(now);
-  TickFetch(now);
+  fetcher_.Tick(in_effect_.version, now);
   TickSnapshot(now);
 }
 
@@ -179,6 +157,11 @@
                                             : std::string();
 }
 
+std::vector<configuration_event> configuration_system::TakeEvents() {
+  std::ranges::move(fetcher_.TakeEvents(), std::back_inserter(events_));
+  return std::exchange(events_, {});
+}
+
 std::optional<time_point> configuration_system::reported_at() const {
   return reported_version_ < in_effect_.version ? std::nullopt : std::optional(reported_at_);
 }
@@ -258,7 +241,7 @@
       unusable_version_ = std::max(unusable_version_, head.version);
     }
   }
-  DropStalePeers();
+  fetcher_.Drop(std::max(in_effect_.version, unusable_version_));
 }
 
 void configuration_system::FailRead(time_point now) {
@@ -272,22 +255,6 @@
   unanchored_since_.reset();
 }
 
-void configuration_system::FailFetch(time_point now) {
-  ++counters_.failed_fetches;
-  events_.push_back({configuration_event_kind::kFetchFailed, *fetching_from_, peer_version_});
-  std::erase(newer_peers_, *fetching_from_);
-  fetching_from_.reset();
-  // With the version reset, the next message of a peer that has it starts a new fetch.
-  if (newer_peers_.empty()) peer_version_ = -1;
-  fetch_at_ = now + Jitter(duration(0), kFetchSpread);
-}
-
-void configuration_system::DropStalePeers() {
-  if (peer_version_ > std::max(in_effect_.version, unusable_version_)) return;
-  newer_peers_.clear();
-  peer_version_ = -1;
-}
-
 void configuration_system::TickRead(time_point now) {
   if (read_open_ && now >= read_deadline_) FailRead(now);
   if (!renewal_turn_) PlanRenewal(now);
@@ -304,7 +271,7 @@
   renewed_at_.reset();
   if (read_open_) {
     renewed_at_ = now;
-    ++counters_.renewed_reads;
+    ++renewed_reads_;
   }
   read_open_ = true;
   read_deadline_ = now + settings_.read_timeout;
@@ -321,16 +288,6 @@
   renewal_turn_ = first + round * past;
 }
 
-void configuration_system::TickFetch(time_point now) {
-  if (fetching_from_ && now >= fetch_deadline_) FailFetch(now);
-  if (fetching_from_ || newer_peers_.empty() || now < fetch_at_) return;
-  std::uniform_int_distribution<std::size_t> pick(0, newer_peers_.size() - 1);
-  fetching_from_ = newer_peers_[pick(random_)];
-  fetch_deadline_ = now + kFetchDeadline;
-  ++counters_.fetches;
-  peers_.FetchSnapshot(*fetching_from_, in_effect_.version);
-}
-
 void configuration_system::TickSnapshot(time_point now) {
   if (append_open_ && now >= append_deadline_) OnAppendResult(append_token_, false, now);
   if (settings_.form == configuration_form::kVersionedDocuments) return;
--- a/src/configuration/configuration_system.h
+++ b/src/configuration/configuration_system.h
@@ -21,6 +21,7 @@
 #include "src/configuration/configuration_snapshot.h"
 #include "src/configuration/document.h"
 #include "src/configuration/folded_record.h"
+#include "src/configuration/version_fetcher.h"
 #include "src/platform/log_port.h"
 #include "src/platform/log_read.h"
 
@@ -67,8 +68,12 @@
   /// Returns the records folded since the last call, for the daemon's log lines.
   std::vector<folded_record> TakeFoldedRecords() { return std::exchange(folded_records_, {}); }
   /// Returns what happened since the last call, for the daemon's log lines.
-  std::vector<configuration_event> TakeEvents() { return std::exchange(events_, {}); }
-  const configuration_counters& counters() const { return counters_; }
+  std::vector<configuration_event> TakeEvents();
+  configuration_counters counters() const {
+    return {.renewed_reads = renewed_reads_,
+            .fetches = fetcher_.fetches(),
+            .failed_fetches = fetcher_.failed_fetches()};
+  }
   /// When a peer first reported the version in effect or a later one; nullopt if none did
   /// before it was in effect here.
   std::optional<time_point> reported_at() const;
@@ -87,9 +92,6 @@
   /// Puts the accepted version of the fold in effect if it is higher than the current one.
   void AdoptHead();
   void FailRead(time_point now);
-  void FailFetch(time_point now);
-  /// Clears `newer_peers_` once their version is no longer needed.
-  void DropStalePeers();
   void TickRead(time_point now);
   void StartRead(time_point now);
   /// True if the open read is to be given up for a new one.
@@ -98,7 +100,6 @@
   /// `turns_began_`, so that the renewals of all are evenly spaced even though a new version
   /// makes all of them start a read at the same moment.
   void PlanRenewal(time_point now);
-  void TickFetch(time_point now);
   void TickSnapshot(time_point now);
   /// When the stream needs a new snapshot; nullopt while it needs none.
   std::optional<time_point> SnapshotDue() const;
@@ -113,7 +114,6 @@
   configuration_settings settings_;
   std::string stream_;
   log_port& log_;
-  configuration_peer_port& peers_;
   std::mt19937_64 random_;
 
   configuration_fold fold_;
@@ -121,7 +121,7 @@
   bool from_peer_ = false;
   std::vector<folded_record> folded_records_;
   std::vector<configuration_event> events_;
-  configuration_counters counters_;
+  std::uint64_t renewed_reads_ = 0;
   /// Highest version that cannot be put in effect: this build cannot read it, or the fold did
   /// not accept it.
   std::int64_t unusable_version_ = -1;
@@ -147,12 +147,7 @@
   /// Highest version that a peer reported before it was in effect here, and when.
   std::int64_t reported_version_ = -1;
   time_point reported_at_{};
-  /// Peers that reported `peer_version_`, the highest reported version above the one in effect.
-  std::vector<member_id> newer_peers_;
-  std::int64_t peer_version_ = -1;
-  time_point fetch_at_{};
-  std::optional<member_id> fetching_from_;
-  time_point fetch_deadline_{};
+  version_fetcher fetcher_;
 
   std::vector<member_id> alive_;
   duration retention_{};
--- /dev/null
+++ b/src/configuration/version_fetcher.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "src/base/strong_id.h"
+#include "src/base/time.h"
+#include "src/configuration/configuration_counters.h"
+#include "src/configuration/configuration_event.h"
+
+namespace bronzeroute {
+
+class configuration_peer_port;
+
+/// Fetches the configuration from peers that have a higher version, when the log does not
+/// supply it. A peer that does not respond delays the version by `kNextPeerDelay` only: then
+/// the next one is asked as well.
+class version_fetcher {
+ public:
+  /// `peers` must outlive the fetcher.
+  version_fetcher(configuration_peer_port& peers, std::uint64_t seed);
+
+  /// `peer` has `version`, which is above the one in effect. `log_fails` shortens the time for
+  /// which the log is given to supply it.
+  void OnPeerVersion(member_id peer, std::int64_t version, bool log_fails, time_point now);
+  /// `peer` responded with a version.
+  void OnResponse(member_id peer, time_point now);
+  /// `peer` did not supply its version. Has no effect if it was not asked.
+  void OnFailed(member_id peer, time_point now);
+  /// Versions up to `version` are no longer needed.
+  void Drop(std::int64_t version);
+  /// Asks the next peer for a version above `known` if that is due.
+  void Tick(std::int64_t known, time_point now);
+
+  /// Fetches and failed ones, since the start.
+  std::uint64_t fetches() const { return fetches_; }
+  std::uint64_t failed_fetches() const { return failed_fetches_; }
+  /// Returns the failures since the last call.
+  std::vector<configuration_event> TakeEvents() { return std::exchange(events_, {}); }
+
+ private:
+  /// A peer and the version that it reported.
+  struct source {
+    member_id peer;
+    std::int64_t version = -1;
+  };
+  struct open_fetch {
+    source from;
+    time_point deadline;
+  };
+
+  bool IsOpen(member_id peer) const;
+  duration Spread(duration limit);
+
+  configuration_peer_port& peers_;
+  std::mt19937_64 random_;
+  std::vector<source> sources_;
+  std::vector<open_fetch> open_;
+  /// Highest version that a peer reported.
+  std::int64_t highest_ = -1;
+  time_point next_fetch_{};
+  std::uint64_t fetches_ = 0;
+  std::uint64_t failed_fetches_ = 0;
+  std::vector<configuration_event> events_;
+};
+
+}  // namespace bronzeroute
