--- a/src/configuration/configuration_system.cc
+++ b/src/configuration/configuration_system.cc
@@ -24,9 +24,10 @@
 // version has to take effect is left for spreading it.
 constexpr duration kMinRenewal = seconds(1);
 // Delay before a read is renewed because a peer has a higher version. An intact read usually
-// delivers the version within this time.
-constexpr duration kRenewalGrace = milliseconds(250);
-constexpr duration kRenewalSpread = milliseconds(150);
+// delivers the version within this time. The delay is part of each step in which a version
+// spreads over daemons whose reads are silent.
+constexpr duration kRenewalGrace = milliseconds(100);
+constexpr duration kRenewalSpread = milliseconds(100);
 // A record that comes within this time after the renewal of a read was in the log before.
 constexpr duration kMissedTime = milliseconds(500);
 // Limits the read rate on a log that returns at once when there are no new records.
