--- a/src/configuration/version_fetcher.cc
+++ b/src/configuration/version_fetcher.cc
@@ -16,10 +16,14 @@
 constexpr duration kGraceWithoutLog = milliseconds(100);
 // Keeps the daemons that learn of a version at the same moment from asking at the same moment.
 constexpr duration kSpread = milliseconds(200);
-// Time after which the next peer is asked beside those that have not responded: eight round trips
-// between regions. Together with the grace, five silent peers fit into the 2 s in which a version
-// has to take effect.
+// Time after which the next peer is asked beside those that have not responded: eight round
+// trips between regions. Together with the grace, five silent peers fit into the 2 s in which a
+// version has to take effect.
 constexpr duration kNextPeerDelay = milliseconds(200);
+// A version that so many fetches did not bring is one that this build cannot read, or its peers
+// are unreachable. It is then asked for less often.
+constexpr std::uint32_t kQuickFailures = 16;
+constexpr duration kLongDelay = std::chrono::seconds(2);
 // After a peer supplied a version below the highest one reported.
 constexpr duration kNextVersionDelay = milliseconds(250);
 constexpr duration kDeadline = milliseconds(1500);
@@ -37,6 +41,7 @@
   if (version > highest_ && sources_.empty()) {
     next_fetch_ = now + (log_fails ? kGraceWithoutLog : kGrace) + Spread(kSpread);
   }
+  if (version > highest_) failures_in_a_row_ = 0;
   highest_ = std::max(highest_, version);
   const auto known = std::ranges::find(sources_, peer, &source::peer);
   if (known != sources_.end()) {
@@ -53,6 +58,7 @@
 
 void version_fetcher::OnResponse(member_id peer, time_point now) {
   std::erase_if(open_, [peer](const open_fetch& each) { return each.from.peer == peer; });
+  failures_in_a_row_ = 0;
   next_fetch_ = now + kNextVersionDelay + Spread(kSpread);
 }
 
@@ -61,11 +67,14 @@
       std::ranges::find(open_, peer, [](const open_fetch& each) { return each.from.peer; });
   if (failed == open_.end()) return;
   ++failed_fetches_;
+  ++failures_in_a_row_;
   events_.push_back({configuration_event_kind::kFetchFailed, peer, failed->from.version});
   open_.erase(failed);
   // With the next message of the peer it is asked again.
   std::erase_if(sources_, [peer](const source& each) { return each.peer == peer; });
-  next_fetch_ = std::min(next_fetch_, now + Spread(kSpread));
+  if (failures_in_a_row_ < kQuickFailures) {
+    next_fetch_ = std::min(next_fetch_, now + Spread(kSpread));
+  }
 }
 
 void version_fetcher::Drop(std::int64_t version) {
@@ -89,7 +98,7 @@
   std::uniform_int_distribution<std::size_t> pick(0, candidates.size() - 1);
   const source& chosen = candidates[pick(random_)];
   open_.push_back({chosen, now + kDeadline});
-  next_fetch_ = now + kNextPeerDelay;
+  next_fetch_ = now + NextDelay();
   ++fetches_;
   peers_.FetchSnapshot(chosen.peer, known);
 }
@@ -99,6 +108,10 @@
                              [peer](const open_fetch& each) { return each.from.peer == peer; });
 }
 
+duration version_fetcher::NextDelay() const {
+  return failures_in_a_row_ < kQuickFailures ? kNextPeerDelay : kLongDelay;
+}
+
 duration version_fetcher::Spread(duration limit) {
   std::uniform_int_distribution<duration::rep> spread(0, limit.count());
   return duration(spread(random_));
--- a/src/configuration/version_fetcher.h
+++ b/src/configuration/version_fetcher.h
@@ -53,6 +53,8 @@
   };
 
   bool IsOpen(member_id peer) const;
+  /// Time until the next peer is asked.
+  duration NextDelay() const;
   duration Spread(duration limit);
 
   configuration_peer_port& peers_;
@@ -62,6 +64,8 @@
   /// Highest version that a peer reported.
   std::int64_t highest_ = -1;
   time_point next_fetch_{};
+  /// Failed fetches since a peer responded or reported a higher version.
+  std::uint32_t failures_in_a_row_ = 0;
   std::uint64_t fetches_ = 0;
   std::uint64_t failed_fetches_ = 0;
   std::vector<configuration_event> events_;
--- a/tests/configuration/version_fetcher_test.cc
+++ b/tests/configuration/version_fetcher_test.cc
@@ -86,6 +86,20 @@
   EXPECT_EQ(asked_[1], kPeer);
 }
 
+// Guards against the load of peers whose version this build cannot read.
+TEST_F(VersionFetcherTest, VersionThatNoPeerSuppliesIsAskedForSeldom) {
+  ON_CALL(peers_, FetchSnapshot(_, _)).WillByDefault([this](member_id peer, std::int64_t) {
+    asked_.push_back(peer);
+    fetcher_.OnFailed(peer, now_);
+  });
+  for (int i = 0; i < 600; ++i) {
+    fetcher_.OnPeerVersion(kPeer, 9, false, now_);
+    fetcher_.OnPeerVersion(kOtherPeer, 9, false, now_);
+    Run(milliseconds(100));
+  }
+  EXPECT_LE(asked_.size(), 16U + 60 / 2);
+}
+
 // Guards against more and more open requests to peers that do not respond.
 TEST_F(VersionFetcherTest, OpenFetchesAreBounded) {
   for (int second = 0; second < 10; ++second) {
