--- a/src/routing/candidate.h
+++ b/src/routing/candidate.h
@@ -23,6 +23,8 @@
   std::uint32_t open_attempts = 0;
   /// Mean of load_hint::service_time_us over the hints of about the last quarter second.
   double service_time_us = 0;
+  /// When the member last had work, or was sent some, as far as this process knows.
+  time_point worked_at;
   /// Weighted share of recent attempts that failed, 0 to 1.
   double failure_share = 0;
 };
--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -23,6 +23,11 @@
 // Bounds the memory for a member that sends no hints; far above the length of any queue.
 constexpr std::size_t kMaxUnreportedSends = 1024;
 
+// Time without work after which the service time of a member says nothing about the next call.
+// Without this limit a member that was slow at its last work would get none again while the
+// others are idle.
+constexpr duration kServiceTimeValidity = std::chrono::seconds(5);
+
 constexpr double kFailureWeight = 1.0 / 8;
 constexpr double kFailureHalfLifeUs = 1e6;
 
@@ -187,9 +192,11 @@
   const double weight =
       item.has_hint ? 1 - std::exp(-std::max(elapsed_us, 0.0) / kServiceTimeAveragingUs) : 1;
   item.row.service_time_us += weight * (hint.service_time_us - item.row.service_time_us);
+  if (!item.has_hint || Occupancy(item.row) > 0) item.row.worked_at = received;
   item.has_hint = true;
   item.row.hint = hint;
   item.row.hint_received = received;
+  if (Occupancy(item.row) > 0) item.row.worked_at = received;
   // The owner sent the hint half a round trip ago, and it includes the attempts received by
   // then: those sent at least one round trip ago.
   const time_point included_until = received - TypicalRoundTrip(item.row.where);
@@ -211,6 +218,7 @@
     item.unreported_sends.erase(item.unreported_sends.begin());
   }
   item.unreported_sends.push_back(now);
+  item.row.worked_at = std::max(item.row.worked_at, now);
   item.row.sent_since_hint = static_cast<std::uint32_t>(item.unreported_sends.size());
 }
 
@@ -339,6 +347,14 @@
   if (result.candidates.empty()) {
     for (const std::size_t index : suspects) AddCandidate(entries_[index], now, result);
   }
+  ForgetOldServiceTimes(now, result);
+}
+
+void hint_table::ForgetOldServiceTimes(time_point now, eligible_members& result) {
+  for (candidate& each : result.candidates) {
+    if (each.worked_at + kServiceTimeValidity > now) continue;
+    each.service_time_us = result.context.mean_service_time_us;
+  }
 }
 
 void hint_table::AddCandidate(const entry& item, time_point now, eligible_members& result) {
@@ -353,6 +369,8 @@
                             choice_explanation& explanation) const {
   const region_limit& regions = result.context.request.regions;
   double hints = 0;
+  double service_times = 0;
+  double measured = 0;
   // Members may have left or started to drain since the ejections, so the limit of one half is
   // applied again to the members that can serve.
   std::size_t serving = 0;
@@ -373,7 +391,11 @@
     if (item.has_hint) {
       ++hints;
       result.context.mean_occupancy += Occupancy(item.row);
-      result.context.mean_service_time_us += item.row.service_time_us;
+      service_times += item.row.service_time_us;
+      if (item.row.worked_at + kServiceTimeValidity > now) {
+        ++measured;
+        result.context.mean_service_time_us += item.row.service_time_us;
+      }
     }
     candidate_disposition disposition = DispositionOf(item, spec, regions, excluded);
     if (disposition == candidate_disposition::kNotSelected && !result.trial) {
@@ -395,7 +417,8 @@
   }
   if (hints > 0) {
     result.context.mean_occupancy /= hints;
-    result.context.mean_service_time_us /= hints;
+    result.context.mean_service_time_us =
+        measured > 0 ? result.context.mean_service_time_us / measured : service_times / hints;
   }
 }
 
--- a/src/routing/hint_table.h
+++ b/src/routing/hint_table.h
@@ -113,6 +113,9 @@
   void Prefer(service_entry& service, member_id own);
   static void AddUnreportedSend(entry& item, time_point now);
   void ApplyHint(entry& item, const load_hint& hint, time_point received, time_point now);
+  /// Replaces the service times of candidates that had no work for a while by the mean of the
+  /// others, since nothing has measured them since.
+  static void ForgetOldServiceTimes(time_point now, eligible_members& result);
   /// True if `item` may be ejected, so that at most half of the members that this entry chooses
   /// from are.
   bool MayEject(const entry& item, time_point now) const;
--- a/tests/process/owner_loss_test.cc
+++ b/tests/process/owner_loss_test.cc
@@ -156,6 +156,12 @@
     const std::int64_t before = deployment_.Runs(frozen);
     std::string last_call;
     EXPECT_TRUE(deployment::WaitFor([&] {
+      // Twice as many as one upstream runs at once: a single call goes to the nearer owner.
+      call_oracle load(deployment_, std::string("-load-") + deadline_ms + "-");
+      for (int i = 0; i < 12; ++i) {
+        load.StartRepeatable(kEntry, "/orders/1?work_us=50000", "5000");
+      }
+      load.Join();
       last_call = deployment_.Call(kEntry, "GET", "/orders/1").call_id;
       return deployment_.Runs(frozen) > before;
     })) << ExplainText(kEntry, last_call)
--- a/tests/routing/routing_system_test.cc
+++ b/tests/routing/routing_system_test.cc
@@ -244,6 +244,29 @@
   EXPECT_EQ(pair.Pick(At(milliseconds(500))), 2);
 }
 
+// Guards against an upstream that was slow at its last work and gets none again, since only
+// work would show that it is fast.
+TEST(RoutingSystem, MemberThatWasSlowAtItsLastWorkIsTriedAgain) {
+  default_harness pair({Member(1), Member(2)});
+  load_hint slow = Hint(1, 1);
+  slow.service_time_us = 1'000'000;
+  pair.Report(1, slow);
+  std::set<std::uint64_t> picks;
+  for (std::uint64_t tenth = 1; tenth <= 100; ++tenth) {
+    const time_point now = At(milliseconds(100) * tenth);
+    slow.sequence = tenth + 1;
+    slow.in_use = 0;
+    pair.Report(1, slow, now);
+    pair.Report(2, Hint(tenth, 0), now);
+    const std::uint64_t picked = pair.Pick(now);
+    EXPECT_TRUE(picked == 2 || tenth > 40) << "tried after " << tenth << " tenths of a second";
+    pair.End(picked, attempt_end::kCompleted, now);
+    picks.insert(picked);
+    if (picked == 1) break;
+  }
+  EXPECT_THAT(picks, ElementsAre(1, 2));
+}
+
 // Guards against sending to an upstream whose named limit leaves no start for a while, and
 // against leaving it unused once it has one.
 TEST(RoutingSystem, MembersAtTheirNamedLimitAreAvoidedUntilTheNextStart) {
