--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -5,11 +5,9 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <fstream>
 #include <iostream>
 #include <optional>
 #include <random>
-#include <sstream>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -18,6 +16,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "src/base/concat.h"
+#include "src/base/read_file.h"
 #include "src/configuration/configuration_record.h"
 #include "src/configuration/guarantees_text.h"
 #include "src/configuration/parse_document.h"
@@ -44,15 +43,11 @@
   return Fail(exit_code::kUnavailable, message);
 }
 
-std::optional<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  std::stringstream bytes;
-  bytes << file.rdbuf();
-  if (!file || bytes.fail()) {
-    Fail(exit_code::kUsage, Concat("cannot read ", path));
-    return std::nullopt;
-  }
-  return bytes.str();
+/// The bytes of a document; nullopt, with an error for the user, if it cannot be read.
+std::optional<std::string> ReadDocument(const std::string& path) {
+  std::optional<std::string> bytes = ReadFile(path);
+  if (!bytes) Fail(exit_code::kUsage, Concat("cannot read ", path));
+  return bytes;
 }
 
 std::string NewPublicationId() {
@@ -94,7 +89,7 @@
 }
 
 exit_code Check(const arguments& options) {
-  const std::optional<std::string> bytes = ReadFile(options.operands[0]);
+  const std::optional<std::string> bytes = ReadDocument(options.operands[0]);
   if (!bytes) return exit_code::kUsage;
   const parse_result parsed = ParseDocument(*bytes, options.operands[0]);
   if (!parsed.value) {
@@ -107,7 +102,7 @@
 }
 
 exit_code PublishFile(const arguments& options) {
-  const std::optional<std::string> bytes = ReadFile(options.operands[0]);
+  const std::optional<std::string> bytes = ReadDocument(options.operands[0]);
   if (!bytes) return exit_code::kUsage;
   const parse_result parsed = ParseDocument(*bytes, options.operands[0]);
   if (!parsed.value) {
@@ -287,7 +282,7 @@
               << GuaranteesText(*head.parsed);
     return exit_code::kOk;
   }
-  const std::optional<std::string> bytes = ReadFile(options.operands[0]);
+  const std::optional<std::string> bytes = ReadDocument(options.operands[0]);
   if (!bytes) return exit_code::kUsage;
   const parse_result parsed = ParseDocument(*bytes, options.operands[0]);
   if (!parsed.value) {
--- a/src/daemon/check_document.cc
+++ b/src/daemon/check_document.cc
@@ -1,9 +1,9 @@
 #include "src/daemon/check_document.h"
 
-#include <fstream>
+#include <optional>
 #include <ostream>
-#include <sstream>
 
+#include "src/base/read_file.h"
 #include "src/configuration/document_error.h"
 #include "src/configuration/parse_result.h"
 #include "src/configuration/substitution.h"
@@ -12,14 +12,12 @@
 
 document_check CheckDocument(const std::string& file, const document_reader& read,
                              std::ostream& out) {
-  std::ifstream input(file, std::ios::binary);
-  if (!input) {
+  const std::optional<std::string> bytes = ReadFile(file);
+  if (!bytes) {
     out << "cannot read " << file << "\n";
     return document_check::kUnreadableFile;
   }
-  std::stringstream text;
-  text << input.rdbuf();
-  const parse_result result = read(text.str());
+  const parse_result result = read(*bytes);
   for (const document_error& error : result.errors) out << DescribeError(error) << "\n";
   if (!result.value) {
     out << file << ": refused; the version before stays in effect\n";
--- a/src/daemon/run_daemon.cc
+++ b/src/daemon/run_daemon.cc
@@ -10,13 +10,13 @@
 #include <ctime>
 #include <cxxopts.hpp>
 #include <exception>
-#include <fstream>
 #include <iostream>
 #include <optional>
 #include <sstream>
 #include <string>
 
 #include "src/base/concat.h"
+#include "src/base/read_file.h"
 #include "src/daemon/check_document.h"
 #include "src/daemon/daemon.h"
 #include "src/daemon/daemon_parts.h"
@@ -48,14 +48,12 @@
 
 /// The settings in `file`; errors are written to `errors`.
 std::optional<settings> ReadSettings(const std::string& file, std::ostream& errors) {
-  std::ifstream input(file);
-  if (!input) {
+  const std::optional<std::string> text = ReadFile(file);
+  if (!text) {
     errors << "cannot read settings file " << file << "\n";
     return std::nullopt;
   }
-  std::stringstream text;
-  text << input.rdbuf();
-  settings_result result = ParseSettings(text.str(), file);
+  settings_result result = ParseSettings(*text, file);
   for (const document_error& error : result.errors) errors << DescribeError(error) << "\n";
   return std::move(result.value);
 }
--- a/src/report/metrics_reader.cc
+++ b/src/report/metrics_reader.cc
@@ -5,12 +5,12 @@
 #include <algorithm>
 #include <cstddef>
 #include <exception>
-#include <fstream>
-#include <sstream>
+#include <optional>
 #include <utility>
 
 #include "absl/status/status.h"
 #include "src/base/concat.h"
+#include "src/base/read_file.h"
 #include "src/report/exposition_parser.h"
 #include "src/report/member_list_parser.h"
 
@@ -52,20 +52,16 @@
   }
 }
 
-absl::StatusOr<std::string> ReadFile(const std::string& path) {
-  std::ifstream input(path, std::ios::binary);
-  std::ostringstream text;
-  // Only the input stream is checked: an empty file puts the output stream into a failed state.
-  if (!input || (text << input.rdbuf(), input.bad())) {
-    return absl::NotFoundError("the file cannot be read");
-  }
-  return text.str();
+absl::StatusOr<std::string> ReadSaved(const std::string& path) {
+  std::optional<std::string> text = ReadFile(path);
+  if (!text) return absl::NotFoundError("the file cannot be read");
+  return *std::move(text);
 }
 
 pplx::task<absl::StatusOr<std::string>> Start(const process_source& source,
                                               std::chrono::milliseconds timeout) {
   if (source.from == process_source::origin::kFile) {
-    return pplx::task_from_result(ReadFile(source.name));
+    return pplx::task_from_result(ReadSaved(source.name));
   }
   if (source.name.empty()) {
     return pplx::task_from_result<absl::StatusOr<std::string>>(
--- a/tests/platform_run/small_deployment_test.cc
+++ b/tests/platform_run/small_deployment_test.cc
@@ -164,6 +164,16 @@
   EXPECT_EQ(refused.output.find("key-of-a"), std::string::npos) << refused.output;
 }
 
+// Guards against a folder that is reported as a refused document.
+TEST_F(small_deployment, FolderIsNoDocument) {
+  const std::string output = folder_ + "/check";
+  const std::vector<std::string> arguments = {"--check-document", folder_};
+  child_process daemon("bronzerouted-platform", arguments, output);
+  const run_result run = ResultOf(daemon, output);
+  EXPECT_EQ(run.code, 1);
+  EXPECT_EQ(run.output, "cannot read " + folder_ + "\n");
+}
+
 // Guards against requests outside their regions, in an evacuated zone, or at cold upstreams of
 // a zone that is taken back; against another account or a key at an upstream; and against an
 // account that gets more than its cap, while daemons are stopped and started again.
