--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -397,6 +397,10 @@
         if (record.ok()) {
           runtime_.OnSnapshot(peer, *record, now);
         } else {
+          log_line line(log_weight::kState, "config", "fetch_error");
+          line.Add("member", absl::StrFormat("%016x", peer.value))
+              .Add("reason", std::string(record.status().message()));
+          events_.Write(line);
           runtime_.OnSnapshotFailed(peer, now);
         }
       });
