--- a/src/transport/peer_client.cc
+++ b/src/transport/peer_client.cc
@@ -337,6 +337,9 @@
   constexpr std::chrono::seconds kFetchTimeout(2);
   auto call = std::make_shared<fetch>();
   call->context.set_deadline(std::chrono::system_clock::now() + kFetchTimeout);
+  // The first attempts to connect have a time limit of `kMinBackoffMs`, too short for a peer
+  // under load. Without this the call would fail with the first of them.
+  call->context.set_wait_for_ready(true);
   call->request.set_known_version(known_version);
   call->channels = found->second;
   call->channels->used_at = MonotonicNow();
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -341,7 +341,8 @@
 class owner_server {
  public:
   explicit owner_server(proto::Peer::Service& owner)
-      : address_(test_daemon::Address(FreePort())) {
+      : owner_server(owner, test_daemon::Address(FreePort())) {}
+  owner_server(proto::Peer::Service& owner, const std::string& address) : address_(address) {
     grpc::ServerBuilder builder;
     builder.AddListeningPort(address_, grpc::InsecureServerCredentials());
     builder.RegisterService(&owner);
@@ -576,6 +577,38 @@
   EXPECT_EQ(fetched.get_future().get(), "newer than 41");
 }
 
+class configured_owner : public proto::Peer::Service {
+ public:
+  grpc::Status FetchConfiguration(grpc::ServerContext* /*context*/,
+                                  const proto::ConfigurationRequest* /*request*/,
+                                  proto::ConfigurationReply* reply) override {
+    reply->set_snapshot("newer");
+    return grpc::Status::OK;
+  }
+};
+
+// Guards against a fetch that fails because a busy peer did not open the connection at once.
+TEST(Peer, ConfigurationIsFetchedFromAPeerThatIsSlowToAccept) {
+  test_daemon entry(1);
+  std::uint16_t port = 0;
+  // Connections are established, and carry nothing.
+  raw_socket silent = raw_socket::Listen(port);
+  const std::string address = test_daemon::Address(port);
+  std::promise<std::string> fetched;
+  RunOnLoop([&] {
+    peer_client& client = entry.sockets().peers().client();
+    client.OpenPeer(member_id{9}, address, false);
+    client.FetchConfiguration(member_id{9}, 41, [&](const absl::StatusOr<std::string>& result) {
+      fetched.set_value(result.ok() ? *result : result.status().ToString());
+    });
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  silent.Close();
+  configured_owner owner;
+  const owner_server server(owner, address);
+  EXPECT_EQ(fetched.get_future().get(), "newer");
+}
+
 // Guards against an abort inside gRPC: its thread must not release the last reference to a
 // channel, since it then waits for itself.
 TEST(Peer, FetchedConfigurationsAreReleasedOnTheEventLoop) {
