--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -7,6 +7,7 @@
 #include <exception>
 #include <filesystem>
 #include <iostream>
+#include <utility>
 
 #include "src/transport/event_loop.h"
 #include "standins/platform/platform_run.h"
@@ -33,6 +34,7 @@
   int change_ms = 2000;
   int fault_ms = 0;
   int restart_ms = 0;
+  int kill_ms = 0;
   // clang-format off
   parser.add_options()
       ("site", "site file (TOML)", cxxopts::value(site_file))
@@ -42,9 +44,13 @@
       ("seconds", "length of the run", cxxopts::value(seconds)->default_value("60"))
       ("change-ms", "mean time between two versions; 0 for none", cxxopts::value(change_ms)->default_value("2000"))
       ("fault-ms", "mean time between two faults of the store; 0 for none", cxxopts::value(fault_ms)->default_value("0"))
+      ("fault-share", "share of the machines for which the store has the fault", cxxopts::value(options.fault_share)->default_value("1"))
+      ("silent", "play only the fault in which calls to the store get no response")
+      ("busy", "play only the fault in which calls to the store get 503")
       ("silent-connections", "play only the fault in which the open connections to the store fall silent")
       ("restored", "play only the fault in which the store comes back from an older copy")
       ("restart-ms", "mean time between two planned restarts of a daemon; 0 for none", cxxopts::value(restart_ms)->default_value("0"))
+      ("kill-ms", "mean time between two kills of a daemon, which is started again; 0 for none", cxxopts::value(kill_ms)->default_value("0"))
       ("limited-share", "share of the upstreams of the first service that name a limit", cxxopts::value(options.limited_share)->default_value("0"))
       ("limit-factor", "limit as a share of the requests that an upstream got before", cxxopts::value(options.limit_factor)->default_value("0.5"))
       ("leaving", "number of upstreams that leave", cxxopts::value(options.leaving)->default_value("0"))
@@ -74,14 +80,16 @@
     }
     options.length = std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000));
     options.change_period = std::chrono::milliseconds(change_ms);
-    if (parsed.count("silent-connections") != 0) {
-      options.fault = bronzeroute::standin::store_fault::kSilentConnections;
-    }
-    if (parsed.count("restored") != 0) {
-      options.fault = bronzeroute::standin::store_fault::kRestored;
+    using bronzeroute::standin::store_fault;
+    for (const auto& [name, fault] :
+         {std::pair("silent", store_fault::kSilent), std::pair("busy", store_fault::kBusy),
+          std::pair("silent-connections", store_fault::kSilentConnections),
+          std::pair("restored", store_fault::kRestored)}) {
+      if (parsed.count(name) != 0) options.fault = fault;
     }
     options.odd_values = parsed.count("odd-values") != 0;
     options.restart_period = std::chrono::milliseconds(restart_ms);
+    options.kill_period = std::chrono::milliseconds(kill_ms);
     options.fault_period = std::chrono::milliseconds(fault_ms);
     const auto site = bronzeroute::standin::ReadSite(site_file);
     std::filesystem::create_directories(options.folder);
--- a/standins/platform/platform_run.cc
+++ b/standins/platform/platform_run.cc
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <limits>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -33,6 +34,8 @@
 constexpr milliseconds kCallersLeaveAfter{2'000};
 // Time in which a daemon that was started again is ready.
 constexpr milliseconds kStartTime{1'500};
+// Time after the bound of a version at which each daemon is asked for it.
+constexpr milliseconds kAskedAfterBound{50};
 // Cap of an account as a multiple of its usual demand.
 constexpr double kCapOverDemand = 1.6;
 // Time before the end of an evacuation at which the upstreams of the zone become cold.
@@ -45,7 +48,6 @@
 constexpr std::size_t kLongField = 40'000;
 constexpr int kOk = 200;
 constexpr std::string_view kAdminPrefix = "/.bronzeroute/v1/";
-const std::string kStoreIp = "127.40.0.1";
 const std::string kOperatorTopic = "keyed.op";
 
 std::string ReadFile(const std::string& name) {
@@ -121,6 +123,8 @@
       restart_random_(options.seed + 3),
       upstream_random_(options.seed + 4),
       refused_random_(options.seed + 6),
+      share_random_(options.seed + 7),
+      kill_random_(options.seed + 8),
       author_(site, options.seed),
       changer_(options.seed + 5),
       oracle_(site.bounds),
@@ -185,11 +189,13 @@
       if (machines.zone != zone.name) continue;
       for (int i = 0; i < machines.count; ++i) {
         ++number;
-        places_.push_back({.name = Concat("sidecar-", zone.name, "-", number),
-                           .zone = zone.name,
-                           .region = zone.region,
-                           .ip = Concat("127.30.", zone_number, ".", number),
-                           .service = machines.service});
+        places_.push_back(
+            {.name = Concat("sidecar-", zone.name, "-", number),
+             .zone = zone.name,
+             .region = zone.region,
+             .ip = Concat("127.30.", zone_number, ".", number),
+             .store = Address(Concat("127.40.", zone_number, ".", number), kStorePort),
+             .service = machines.service});
         by_zone_[zone.name].push_back(&places_.back());
       }
     }
@@ -209,7 +215,7 @@
                            {"{{listen.ready}}", Address(place.ip, kReadyPort)},
                            {"{{ip}}:{{internalPorts.0}}", Address(place.ip, kMembershipPort)},
                            {"{{ip}}:{{internalPorts.1}}", Address(place.ip, kAdminPort)},
-                           {"{{platform.address}}", Address(kStoreIp, kStorePort)}});
+                           {"{{platform.address}}", place.store}});
   if (text.find("{{") != std::string::npos) {
     throw std::runtime_error(options_.settings_template + ": unknown placeholder " +
                              text.substr(text.find("{{"), 30));
@@ -269,6 +275,9 @@
   std::cout << absl::StrFormat("version r%d confirmed at %.3f: %s\n", version.number,
                                SecondsOfDay(), author_.last_change())
             << std::flush;
+  RunAfter(site_.bounds.configuration + kAskedAfterBound, [this] {
+    if (!is_ended_ && sends_requests_) AskDaemons();
+  });
 }
 
 void platform_run::ScheduleChange() {
@@ -302,7 +311,7 @@
         std::uniform_int_distribution<std::size_t> pick(0, kFaults.size() - 1);
         const store_fault fault = options_.fault.value_or(kFaults[pick(fault_random_)]);
         if (fault == store_fault::kNone) store_.Compact(kOperatorTopic);
-        store_.SetFault(fault);
+        store_.SetFault(fault, PickFaulty());
         // Connections that fall silent count as reset at that moment, and new ones work.
         const bool is_moment = fault == store_fault::kSilentConnections;
         oracle_.OnStoreFault(clock::now(),
@@ -319,6 +328,16 @@
       });
 }
 
+std::set<std::string> platform_run::PickFaulty() {
+  std::set<std::string> result;
+  if (options_.fault_share >= 1) return result;
+  std::bernoulli_distribution is_faulty(options_.fault_share);
+  for (const machine_place& place : places_) {
+    if (is_faulty(share_random_)) result.insert(place.store);
+  }
+  return result;
+}
+
 void platform_run::ScheduleRestart() {
   if (options_.restart_period.count() == 0) return;
   std::uniform_real_distribution<double> spread(0.5, 1.5);
@@ -329,20 +348,45 @@
              if (is_ended_ || clock::now() >= ends_at_) return;
              std::uniform_int_distribution<std::size_t> pick(0, places_.size() - 1);
              const std::size_t machine = pick(restart_random_);
-             const std::string& name = places_[machine].name;
-             if (restarting_.insert(name).second) {
-               std::cout << absl::StrFormat("restart of %s at %.3f\n", name, SecondsOfDay())
-                         << std::flush;
-               // Callers leave the machine after two questions of the platform, one a second.
-               RunAfter(kCallersLeaveAfter, [this, name] { avoided_.insert(name); });
+             if (BeginRestart(machine, "restart")) {
                daemons_[machine]->Signal(SIGTERM);
-               oracle_.OnDaemonFault(name, clock::now(), clock::time_point::max());
                StartAgain(machine);
              }
              ScheduleRestart();
            });
 }
 
+void platform_run::ScheduleKill() {
+  if (options_.kill_period.count() == 0) return;
+  std::uniform_real_distribution<double> spread(0.5, 1.5);
+  RunAfter(
+      std::chrono::microseconds(static_cast<std::int64_t>(
+          spread(kill_random_) * 1000 * static_cast<double>(options_.kill_period.count()))),
+      [this] {
+        if (is_ended_ || clock::now() >= ends_at_) return;
+        std::uniform_int_distribution<std::size_t> pick(0, places_.size() - 1);
+        const std::size_t machine = pick(kill_random_);
+        if (BeginRestart(machine, "kill")) {
+          daemons_[machine]->Signal(SIGKILL);
+          StartAgain(machine);
+        }
+        ScheduleKill();
+      });
+}
+
+bool platform_run::BeginRestart(std::size_t machine, std::string_view what) {
+  const std::string& name = places_[machine].name;
+  if (!restarting_.insert(name).second) return false;
+  std::cout << absl::StrFormat("%s of %s at %.3f\n", what, name, SecondsOfDay()) << std::flush;
+  // Callers leave the machine after two questions of the platform, one a second.
+  RunAfter(kCallersLeaveAfter, [this, name] {
+    if (restarting_.contains(name)) avoided_.insert(name);
+  });
+  oracle_.OnDaemonFault(name, clock::now(), clock::time_point::max());
+  restarts_[name].emplace_back(UnixMilliseconds(), std::numeric_limits<std::int64_t>::max());
+  return true;
+}
+
 void platform_run::StartAgain(std::size_t machine) {
   if (is_ended_) return;
   const std::string& name = places_[machine].name;
@@ -354,6 +398,7 @@
   StartDaemon(machine);
   RunAfter(kStartTime, [this, name] {
     oracle_.OnDaemonStarted(name, clock::now());
+    restarts_[name].back().second = UnixMilliseconds();
     restarting_.erase(name);
     avoided_.erase(name);
   });
@@ -434,10 +479,9 @@
       upstreams_[machine]->identity(),
       clock::now() + std::max(restarted, milliseconds(site_.bounds.drain)));
   RunAfter(kKilledAfter, [this, machine, name] {
-    if (is_ended_ || !restarting_.insert(name).second) return;
+    if (is_ended_ || !BeginRestart(machine, "kill")) return;
     avoided_.insert(name);
     daemons_[machine]->Signal(SIGKILL);
-    oracle_.OnDaemonFault(name, clock::now(), clock::time_point::max());
     StartAgain(machine);
   });
   RunAfter(kReportLateBy, [this, machine] {
@@ -482,13 +526,26 @@
   std::uniform_int_distribution<std::size_t> pick(0, machines.size() - 1);
   const machine_place& entry = *machines[pick(random_)];
   if (avoided_.contains(entry.name)) return;
-  const std::string id = absl::StrFormat("%016x", random_());
   route_place place = author_.PlaceOf(described.name);
   const auto& added = author_.added();
   // Some requests go to routes that were added, which are like those of the first class.
   if (!added.empty() && &described == &site_.classes.front() && random_() % 10 == 0) {
     place = added[random_() % added.size()];
   }
+  SendRequest(entry, described, place);
+}
+
+void platform_run::AskDaemons() {
+  if (author_.added().empty()) return;
+  const route_place place = author_.added().back();
+  for (const machine_place& entry : places_) {
+    if (!avoided_.contains(entry.name)) SendRequest(entry, site_.classes.front(), place);
+  }
+}
+
+void platform_run::SendRequest(const machine_place& entry, const class_shape& described,
+                               const route_place& place) {
+  const std::string id = absl::StrFormat("%016x", random_());
   client_request request;
   request.method = described.method;
   request.target = place.prefix + absl::StrFormat("%x", ++requests_);
@@ -630,7 +687,7 @@
   const auto require = [](const absl::Status& status) {
     if (!status.ok()) throw std::runtime_error(status.ToString());
   };
-  require(store_.Start(Address(kStoreIp, kStorePort)));
+  for (const machine_place& place : places_) require(store_.Start(place.store));
   std::uint64_t seed = options_.seed;
   for (const machine_place& place : places_) {
     upstreams_.push_back(
@@ -674,6 +731,7 @@
     ScheduleChange();
     ScheduleFault();
     ScheduleRestart();
+    ScheduleKill();
     ScheduleLimits();
     ScheduleLeaving();
     ScheduleDepartures();
@@ -689,9 +747,8 @@
   reports.join();
 }
 
-std::vector<double> platform_run::EffectDelays(std::size_t& missing) const {
-  std::vector<double> delays;
-  missing = 0;
+platform_run::effect_delays platform_run::EffectDelays() const {
+  effect_delays delays;
   for (const machine_place& place : places_) {
     std::ifstream log(LogName(place));
     std::vector<std::pair<std::int64_t, double>> in_effect;
@@ -706,24 +763,37 @@
       const auto found = std::ranges::find_if(
           in_effect, [&](const auto& row) { return row.first >= version; });
       if (found == in_effect.end()) {
-        ++missing;
-      } else {
-        delays.push_back(found->second - static_cast<double>(confirmed_ms));
+        ++delays.missing;
+        continue;
       }
+      const double delay = found->second - static_cast<double>(confirmed_ms);
+      delays.all.push_back(delay);
+      const auto due = confirmed_ms + site_.bounds.configuration.count();
+      const auto restarts = restarts_.find(place.name);
+      const bool is_steady = restarts == restarts_.end() ||
+                             std::ranges::none_of(restarts->second, [&](const auto& restart) {
+                               return restart.first <= due &&
+                                      restart.second + site_.bounds.stability.count() > due;
+                             });
+      if (is_steady) delays.steady.push_back(delay);
     }
   }
-  std::ranges::sort(delays);
+  std::ranges::sort(delays.all);
+  std::ranges::sort(delays.steady);
   return delays;
 }
 
 bool platform_run::Report() const {
-  std::size_t missing = 0;
-  const std::vector<double> delays = EffectDelays(missing);
+  const effect_delays delays = EffectDelays();
   std::cout << absl::StrFormat(
       "in effect after ms: p50 %.0f, p99 %.0f, max %.0f over %d changes and %d daemons; "
       "never: %d; store calls: %d\n",
-      Percentile(delays, 0.5), Percentile(delays, 0.99), Percentile(delays, 1),
-      confirmed_.size(), places_.size(), missing, store_.calls());
+      Percentile(delays.all, 0.5), Percentile(delays.all, 0.99), Percentile(delays.all, 1),
+      confirmed_.size(), places_.size(), delays.missing, store_.calls());
+  std::cout << absl::StrFormat(
+      "at daemons that ran all the while: p50 %.0f, p99 %.0f, max %.0f of %d, bound %d\n",
+      Percentile(delays.steady, 0.5), Percentile(delays.steady, 0.99),
+      Percentile(delays.steady, 1), delays.steady.size(), site_.bounds.configuration.count());
   std::cout << "responses:";
   for (const auto& [status, count] : oracle_.statuses()) {
     std::cout << " " << status << " x " << count;
--- a/standins/platform/platform_run.h
+++ b/standins/platform/platform_run.h
@@ -52,8 +52,18 @@
   void Publish(const authored_version& version);
   void ScheduleChange();
   void ScheduleFault();
+  /// Addresses of the store for the machines that a fault hits; empty for all.
+  std::set<std::string> PickFaulty();
   void ScheduleRestart();
+  void ScheduleKill();
+  /// Notes that the daemon of `machine` stops now; false if it is being started again.
+  bool BeginRestart(std::size_t machine, std::string_view what);
   void StartAgain(std::size_t machine);
+  /// Sends a request on the route added last to each daemon once the version is due, as the
+  /// platform does.
+  void AskDaemons();
+  void SendRequest(const machine_place& entry, const class_shape& described,
+                   const route_place& place);
   /// Lets some upstreams name a limit, and later no limit again.
   void ScheduleLimits();
   void ScheduleLeaving();
@@ -74,9 +84,16 @@
   /// Searches what operators can read of each daemon for keys: its log, metrics, lists and the
   /// explanations of its last calls.
   void SearchAdminTexts();
-  /// Delays from the confirmation of each version to the line with which a daemon puts it, or
-  /// a later one, in effect.
-  std::vector<double> EffectDelays(std::size_t& missing) const;
+  struct effect_delays {
+    /// Milliseconds from the confirmation of each version to the line with which a daemon puts
+    /// it, or a later one, in effect.
+    std::vector<double> all;
+    /// Those at daemons that ran for the stability window before the version was due.
+    std::vector<double> steady;
+    /// Versions that are missing at a daemon.
+    std::size_t missing = 0;
+  };
+  effect_delays EffectDelays() const;
 
   const site_shape& site_;
   run_options options_;
@@ -88,6 +105,8 @@
   std::mt19937_64 restart_random_;
   std::mt19937_64 upstream_random_;
   std::mt19937_64 refused_random_;
+  std::mt19937_64 share_random_;
+  std::mt19937_64 kill_random_;
   configuration_author author_;
   document_changer changer_;
   configuration_oracle oracle_;
@@ -104,6 +123,9 @@
   std::vector<std::unique_ptr<daemon_process>> daemons_;
   /// Version with the Unix milliseconds of its confirmation.
   std::vector<std::pair<std::int64_t, std::int64_t>> confirmed_;
+  /// For each machine, when its daemon was stopped, and when it ran again after the time of a
+  /// start, in Unix milliseconds.
+  std::map<std::string, std::vector<std::pair<std::int64_t, std::int64_t>>> restarts_;
   /// Machines whose daemon is being started again, and those that callers avoid meanwhile.
   std::set<std::string> restarting_;
   std::set<std::string> avoided_;
--- a/standins/platform/platform_store.cc
+++ b/standins/platform/platform_store.cc
@@ -36,10 +36,19 @@
 
 }  // namespace
 
-platform_store::platform_store(milliseconds retention)
-    : retention_(retention),
-      endpoint_([this](const received_request& request,
-                       const http_endpoint::responder& respond) { Handle(request, respond); }) {
+platform_store::platform_store(milliseconds retention) : retention_(retention) {}
+
+absl::Status platform_store::Start(const std::string& address) {
+  auto& endpoint = endpoints_[address];
+  endpoint = std::make_unique<http_endpoint>(
+      [this](const received_request& request, const http_endpoint::responder& respond) {
+        Handle(request, respond);
+      });
+  return endpoint->Start(address);
+}
+
+void platform_store::Stop() {
+  for (const auto& [address, endpoint] : endpoints_) endpoint->Stop();
 }
 
 void platform_store::Put(const std::string& topic, const std::string& key,
@@ -78,16 +87,26 @@
   }
 }
 
-void platform_store::SetFault(store_fault fault) {
+void platform_store::SetFault(store_fault fault, std::set<std::string> addresses) {
   fault_ = fault;
-  const bool is_away = fault == store_fault::kSilent || fault == store_fault::kRestored;
-  if (is_away) waiting_.clear();
-  if (fault == store_fault::kSilentConnections) {
-    waiting_.clear();
-    endpoint_.SilenceConnections();
+  faulty_ = std::move(addresses);
+  const bool loses_reads = fault == store_fault::kSilent || fault == store_fault::kRestored ||
+                           fault == store_fault::kSilentConnections;
+  if (loses_reads) {
+    std::erase_if(waiting_, [&](const waiting_read& read) {
+      return FaultOf(read.address) != store_fault::kNone;
+    });
+  }
+  if (fault != store_fault::kSilentConnections) return;
+  for (const auto& [address, endpoint] : endpoints_) {
+    if (FaultOf(address) != store_fault::kNone) endpoint->SilenceConnections();
   }
 }
 
+store_fault platform_store::FaultOf(const std::string& address) const {
+  return faulty_.empty() || faulty_.contains(address) ? fault_ : store_fault::kNone;
+}
+
 void platform_store::Tick() {
   const auto oldest = clock::now() - retention_;
   for (auto& [name, state] : topics_) {
@@ -106,17 +125,19 @@
 void platform_store::Handle(const received_request& request,
                             const http_endpoint::responder& respond) {
   ++calls_;
-  if (fault_ == store_fault::kSilent || fault_ == store_fault::kRestored) return;
+  // The address to which the caller has connected.
+  const store_fault fault = FaultOf(request.host);
+  if (fault == store_fault::kSilent || fault == store_fault::kRestored) return;
   const auto with_era = [this, respond](int status, header_list headers,
                                         std::string_view body) {
     headers.emplace_back("Store-Era", std::to_string(era_));
     respond(status, headers, body);
   };
-  if (fault_ == store_fault::kBusy) {
+  if (fault == store_fault::kBusy) {
     with_era(503, {}, "{}");
     return;
   }
-  RunAfter(fault_ == store_fault::kSlow ? kSlowTime : kUsualTime,
+  RunAfter(fault == store_fault::kSlow ? kSlowTime : kUsualTime,
            [this, request, with_era] { Serve(request, with_era); });
 }
 
@@ -129,7 +150,7 @@
     Append(request, respond);
   } else if (path == "/api/log-read" && request.method == "GET") {
     const milliseconds wait{std::atoll(request.Parameter("waitMs").c_str())};
-    waiting_.push_back({request.Parameter("topic"),
+    waiting_.push_back({request.host, request.Parameter("topic"),
                         std::atoll(request.Parameter("from").c_str()),
                         clock::now() + std::min(wait, kMaxWait), respond});
     AnswerWaiting();
@@ -166,7 +187,7 @@
   }
   const std::int64_t offset = topics_[topic].end();
   for (const auto& [key, value] : records) Put(topic, key, value);
-  if (fault_ == store_fault::kLostResponses) return;
+  if (FaultOf(request.host) == store_fault::kLostResponses) return;
   respond(200, {}, json{{"offset", offset}, {"end", topics_[topic].end()}}.dump());
 }
 
--- a/standins/platform/platform_store.h
+++ b/standins/platform/platform_store.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,13 +23,15 @@
   /// Records older than `retention` are deleted; the newest of each key stays readable by key.
   explicit platform_store(std::chrono::milliseconds retention);
 
-  absl::Status Start(std::string_view address) { return endpoint_.Start(address); }
-  void Stop() { endpoint_.Stop(); }
+  /// Also listens on "ip:port". Not on the event loop.
+  absl::Status Start(const std::string& address);
+  void Stop();
   /// The operator writes a record; it is confirmed when this returns.
   void Put(const std::string& topic, const std::string& key, const std::string& value);
   /// Deletes the history of a topic now.
   void Compact(const std::string& topic);
-  void SetFault(store_fault fault);
+  /// The fault is one of the callers of `addresses`; empty for all.
+  void SetFault(store_fault fault, std::set<std::string> addresses = {});
   /// The store returns with its content of `age` ago. What the operator has written since is
   /// written again. Only copies of the last `kCopiesKept` periods exist.
   void Restore(std::chrono::milliseconds age);
@@ -52,12 +55,14 @@
     std::int64_t end() const { return first + static_cast<std::int64_t>(records.size()); }
   };
   struct waiting_read {
+    std::string address;
     std::string topic;
     std::int64_t from;
     clock::time_point until;
     http_endpoint::responder respond;
   };
 
+  store_fault FaultOf(const std::string& address) const;
   void Handle(const received_request& request, const http_endpoint::responder& respond);
   void Serve(const received_request& request, const http_endpoint::responder& respond);
   void Append(const received_request& request, const http_endpoint::responder& respond);
@@ -80,8 +85,11 @@
   int era_ = 1;
   std::vector<waiting_read> waiting_;
   store_fault fault_ = store_fault::kNone;
+  /// Addresses with the fault; empty for all.
+  std::set<std::string> faulty_;
   std::uint64_t calls_ = 0;
-  http_endpoint endpoint_;
+  /// By the address on which each listens.
+  std::map<std::string, std::unique_ptr<http_endpoint>> endpoints_;
 };
 
 }  // namespace bronzeroute::standin
--- a/standins/platform/platform_upstream.h
+++ b/standins/platform/platform_upstream.h
@@ -24,6 +24,9 @@
   std::string zone;
   std::string region;
   std::string ip;
+  /// Address of the store for this machine. Each has its own, so that the store can turn some
+  /// machines away.
+  std::string store;
   /// Service as the site file names it.
   std::string service;
 };
--- a/standins/platform/run_options.h
+++ b/standins/platform/run_options.h
@@ -20,10 +20,14 @@
   std::chrono::milliseconds change_period{2'000};
   /// Mean time between two faults of the store; 0 for none.
   std::chrono::milliseconds fault_period{0};
+  /// Share of the machines for which the store has a fault.
+  double fault_share = 1;
   /// The only fault to play; nullopt for one of all at random.
   std::optional<store_fault> fault;
   /// Mean time between two planned restarts of a daemon; 0 for none.
   std::chrono::milliseconds restart_period{0};
+  /// Mean time between two kills of a daemon, which is started again; 0 for none.
+  std::chrono::milliseconds kill_period{0};
   /// Share of the upstreams of the first service that name a limit for a part of the run.
   double limited_share = 0;
   /// The limit as a share of the requests that the upstream got before.
