--- a/tests/platform_run/small_deployment_test.cc
+++ b/tests/platform_run/small_deployment_test.cc
@@ -68,6 +68,21 @@
   EXPECT_LE(std::stoi(longest[1]), kConfigurationBoundMs) << run.output;
 }
 
+// Guards against confirmed versions that are late at daemons to which the store is silent,
+// while daemons that they could ask are killed.
+TEST_F(small_deployment, VersionsAreInEffectWhileTheStoreIsSilentToSomeMachines) {
+  const run_result run = Play({"--site", Example(), "--seconds", "25", "--change-ms", "2000",
+                               "--fault-ms", "6000", "--silent", "--fault-share", "0.35",
+                               "--kill-ms", "2000", "--load", "0.05", "--seed", "31"});
+  EXPECT_EQ(run.code, 0) << run.output;
+  EXPECT_NE(run.output.find("never: 0"), std::string::npos) << run.output;
+  std::smatch longest;
+  ASSERT_TRUE(std::regex_search(run.output, longest,
+                                std::regex("all the while: .* max ([0-9]+) of [1-9]")))
+      << run.output;
+  EXPECT_LE(std::stoi(longest[1]), kConfigurationBoundMs) << run.output;
+}
+
 // Guards against upstreams that get more than the limit that they name, restarts of daemons
 // included.
 TEST_F(small_deployment, UpstreamsGetNoMoreThanTheLimitThatTheyName) {
