--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -397,9 +397,9 @@
         if (record.ok()) {
           runtime_.OnSnapshot(peer, *record, now);
         } else {
+          const std::string reason{record.status().message()};
           log_line line(log_weight::kState, "config", "fetch_error");
-          line.Add("member", absl::StrFormat("%016x", peer.value))
-              .Add("reason", std::string(record.status().message()));
+          line.Add("member", absl::StrFormat("%016x", peer.value)).Add("reason", reason);
           events_.Write(line);
           runtime_.OnSnapshotFailed(peer, now);
         }
