--- a/src/configuration/version_fetcher.h
+++ b/src/configuration/version_fetcher.h
@@ -16,8 +16,7 @@
 class configuration_peer_port;
 
 /// Fetches the configuration from peers that have a higher version, when the log does not
-/// supply it. A peer that does not respond delays the version by `kNextPeerDelay` only: then
-/// the next one is asked as well.
+/// supply it. While a peer does not respond, further ones are asked as well.
 class version_fetcher {
  public:
   /// `peers` must outlive the fetcher.
