--- a/src/measuring/exposition.cc
+++ b/src/measuring/exposition.cc
@@ -32,6 +32,15 @@
   out.append(name).append(" ").append(type).append("\n");
 }
 
+/// A metric with one sample and no labels.
+void AppendSingle(std::string& out, string_view name, string_view type, string_view help,
+                  double value) {
+  AppendHeader(out, name, type, help);
+  out.append(name).append(" ");
+  AppendNumber(out, value);
+  out += '\n';
+}
+
 void AppendEscaped(std::string& out, string_view label) {
   for (const char c : label) {
     if (c == '\n') {
@@ -188,12 +197,9 @@
 }
 
 void AppendPipelined(std::string& out, const service_metrics& metrics) {
-  constexpr string_view kName = "bronzeroute_pipelined_requests_total";
-  AppendHeader(out, kName, "counter",
-               "Requests passed on while an earlier one of their connection was unanswered.");
-  out.append(kName).append(" ");
-  AppendNumber(out, static_cast<double>(metrics.pipelined()));
-  out += '\n';
+  AppendSingle(out, "bronzeroute_pipelined_requests_total", "counter",
+               "Requests passed on while an earlier one of their connection was unanswered.",
+               static_cast<double>(metrics.pipelined()));
 }
 
 void AppendAccounts(std::string& out, const account_metrics& metrics) {
@@ -208,55 +214,36 @@
                       static_cast<double>(results[i]));
     }
   }
-  constexpr string_view kUnknown = "bronzeroute_unknown_credential_total";
-  AppendHeader(out, kUnknown, "counter",
-               "Requests refused because no account holds their key, or they had none.");
-  out.append(kUnknown).append(" ");
-  AppendNumber(out, static_cast<double>(metrics.unknown_credentials()));
-  out += '\n';
+  AppendSingle(out, "bronzeroute_unknown_credential_total", "counter",
+               "Requests refused because no account holds their key, or they had none.",
+               static_cast<double>(metrics.unknown_credentials()));
 }
 
 void AppendProcess(std::string& out, const process_start& start, time_point now) {
-  const auto append = [&out](string_view name, string_view help, duration value) {
-    AppendHeader(out, name, "gauge", help);
-    out.append(name).append(" ");
-    AppendNumber(out, Seconds(value));
-    out += '\n';
-  };
-  append("bronzeroute_process_start_time_seconds", "Start of the process in Unix time.",
-         start.unix_time);
-  append("bronzeroute_uptime_seconds", "Time since the start of the process.",
-         now - start.started);
+  AppendSingle(out, "bronzeroute_process_start_time_seconds", "gauge",
+               "Start of the process in Unix time.", Seconds(start.unix_time));
+  AppendSingle(out, "bronzeroute_uptime_seconds", "gauge",
+               "Time since the start of the process.", Seconds(now - start.started));
 }
 
 void AppendRestrictions(std::string& out, const restriction_metrics& restrictions) {
-  const auto append = [&out](string_view name, string_view type, string_view help,
-                             double value) {
-    AppendHeader(out, name, type, help);
-    out.append(name).append(" ");
-    AppendNumber(out, value);
-    out += '\n';
-  };
-  append("bronzeroute_config_replaced_values", "gauge",
-         "Values of the configuration in effect that cannot be used as written.",
-         static_cast<double>(restrictions.replaced_values));
-  append("bronzeroute_evacuated_zones", "gauge",
-         "Availability zones that this daemon knows to be evacuated.",
-         static_cast<double>(restrictions.evacuated_zones));
-  append("bronzeroute_cold_rate_limit", "gauge",
-         "Requests per second that the cold upstream here takes; 0 if it is warm.",
-         restrictions.cold_rate_per_s);
-  append("bronzeroute_cold_limit_held_total", "counter",
-         "Attempts queued or refused while the cold upstream could take no request.",
-         static_cast<double>(restrictions.held_by_cold_limit));
+  AppendSingle(out, "bronzeroute_config_replaced_values", "gauge",
+               "Values of the configuration in effect that cannot be used as written.",
+               static_cast<double>(restrictions.replaced_values));
+  AppendSingle(out, "bronzeroute_evacuated_zones", "gauge",
+               "Availability zones that this daemon knows to be evacuated.",
+               static_cast<double>(restrictions.evacuated_zones));
+  AppendSingle(out, "bronzeroute_cold_rate_limit", "gauge",
+               "Requests per second that the cold upstream here takes; 0 if it is warm.",
+               restrictions.cold_rate_per_s);
+  AppendSingle(out, "bronzeroute_cold_limit_held_total", "counter",
+               "Attempts queued or refused while the cold upstream could take no request.",
+               static_cast<double>(restrictions.held_by_cold_limit));
 }
 
 void AppendConfiguration(std::string& out, const configuration_counters& counters) {
   const auto append = [&out](string_view name, string_view help, std::uint64_t value) {
-    AppendHeader(out, name, "counter", help);
-    out.append(name).append(" ");
-    AppendNumber(out, static_cast<double>(value));
-    out += '\n';
+    AppendSingle(out, name, "counter", help, static_cast<double>(value));
   };
   append("bronzeroute_config_reads_renewed_total",
          "Waiting reads of the configuration that were given up for a new one.",
