--- a/src/configuration/configuration_system.cc
+++ b/src/configuration/configuration_system.cc
@@ -67,7 +67,7 @@
       renewal_turn_.reset();
     }
     AdoptDocuments(read, now);
-    fetcher_.Drop(in_effect_.version);
+    fetcher_.Drop(settled_version());
     return;
   }
   retention_ = milliseconds(read.retention_ms);
@@ -96,15 +96,11 @@
 }
 
 void configuration_system::OnPeerVersion(member_id peer, std::int64_t version, time_point now) {
-  if (version <= std::max(in_effect_.version, unusable_version_)) return;
-  if (version > reported_version_) {
-    reported_version_ = version;
-    reported_at_ = now;
-    events_.push_back({configuration_event_kind::kNewerVersionReported, peer, version});
-    renew_for_peer_at_ =
-        std::min(renew_for_peer_at_, now + kRenewalGrace + Jitter(duration(0), kRenewalSpread));
-  }
-  fetcher_.OnPeerVersion(peer, version, read_failures_ > 0, now);
+  if (version <= settled_version()) return;
+  if (!fetcher_.OnPeerVersion(peer, version, read_failures_ > 0, now)) return;
+  reported_at_ = now;
+  renew_for_peer_at_ =
+      std::min(renew_for_peer_at_, now + kRenewalGrace + Jitter(duration(0), kRenewalSpread));
 }
 
 void configuration_system::OnSnapshot(member_id peer, std::string_view record, time_point now) {
@@ -135,7 +131,7 @@
       unusable_version_ = std::max(unusable_version_, snapshot->version);
     }
   }
-  fetcher_.Drop(std::max(in_effect_.version, unusable_version_));
+  fetcher_.Drop(settled_version());
 }
 
 void configuration_system::OnSnapshotFailed(member_id peer, time_point now) {
@@ -158,13 +154,9 @@
                                             : std::string();
 }
 
-std::vector<configuration_event> configuration_system::TakeEvents() {
-  std::ranges::move(fetcher_.TakeEvents(), std::back_inserter(events_));
-  return std::exchange(events_, {});
-}
-
 std::optional<time_point> configuration_system::reported_at() const {
-  return reported_version_ < in_effect_.version ? std::nullopt : std::optional(reported_at_);
+  const bool was_reported = fetcher_.highest_reported() >= in_effect_.version;
+  return was_reported ? std::optional(reported_at_) : std::nullopt;
 }
 
 std::string_view configuration_system::problem() const {
@@ -242,7 +234,7 @@
       unusable_version_ = std::max(unusable_version_, head.version);
     }
   }
-  fetcher_.Drop(std::max(in_effect_.version, unusable_version_));
+  fetcher_.Drop(settled_version());
 }
 
 void configuration_system::FailRead(time_point now) {
--- a/src/configuration/configuration_system.h
+++ b/src/configuration/configuration_system.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -68,7 +69,7 @@
   /// Returns the records folded since the last call, for the daemon's log lines.
   std::vector<folded_record> TakeFoldedRecords() { return std::exchange(folded_records_, {}); }
   /// Returns what happened since the last call, for the daemon's log lines.
-  std::vector<configuration_event> TakeEvents();
+  std::vector<configuration_event> TakeEvents() { return fetcher_.TakeEvents(); }
   configuration_counters counters() const {
     return {.renewed_reads = renewed_reads_,
             .fetches = fetcher_.fetches(),
@@ -84,6 +85,10 @@
   /// Value of `ranked_anchor_` for a fold that is not anchored.
   static constexpr std::int64_t kNoAnchor = -3;
 
+  /// The highest version for which no peer is needed: it is in effect, or cannot be.
+  std::int64_t settled_version() const {
+    return std::max(in_effect_.version, unusable_version_);
+  }
   /// Puts the highest version in effect, for documents that contain their own version.
   void AdoptDocuments(const log_read& read, time_point now);
   std::int64_t NextOffset() const;
@@ -120,7 +125,6 @@
   configuration_snapshot in_effect_;
   bool from_peer_ = false;
   std::vector<folded_record> folded_records_;
-  std::vector<configuration_event> events_;
   std::uint64_t renewed_reads_ = 0;
   /// Highest version that cannot be put in effect: this build cannot read it, or the fold did
   /// not accept it.
@@ -144,8 +148,7 @@
   /// True if the log ends before records that were read earlier.
   bool log_behind_ = false;
 
-  /// Highest version that a peer reported before it was in effect here, and when.
-  std::int64_t reported_version_ = -1;
+  /// When a peer reported the highest version that peers have reported.
   time_point reported_at_{};
   version_fetcher fetcher_;
 
--- a/src/configuration/version_fetcher.cc
+++ b/src/configuration/version_fetcher.cc
@@ -35,25 +35,28 @@
 version_fetcher::version_fetcher(configuration_peer_port& peers, std::uint64_t seed)
     : peers_(peers), random_(seed) {}
 
-void version_fetcher::OnPeerVersion(member_id peer, std::int64_t version, bool log_fails,
+bool version_fetcher::OnPeerVersion(member_id peer, std::int64_t version, bool log_fails,
                                     time_point now) {
-  // The grace is that of a version. It does not begin anew when all its peers have failed.
-  if (version > highest_ && sources_.empty()) {
-    next_fetch_ = now + (log_fails ? kGraceWithoutLog : kGrace) + Spread(kSpread);
+  const bool is_new = version > highest_;
+  if (is_new) {
+    // The grace is that of a version. It does not begin anew when all its peers have failed.
+    if (sources_.empty()) {
+      next_fetch_ = now + (log_fails ? kGraceWithoutLog : kGrace) + Spread(kSpread);
+    }
+    failures_in_a_row_ = 0;
+    highest_ = version;
+    events_.push_back({configuration_event_kind::kNewerVersionReported, peer, version});
   }
-  if (version > highest_) failures_in_a_row_ = 0;
-  highest_ = std::max(highest_, version);
   const auto known = std::ranges::find(sources_, peer, &source::peer);
   if (known != sources_.end()) {
     known->version = std::max(known->version, version);
-    return;
-  }
-  if (sources_.size() < kMaxSources) {
+  } else if (sources_.size() < kMaxSources) {
     sources_.push_back({peer, version});
-    return;
+  } else {
+    const auto lowest = std::ranges::min_element(sources_, {}, &source::version);
+    if (lowest->version < version) *lowest = {peer, version};
   }
-  const auto lowest = std::ranges::min_element(sources_, {}, &source::version);
-  if (lowest->version < version) *lowest = {peer, version};
+  return is_new;
 }
 
 void version_fetcher::OnResponse(member_id peer, time_point now) {
--- a/src/configuration/version_fetcher.h
+++ b/src/configuration/version_fetcher.h
@@ -23,8 +23,9 @@
   version_fetcher(configuration_peer_port& peers, std::uint64_t seed);
 
   /// `peer` has `version`, which is above the one in effect. `log_fails` shortens the time for
-  /// which the log is given to supply it.
-  void OnPeerVersion(member_id peer, std::int64_t version, bool log_fails, time_point now);
+  /// which the log is given to supply it. Returns true if no peer reported such a high version
+  /// before.
+  bool OnPeerVersion(member_id peer, std::int64_t version, bool log_fails, time_point now);
   /// `peer` responded with a version.
   void OnResponse(member_id peer, time_point now);
   /// `peer` did not supply its version. Has no effect if it was not asked.
@@ -37,7 +38,9 @@
   /// Fetches and failed ones, since the start.
   std::uint64_t fetches() const { return fetches_; }
   std::uint64_t failed_fetches() const { return failed_fetches_; }
-  /// Returns the failures since the last call.
+  /// Highest version that a peer reported; -1 before the first report.
+  std::int64_t highest_reported() const { return highest_; }
+  /// Returns the first reports of versions and the failures since the last call.
   std::vector<configuration_event> TakeEvents() { return std::exchange(events_, {}); }
 
  private:
@@ -60,7 +63,6 @@
   std::mt19937_64 random_;
   std::vector<source> sources_;
   std::vector<open_fetch> open_;
-  /// Highest version that a peer reported.
   std::int64_t highest_ = -1;
   time_point next_fetch_{};
   /// Failed fetches since a peer responded or reported a higher version.
