--- a/src/membership/membership_system.cc
+++ b/src/membership/membership_system.cc
@@ -520,7 +520,7 @@
   }
   push_due_ = false;
   // Each message names the version in effect.
-  version_pushes_left_ -= std::min(version_pushes_left_, 1U);
+  if (version_pushes_left_ > 0) --version_pushes_left_;
   for (const member_id id : changed_) {
     const std::ptrdiff_t index = table_.IndexOf(id);
     if (index >= 0) table_.track(Index(index)).urgent = false;
--- a/src/routing/hint_table.cc
+++ b/src/routing/hint_table.cc
@@ -36,6 +36,11 @@
 // long one after this time.
 constexpr duration kLongTrialDelay = std::chrono::seconds(5);
 
+/// True if recent work has measured the service time of `row`.
+bool HasMeasuredServiceTime(const candidate& row, time_point now) {
+  return row.worked_at + kServiceTimeValidity > now;
+}
+
 distance DistanceOf(const member_row& row, member_id own, std::string_view region,
                     std::string_view availability_zone) {
   if (row.id == own) return distance::kSameInstance;
@@ -192,11 +197,12 @@
   const double weight =
       item.has_hint ? 1 - std::exp(-std::max(elapsed_us, 0.0) / kServiceTimeAveragingUs) : 1;
   item.row.service_time_us += weight * (hint.service_time_us - item.row.service_time_us);
-  if (!item.has_hint || Occupancy(item.row) > 0) item.row.worked_at = received;
+  const bool had_work = !item.has_hint || Occupancy(item.row) > 0;
   item.has_hint = true;
   item.row.hint = hint;
   item.row.hint_received = received;
-  if (Occupancy(item.row) > 0) item.row.worked_at = received;
+  // Work of the hint before has ended since then.
+  if (had_work || Occupancy(item.row) > 0) item.row.worked_at = received;
   // The owner sent the hint half a round trip ago, and it includes the attempts received by
   // then: those sent at least one round trip ago.
   const time_point included_until = received - TypicalRoundTrip(item.row.where);
@@ -352,8 +358,9 @@
 
 void hint_table::ForgetOldServiceTimes(time_point now, eligible_members& result) {
   for (candidate& each : result.candidates) {
-    if (each.worked_at + kServiceTimeValidity > now) continue;
-    each.service_time_us = result.context.mean_service_time_us;
+    if (!HasMeasuredServiceTime(each, now)) {
+      each.service_time_us = result.context.mean_service_time_us;
+    }
   }
 }
 
@@ -371,6 +378,7 @@
   double hints = 0;
   double service_times = 0;
   double measured = 0;
+  double measured_times = 0;
   // Members may have left or started to drain since the ejections, so the limit of one half is
   // applied again to the members that can serve.
   std::size_t serving = 0;
@@ -392,9 +400,9 @@
       ++hints;
       result.context.mean_occupancy += Occupancy(item.row);
       service_times += item.row.service_time_us;
-      if (item.row.worked_at + kServiceTimeValidity > now) {
+      if (HasMeasuredServiceTime(item.row, now)) {
         ++measured;
-        result.context.mean_service_time_us += item.row.service_time_us;
+        measured_times += item.row.service_time_us;
       }
     }
     candidate_disposition disposition = DispositionOf(item, spec, regions, excluded);
@@ -418,7 +426,7 @@
   if (hints > 0) {
     result.context.mean_occupancy /= hints;
     result.context.mean_service_time_us =
-        measured > 0 ? result.context.mean_service_time_us / measured : service_times / hints;
+        measured > 0 ? measured_times / measured : service_times / hints;
   }
 }
 
