--- a/standins/platform/configuration_oracle.cc
+++ b/standins/platform/configuration_oracle.cc
@@ -50,13 +50,22 @@
   }
 }
 
-bool configuration_oracle::IsInTouch(const std::string& entry, clock::time_point sent) const {
-  return std::ranges::none_of(faults_, [&](const fault_row& fault) {
-    return (fault.entry.empty() || fault.entry == entry) && fault.from <= sent &&
-           sent < fault.until + bounds_.stability;
+bool configuration_oracle::HadFault(const std::string& entry, clock::time_point at) const {
+  return std::ranges::any_of(faults_, [&](const fault_row& fault) {
+    return fault.entry == entry && fault.from <= at && at < fault.until + bounds_.stability;
   });
 }
 
+bool configuration_oracle::IsInTouch(const std::string& entry, clock::time_point sent) const {
+  return !HadFault("", sent) && !HadFault(entry, sent);
+}
+
+bool configuration_oracle::RanBeforeDue(const std::string& entry, std::int64_t version) const {
+  const auto row = std::ranges::find_if(
+      versions_, [version](const version_row& each) { return each.version.number == version; });
+  return row != versions_.end() && !HadFault(entry, row->confirmed + bounds_.configuration);
+}
+
 void configuration_oracle::OnRequest(const std::string& id, const std::string& entry,
                                      const std::string& host, const std::string& path,
                                      bool is_protected, clock::time_point now) {
--- a/standins/platform/configuration_oracle.h
+++ b/standins/platform/configuration_oracle.h
@@ -46,6 +46,9 @@
   /// The caller has a complete response, or none (status 0).
   void OnResponse(const std::string& id, int status, clock::time_point now);
 
+  /// True if the daemon `entry` ran for the stability window before `version` was due.
+  bool RanBeforeDue(const std::string& entry, std::int64_t version) const;
+
   const std::vector<rule_break>& breaks() const { return breaks_; }
   const std::map<std::string, int>& statuses() const { return statuses_; }
   /// Requests that would have broken CONFIG, had the store been sound.
@@ -73,6 +76,9 @@
   void Break(std::string rule, const std::string& id, const request_row& row,
              const std::string& text);
   std::int64_t Newest(clock::time_point sent) const;
+  /// True if the daemon `entry`, or the store if it is empty, had a fault in the stability
+  /// window before `at`.
+  bool HadFault(const std::string& entry, clock::time_point at) const;
   /// True if the store and the daemon `entry` were sound for the time before `sent` in which a
   /// version must arrive.
   bool IsInTouch(const std::string& entry, clock::time_point sent) const;
--- a/standins/platform/platform_run.cc
+++ b/standins/platform/platform_run.cc
@@ -8,7 +8,7 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
-#include <limits>
+#include <optional>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -17,6 +17,7 @@
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_replace.h"
 #include "src/base/concat.h"
+#include "src/base/read_file.h"
 #include "standins/platform/loop_timer.h"
 #include "standins/platform/platform_addresses.h"
 
@@ -50,10 +51,10 @@
 constexpr std::string_view kAdminPrefix = "/.bronzeroute/v1/";
 const std::string kOperatorTopic = "keyed.op";
 
-std::string ReadFile(const std::string& name) {
-  std::ifstream file(name);
-  if (!file) throw std::runtime_error("cannot read " + name);
-  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+std::string TextOf(const std::string& file) {
+  std::optional<std::string> text = ReadFile(file);
+  if (!text) throw std::runtime_error("cannot read " + file);
+  return *std::move(text);
 }
 
 double Percentile(const std::vector<double>& sorted, double share) {
@@ -205,7 +206,7 @@
 
 std::string platform_run::Settings(const machine_place& place) const {
   std::string text =
-      absl::StrReplaceAll(ReadFile(options_.settings_template),
+      absl::StrReplaceAll(TextOf(options_.settings_template),
                           {{"{{region}}", place.region},
                            {"{{zone}}", place.zone},
                            {"{{service}}", author_.ServiceName(place.service)},
@@ -338,43 +339,21 @@
   return result;
 }
 
-void platform_run::ScheduleRestart() {
-  if (options_.restart_period.count() == 0) return;
+void platform_run::ScheduleStops(milliseconds period, int signal, std::string_view what,
+                                 std::mt19937_64& random) {
+  if (period.count() == 0) return;
   std::uniform_real_distribution<double> spread(0.5, 1.5);
-  RunAfter(std::chrono::microseconds(
-               static_cast<std::int64_t>(spread(restart_random_) * 1000 *
-                                         static_cast<double>(options_.restart_period.count()))),
-           [this] {
+  RunAfter(std::chrono::microseconds(static_cast<std::int64_t>(
+               spread(random) * 1000 * static_cast<double>(period.count()))),
+           [this, period, signal, what, &random] {
              if (is_ended_ || clock::now() >= ends_at_) return;
              std::uniform_int_distribution<std::size_t> pick(0, places_.size() - 1);
-             const std::size_t machine = pick(restart_random_);
-             if (BeginRestart(machine, "restart")) {
-               daemons_[machine]->Signal(SIGTERM);
-               StartAgain(machine);
-             }
-             ScheduleRestart();
+             StopAndStart(pick(random), signal, what);
+             ScheduleStops(period, signal, what, random);
            });
 }
 
-void platform_run::ScheduleKill() {
-  if (options_.kill_period.count() == 0) return;
-  std::uniform_real_distribution<double> spread(0.5, 1.5);
-  RunAfter(
-      std::chrono::microseconds(static_cast<std::int64_t>(
-          spread(kill_random_) * 1000 * static_cast<double>(options_.kill_period.count()))),
-      [this] {
-        if (is_ended_ || clock::now() >= ends_at_) return;
-        std::uniform_int_distribution<std::size_t> pick(0, places_.size() - 1);
-        const std::size_t machine = pick(kill_random_);
-        if (BeginRestart(machine, "kill")) {
-          daemons_[machine]->Signal(SIGKILL);
-          StartAgain(machine);
-        }
-        ScheduleKill();
-      });
-}
-
-bool platform_run::BeginRestart(std::size_t machine, std::string_view what) {
+bool platform_run::StopAndStart(std::size_t machine, int signal, std::string_view what) {
   const std::string& name = places_[machine].name;
   if (!restarting_.insert(name).second) return false;
   std::cout << absl::StrFormat("%s of %s at %.3f\n", what, name, SecondsOfDay()) << std::flush;
@@ -383,7 +362,8 @@
     if (restarting_.contains(name)) avoided_.insert(name);
   });
   oracle_.OnDaemonFault(name, clock::now(), clock::time_point::max());
-  restarts_[name].emplace_back(UnixMilliseconds(), std::numeric_limits<std::int64_t>::max());
+  daemons_[machine]->Signal(signal);
+  StartAgain(machine);
   return true;
 }
 
@@ -398,7 +378,6 @@
   StartDaemon(machine);
   RunAfter(kStartTime, [this, name] {
     oracle_.OnDaemonStarted(name, clock::now());
-    restarts_[name].back().second = UnixMilliseconds();
     restarting_.erase(name);
     avoided_.erase(name);
   });
@@ -479,10 +458,7 @@
       upstreams_[machine]->identity(),
       clock::now() + std::max(restarted, milliseconds(site_.bounds.drain)));
   RunAfter(kKilledAfter, [this, machine, name] {
-    if (is_ended_ || !BeginRestart(machine, "kill")) return;
-    avoided_.insert(name);
-    daemons_[machine]->Signal(SIGKILL);
-    StartAgain(machine);
+    if (!is_ended_ && StopAndStart(machine, SIGKILL, "kill")) avoided_.insert(name);
   });
   RunAfter(kReportLateBy, [this, machine] {
     if (!is_ended_) upstreams_[machine]->SendLateReport();
@@ -648,7 +624,7 @@
       for (const char* const endpoint : {"metrics", "members", "status"}) {
         search(admin, Concat(kAdminPrefix, endpoint));
       }
-      const std::string log = ReadFile(LogName(place));
+      const std::string log = TextOf(LogName(place));
       secrecy_oracle_.OnOutput(LogName(place), log);
       for (const std::string& id : LastCalls(log)) {
         search(admin, Concat(kAdminPrefix, "explain?call=", id));
@@ -730,8 +706,8 @@
     Tick();
     ScheduleChange();
     ScheduleFault();
-    ScheduleRestart();
-    ScheduleKill();
+    ScheduleStops(options_.restart_period, SIGTERM, "restart", restart_random_);
+    ScheduleStops(options_.kill_period, SIGKILL, "kill", kill_random_);
     ScheduleLimits();
     ScheduleLeaving();
     ScheduleDepartures();
@@ -768,14 +744,7 @@
       }
       const double delay = found->second - static_cast<double>(confirmed_ms);
       delays.all.push_back(delay);
-      const auto due = confirmed_ms + site_.bounds.configuration.count();
-      const auto restarts = restarts_.find(place.name);
-      const bool is_steady = restarts == restarts_.end() ||
-                             std::ranges::none_of(restarts->second, [&](const auto& restart) {
-                               return restart.first <= due &&
-                                      restart.second + site_.bounds.stability.count() > due;
-                             });
-      if (is_steady) delays.steady.push_back(delay);
+      if (oracle_.RanBeforeDue(place.name, version)) delays.steady.push_back(delay);
     }
   }
   std::ranges::sort(delays.all);
--- a/standins/platform/platform_run.h
+++ b/standins/platform/platform_run.h
@@ -54,10 +54,11 @@
   void ScheduleFault();
   /// Addresses of the store for the machines that a fault hits; empty for all.
   std::set<std::string> PickFaulty();
-  void ScheduleRestart();
-  void ScheduleKill();
-  /// Notes that the daemon of `machine` stops now; false if it is being started again.
-  bool BeginRestart(std::size_t machine, std::string_view what);
+  /// Stops daemons with `signal`, one each `period` on average, and starts them again.
+  void ScheduleStops(std::chrono::milliseconds period, int signal, std::string_view what,
+                     std::mt19937_64& random);
+  /// Stops the daemon of `machine` and starts it again; false if that is in progress already.
+  bool StopAndStart(std::size_t machine, int signal, std::string_view what);
   void StartAgain(std::size_t machine);
   /// Sends a request on the route added last to each daemon once the version is due, as the
   /// platform does.
@@ -123,9 +124,6 @@
   std::vector<std::unique_ptr<daemon_process>> daemons_;
   /// Version with the Unix milliseconds of its confirmation.
   std::vector<std::pair<std::int64_t, std::int64_t>> confirmed_;
-  /// For each machine, when its daemon was stopped, and when it ran again after the time of a
-  /// start, in Unix milliseconds.
-  std::map<std::string, std::vector<std::pair<std::int64_t, std::int64_t>>> restarts_;
   /// Machines whose daemon is being started again, and those that callers avoid meanwhile.
   std::set<std::string> restarting_;
   std::set<std::string> avoided_;
