--- a/tests/node/late_version_test.cc
+++ b/tests/node/late_version_test.cc
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <ostream>
@@ -51,6 +52,20 @@
 
 class LateVersionTest : public testing::TestWithParam<deployment_size> {
  protected:
+  /// Publishes a version in a deployment with the trouble `before`, followed by the trouble
+  /// `after`, and expects it in time; once for each of some seeds.
+  void Play(
+      const std::function<void()>& before, const std::function<void()>& after = [] {}) {
+    constexpr std::uint64_t kSeeds = 3;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      SCOPED_TRACE(seed);
+      Start(seed);
+      before();
+      Publish();
+      after();
+      ExpectInTime();
+    }
+  }
   void Start(std::uint64_t seed) {
     random_.seed(seed);
     world_ = std::make_unique<runtime_world>(GetParam().daemons, Options(seed));
@@ -131,67 +146,45 @@
   time_point published_at_;
 };
 
-constexpr std::uint64_t kSeeds = 3;
-
 // Guards against a version that is late where only messages of members tell of it.
 TEST_P(LateVersionTest, AllConnectionsToTheLogFellSilent) {
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    SCOPED_TRACE(seed);
-    Start(seed);
-    SilenceOpenReads();
-    Publish();
-    ExpectInTime();
-  }
+  Play([this] { SilenceOpenReads(); });
 }
 
 // Guards against renewals that come late everywhere since daemons count their turns from
 // different moments.
 TEST_P(LateVersionTest, AllConnectionsToTheLogFellSilentAfterRestartsOfAllDaemons) {
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    SCOPED_TRACE(seed);
-    Start(seed);
+  Play([this] {
     RestartAllInTurn();
     SilenceOpenReads();
-    Publish();
-    ExpectInTime();
-  }
+  });
 }
 
 // Guards against a version that is late at daemons that the log turns away.
 TEST_P(LateVersionTest, LogTurnsAThirdOfTheDaemonsAway) {
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    SCOPED_TRACE(seed);
-    Start(seed);
+  Play([this] {
     for (const std::size_t each : Third()) world_->CutOffLog(each, true);
-    Publish();
-    ExpectInTime();
-  }
+  });
 }
 
 // Guards against a version that is late at daemons to which the log does not respond.
 TEST_P(LateVersionTest, LogIsSilentToAThirdOfTheDaemons) {
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    SCOPED_TRACE(seed);
-    Start(seed);
+  Play([this] {
     for (const std::size_t each : Third()) world_->SetLogSilent(each, true);
-    Publish();
-    ExpectInTime();
-  }
+  });
 }
 
 // Guards against a version that is late because the first peer asked for it does not respond.
 TEST_P(LateVersionTest, PeersThatHaveTheVersionFreeze) {
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    SCOPED_TRACE(seed);
-    Start(seed);
+  const auto silence = [this] {
     for (const std::size_t each : Third()) world_->SetLogSilent(each, true);
-    Publish();
+  };
+  Play(silence, [this] {
     world_->Advance(milliseconds(200));
     for (const std::size_t each : Third()) {
       if (each + 1 < world_->size()) world_->Freeze(each + 1, seconds(8));
     }
-    ExpectInTime();
-  }
+  });
 }
 
 INSTANTIATE_TEST_SUITE_P(Sizes, LateVersionTest,
